--- /dev/null
+++ b/io/event/caller.go
@@ -0,0 +1,6 @@
+package event
+
+// Events of area "caller": 500 to 599.
+const ()
+
+var callerKinds = map[ID]Kind{}
--- /dev/null
+++ b/io/event/conf.go
@@ -0,0 +1,6 @@
+package event
+
+// Events of area "conf": 100 to 199.
+const ()
+
+var confKinds = map[ID]Kind{}
--- /dev/null
+++ b/io/event/gate.go
@@ -0,0 +1,6 @@
+package event
+
+// Events of area "gate": 400 to 499.
+const ()
+
+var gateKinds = map[ID]Kind{}
--- /dev/null
+++ b/io/event/group.go
@@ -0,0 +1,6 @@
+package event
+
+// Events of area "group": 200 to 299.
+const ()
+
+var groupKinds = map[ID]Kind{}
--- /dev/null
+++ b/io/event/node.go
@@ -0,0 +1,6 @@
+package event
+
+// Events of area "node": 600 to 699.
+const ()
+
+var nodeKinds = map[ID]Kind{}
