--- /dev/null
+++ b/core/limit/rate.go
@@ -0,0 +1,71 @@
+package limit
+
+import (
+	"math/bits"
+	"time"
+)
+
+// Shares is the number of minting shares of each client account. It is the same
+// for every account and every size of the fleet, so that neither a change of the
+// configuration nor a new member changes what one share is.
+const Shares = 3
+
+// Rate is what a client account, or one share of it, may use: for every window of
+// time at most the burst and the rate times the window.
+type Rate struct {
+	perSecond Micro
+	burst     Micro
+}
+
+// RateConfig holds the parts of a rate.
+type RateConfig struct {
+	// PerSecond is the number of micro-tokens that accrue in a second.
+	PerSecond Micro
+	// Burst is the number of micro-tokens that can be saved up.
+	Burst Micro
+}
+
+// NewRate returns the rate with the given parts. Negative parts count as zero.
+func NewRate(c RateConfig) Rate {
+	return Rate{perSecond: max(c.PerSecond, 0), burst: max(c.Burst, 0)}
+}
+
+// PerSecond returns the micro-tokens that accrue in a second.
+func (r Rate) PerSecond() Micro { return r.perSecond }
+
+// Burst returns the micro-tokens that can be saved up.
+func (r Rate) Burst() Micro { return r.burst }
+
+// Share returns part i of Shares. The parts add up to the whole exactly.
+func (r Rate) Share(i int) Rate {
+	return Rate{perSecond: part(r.perSecond, i), burst: part(r.burst, i)}
+}
+
+// part returns part i of Shares of a number.
+func part(whole Micro, i int) Micro {
+	n := Micro(i)
+	return whole/Shares*(n+1) + whole%Shares*(n+1)/Shares - whole/Shares*n - whole%Shares*n/Shares
+}
+
+// Until returns the time in which amount accrues, rounded up. It returns false when
+// nothing ever accrues.
+func (r Rate) Until(amount Micro) (time.Duration, bool) {
+	if amount <= 0 {
+		return 0, true
+	}
+	if r.perSecond == 0 {
+		return 0, false
+	}
+	high, low := bits.Mul64(uint64(amount), uint64(time.Second))
+	if high >= uint64(r.perSecond) {
+		return 0, false
+	}
+	quotient, rest := bits.Div64(high, low, uint64(r.perSecond))
+	if rest > 0 {
+		quotient++
+	}
+	if quotient > uint64(1<<62) {
+		return 0, false
+	}
+	return time.Duration(quotient), true
+}
