--- /dev/null
+++ b/core/lease/use.go
@@ -0,0 +1,136 @@
+package lease
+
+import "time"
+
+// Authority reports whether this instance may act as a member of its newest known
+// epoch. The caller asks before and after the step that needs it.
+//
+// Evidence counts from when the question was sent. So a holder that was paused, or
+// whose answers came late, judges itself by its own clock and errs to the safe side.
+func (k *Keeper) Authority(now time.Time) bool {
+	l := k.last()
+	if l == nil || !l.record.Has(k.self) {
+		return false
+	}
+	if now.Before(k.validUntil) {
+		return true
+	}
+	asOf, ok := k.evidence.asOf(l.record.Members, l.record.Epoch, k.self, now)
+	if k.storeEpoch == l.record.Epoch && k.storeAsked.After(asOf) {
+		asOf, ok = k.storeAsked, true
+	}
+	if !ok {
+		return false
+	}
+	if len(l.record.Members) > 1 {
+		k.validUntil = asOf.Add(k.timing.Hold)
+	}
+	return now.Before(asOf.Add(k.timing.Hold))
+}
+
+// Holds reports whether this instance may use the right now.
+func (k *Keeper) Holds(now time.Time, right Right) bool {
+	l := k.last()
+	return l != nil && k.holderAt(l.roster, right) && k.owns(now, len(k.chain)-1, right) && k.Authority(now)
+}
+
+// Assigned reports whether the newest known record gives the right to this instance,
+// be it usable yet or not.
+func (k *Keeper) Assigned(right Right) bool {
+	l := k.last()
+	return l != nil && k.holderAt(l.roster, right)
+}
+
+// owns reports whether no other instance can use the right under the epoch of link i
+// or an earlier one, so that the holder of that epoch may.
+func (k *Keeper) owns(now time.Time, i int, right Right) bool {
+	l := k.chain[i]
+	if l.confirmed[right] || k.waited(now, i, right) {
+		return true
+	}
+	return i > 0 && k.holderAt(l.before, right) && k.owns(now, i-1, right)
+}
+
+// waited reports whether so much time has passed since the epoch was settled that
+// every holder of an earlier epoch must have stopped.
+func (k *Keeper) waited(now time.Time, i int, right Right) bool {
+	l := k.chain[i]
+	if right.Kind != KindService || k.nobodyDrains(i, right) {
+		return l.settledFor(now, k.timing.Take)
+	}
+	return l.settledFor(now, k.timing.Take+k.timing.Drain)
+}
+
+// nobodyDrains reports whether no former gateway can be finishing work. That is so
+// when no former member is left, or when the former holder is no longer a member and
+// had the right for so long that its own predecessors must have finished.
+func (k *Keeper) nobodyDrains(i int, right Right) bool {
+	l := k.chain[i]
+	if !l.canDrain(k.self) {
+		return true
+	}
+	former, ok := l.before.Holder(right)
+	if !ok || l.record.Has(former) || i == 0 {
+		return false
+	}
+	return k.chain[i-1].settledFor(l.learned, k.timing.Take+k.timing.Drain)
+}
+
+// Finishing reports whether work begun under a right that has moved away may go on.
+func (k *Keeper) Finishing(now time.Time, right Right) bool {
+	l := k.last()
+	if l == nil || !k.Authority(now) {
+		return false
+	}
+	if k.holderAt(l.roster, right) {
+		return true
+	}
+	for i := len(k.chain) - 1; i > 0; i-- {
+		if k.holderAt(k.chain[i].before, right) {
+			return now.Sub(k.chain[i].learned) < k.timing.Drain
+		}
+	}
+	return false
+}
+
+// Released reports whether this instance, as holder in the epoch before the given
+// one, knows that nobody uses the right any more. Its caller has made sure that no
+// work is left under the right here.
+func (k *Keeper) Released(now time.Time, right Right, epoch uint64) bool {
+	last := k.last()
+	if last == nil || last.record.Epoch < epoch || epoch == 0 {
+		return false
+	}
+	i, ok := k.at(epoch - 1)
+	if !ok || !k.holderAt(k.chain[i].roster, right) {
+		return false
+	}
+	return k.owns(now, i, right) && !k.holderAfter(i, right)
+}
+
+// holderAfter reports whether this instance got the right back after link i.
+func (k *Keeper) holderAfter(i int, right Right) bool {
+	for _, l := range k.chain[i+1:] {
+		if k.holderAt(l.roster, right) {
+			return true
+		}
+	}
+	return false
+}
+
+// Confirm notes that the former holder has handed the right over at an epoch. It
+// returns false when that changes nothing.
+func (k *Keeper) Confirm(now time.Time, right Right, epoch uint64) bool {
+	i, ok := k.at(epoch)
+	if !ok || !k.holderAt(k.chain[i].roster, right) || k.owns(now, i, right) {
+		return false
+	}
+	k.chain[i].confirmed[right] = true
+	return true
+}
+
+// Waiting reports whether the right belongs to this instance but may not be used yet.
+func (k *Keeper) Waiting(now time.Time, right Right) bool {
+	l := k.last()
+	return l != nil && k.holderAt(l.roster, right) && !k.owns(now, len(k.chain)-1, right)
+}
