Run rights, rates and heartbeats of a fleet over net/rpc

An instance joins by swapping itself into the record of rights, keeps authority by the store or by the members' majority, draws and mints tokens, hands rights over when it leaves, and takes them over from a member that fell silent.

--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"pomelofork/core/model"
@@ -202,13 +203,17 @@
 	return nil
 }
 
-// FormerHolder returns the member that held a right in the epoch before.
-func (k *Keeper) FormerHolder(right Right) (Member, bool) {
+// Asked returns whom to ask for their epochs: the members and, while the newest epoch
+// isn't settled, those of the one before.
+func (k *Keeper) Asked() []Member {
 	l := k.last()
 	if l == nil {
-		return Member{}, false
+		return nil
+	}
+	if !l.settled.IsZero() {
+		return l.record.Members
 	}
-	return l.before.Holder(right)
+	return slices.Concat(l.record.Members, l.record.Before)
 }
 
 // Find returns the member of that name in the newest known record.
--- a/core/lease/link.go
+++ b/core/lease/link.go
@@ -14,8 +14,8 @@
 	// settled is when the keeper first knew that more than half of the members of
 	// this epoch and of the one before know this epoch. Zero means not yet.
 	settled time.Time
-	// confirmed holds the rights that the former holder has handed over.
-	confirmed map[Right]bool
+	// confirmed holds when the former holder had handed a right over.
+	confirmed map[Right]time.Time
 }
 
 // newLink returns the link of a record learned now.
@@ -27,7 +27,7 @@
 		roster:    NewRoster(r.Members),
 		before:    NewRoster(previous),
 		learned:   now,
-		confirmed: map[Right]bool{},
+		confirmed: map[Right]time.Time{},
 	}
 }
 
--- a/core/lease/use.go
+++ b/core/lease/use.go
@@ -44,21 +44,50 @@
 // owns reports whether no other instance can use the right under the epoch of link i
 // or an earlier one, so that the holder of that epoch may.
 func (k *Keeper) owns(now time.Time, i int, right Right) bool {
+	_, ok := k.since(now, i, right)
+	return ok
+}
+
+// since returns the time from which owns holds without interruption.
+func (k *Keeper) since(now time.Time, i int, right Right) (time.Time, bool) {
 	l := k.chain[i]
-	if l.confirmed[right] || k.waited(now, i, right) {
-		return true
+	if i > 0 && k.holderAt(l.before, right) {
+		if since, ok := k.since(now, i-1, right); ok {
+			return since, true
+		}
 	}
-	return i > 0 && k.holderAt(l.before, right) && k.owns(now, i-1, right)
+	if since, ok := l.confirmed[right]; ok {
+		return since, true
+	}
+	wait := k.wait(i, right)
+	return l.settled.Add(wait), l.settledFor(now, wait)
 }
 
-// waited reports whether so much time has passed since the epoch was settled that
-// every holder of an earlier epoch must have stopped.
-func (k *Keeper) waited(now time.Time, i int, right Right) bool {
-	l := k.chain[i]
+// Since returns from when this instance has owned a right that belongs to it.
+func (k *Keeper) Since(now time.Time, right Right) (time.Time, bool) {
+	if !k.Assigned(right) {
+		return time.Time{}, false
+	}
+	return k.since(now, len(k.chain)-1, right)
+}
+
+// OwnedAt returns from when this instance owned a right that it held at an epoch. The
+// answer can turn true later, when the wait of that epoch is over.
+func (k *Keeper) OwnedAt(now time.Time, right Right, epoch uint64) (time.Time, bool) {
+	i, ok := k.at(epoch)
+	if !ok || !k.holderAt(k.chain[i].roster, right) {
+		return time.Time{}, false
+	}
+	return k.since(now, i, right)
+}
+
+// wait returns the time after which every holder of an earlier epoch must have
+// stopped, counted from when the epoch was settled.
+func (k *Keeper) wait(i int, right Right) time.Duration {
 	if right.Kind != KindService || k.nobodyDrains(i, right) {
-		return l.settledFor(now, k.timing.Take)
+		return k.timing.Take
 	}
-	return l.settledFor(now, k.timing.Take+k.timing.Drain)
+	return k.timing.Take + k.timing.Drain
 }
 
 // nobodyDrains reports whether no former gateway can be finishing work. That is so
@@ -125,7 +154,7 @@
 	if !ok || !k.holderAt(k.chain[i].roster, right) || k.owns(now, i, right) {
 		return false
 	}
-	k.chain[i].confirmed[right] = true
+	k.chain[i].confirmed[right] = now
 	return true
 }
 
@@ -134,3 +163,34 @@
 	l := k.last()
 	return l != nil && k.holderAt(l.roster, right) && !k.owns(now, len(k.chain)-1, right)
 }
+
+// Source returns who can hand over a right that this instance holds at an epoch and
+// may not use yet, and at which epoch it moved. It returns false when only waiting
+// helps.
+func (k *Keeper) Source(right Right, epoch uint64) (Member, uint64, bool) {
+	last, ok := k.at(epoch)
+	if !ok {
+		return Member{}, 0, false
+	}
+	for i := last; i >= 0; i-- {
+		l := k.chain[i]
+		if !k.holderAt(l.roster, right) {
+			break
+		}
+		former, ok := l.before.Holder(right)
+		if !ok {
+			break
+		}
+		if !former.Is(k.self) {
+			return former, l.record.Epoch, true
+		}
+	}
+	return Member{}, 0, false
+}
+
+// Held reports whether the right belonged to this instance in the epoch before the
+// newest, and no longer does.
+func (k *Keeper) Held(right Right) bool {
+	l := k.last()
+	return l != nil && len(k.chain) > 1 && k.holderAt(l.before, right) && !k.holderAt(l.roster, right)
+}
--- a/core/limit/held.go
+++ b/core/limit/held.go
@@ -90,17 +90,6 @@
 	return reports
 }
 
-// unreported returns what was spent of a share's grants and not yet reported.
-func (s *stock) unreported(share int) Micro {
-	var sum Micro
-	for _, g := range s.grants {
-		if g.share == share {
-			sum += g.spent - g.reported
-		}
-	}
-	return sum
-}
-
 // firstExpiry returns when the first grant expires, and false without grants.
 func (s *stock) firstExpiry() (time.Time, bool) {
 	for _, g := range s.grants {
--- a/core/limit/mint.go
+++ b/core/limit/mint.go
@@ -105,7 +105,7 @@
 	answer.Level = m.level
 	if m.level == 0 {
 		wait, ok := m.share.Until(min(Token, m.share.burst) / emptyPart)
-		if !ok {
+		if !ok || wait == 0 {
 			wait = maxEmpty
 		}
 		answer.EmptyFor = min(wait, maxEmpty)
--- a/core/limit/wallet.go
+++ b/core/limit/wallet.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -43,7 +42,12 @@
 
 // NewWallet returns an empty wallet.
 func NewWallet(c WalletConfig) *Wallet {
-	return &Wallet{rate: c.Rate, validity: c.Validity}
+	w := &Wallet{rate: c.Rate, validity: c.Validity}
+	for i := range w.shares {
+		// A share that was never asked is taken to be full.
+		w.shares[i].level = c.Rate.Share(i).Burst()
+	}
+	return w
 }
 
 // SetRate changes the account's rate.
@@ -109,8 +113,9 @@
 	}
 	var kept []*waiter
 	for _, q := range w.queue {
-		// An answer covers only requests that came before its question was sent.
-		if short && !q.arrived.After(d.Sent) {
+		// An answer covers only requests that came before its question was sent,
+		// unless it says that the mint stays empty for some time.
+		if short && (!q.arrived.After(d.Sent) || now.Before(w.shares[d.Share].putOff)) {
 			q.asked[d.Share] = true
 		}
 		if q.askedAll() {
@@ -141,33 +146,11 @@
 	if need == 0 && w.stock.sum() >= ahead/2 {
 		return nil
 	}
-	best, others := w.candidates(now)
-	if best < 0 {
+	share, ok := w.candidate(now)
+	if !ok || w.stillWaiting(now, need) {
 		return nil
 	}
-	if need == 0 {
-		if w.waiting() {
-			return nil
-		}
-		return []Draw{w.draw(now, best, 0, ahead)}
-	}
-	return w.drawsFor(now, need, ahead, best, others)
-}
-
-// drawsFor returns the asks for what waiting requests lack: first one to the share
-// with the highest known level, and then one to each other share.
-func (w *Wallet) drawsFor(now time.Time, need, ahead Micro, best int, others []int) []Draw {
-	if w.stillWaiting(now) {
-		return nil
-	}
-	if w.firstRound() && w.shares[best].level >= need {
-		return []Draw{w.draw(now, best, need, ahead)}
-	}
-	draws := []Draw{w.draw(now, best, need, ahead)}
-	for _, share := range others {
-		draws = append(draws, w.draw(now, share, need, 0))
-	}
-	return draws
+	return []Draw{w.draw(now, share, need, ahead)}
 }
 
 // draw returns the ask to one share.
@@ -186,39 +169,26 @@
 	return min(Tokens(w.use.rate(now)*aheadFor.Seconds()), w.rate.burst)
 }
 
-// candidates returns the shares that can be asked now, the one with the highest known
-// level first. It returns -1 when there is none.
-func (w *Wallet) candidates(now time.Time) (best int, others []int) {
-	var open []int
+// candidate returns the share to ask next: among those that can be asked now the one
+// with the highest known level. It returns false when there is none.
+func (w *Wallet) candidate(now time.Time) (int, bool) {
+	best := -1
 	for i := range w.shares {
-		if w.shares[i].open(now) {
-			open = append(open, i)
+		if w.shares[i].open(now) && (best < 0 || w.shares[i].level > w.shares[best].level) {
+			best = i
 		}
 	}
-	if len(open) == 0 {
-		return -1, nil
-	}
-	slices.SortStableFunc(open, func(a, b int) int { return cmp.Compare(w.shares[b].level, w.shares[a].level) })
-	return open[0], open[1:]
+	return best, best >= 0
 }
 
-// waiting reports whether any answer is missing.
-func (w *Wallet) waiting() bool {
-	return slices.ContainsFunc(w.shares[:], func(v shareView) bool { return v.inFlight })
-}
-
-// stillWaiting reports whether an answer is missing that may soon come.
-func (w *Wallet) stillWaiting(now time.Time) bool {
+// stillWaiting reports whether to wait for a missing answer before the next ask. When
+// requests wait, an answer that is late is not waited for.
+func (w *Wallet) stillWaiting(now time.Time, need Micro) bool {
 	return slices.ContainsFunc(w.shares[:], func(v shareView) bool {
-		return v.inFlight && now.Sub(v.sent) < hedgeAfter
+		return v.inFlight && (need == 0 || now.Sub(v.sent) < hedgeAfter)
 	})
 }
 
-// firstRound reports whether no share has been asked yet for any waiting request.
-func (w *Wallet) firstRound() bool {
-	return !slices.ContainsFunc(w.queue, func(q *waiter) bool { return q.asked != [Shares]bool{} })
-}
-
 // Tick returns reports of what was spent, and returns grants that are idle or about to
 // expire. The caller calls it every few tens of milliseconds while Busy.
 func (w *Wallet) Tick(now time.Time) []Draw {
--- /dev/null
+++ b/core/member/roll.go
@@ -0,0 +1,148 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"pomelofork/core/lease"
+	"pomelofork/core/model"
+)
+
+// Config holds the settings of a roll.
+type Config struct {
+	// Self is this start of this instance.
+	Self lease.Member
+	// Silence is the time without a message after which an instance is suspected.
+	Silence time.Duration
+	// Step is the time between the turns of two proposers.
+	Step time.Duration
+}
+
+// Roll keeps what was heard of the other instances. It isn't safe for use by several
+// goroutines at once.
+type Roll struct {
+	self    lease.Member
+	silence time.Duration
+	step    time.Duration
+	seen    map[model.InstanceID]sight
+	joiners map[model.InstanceID]joiner
+	wanted  time.Time
+}
+
+// joiner is an instance that wants to become a member.
+type joiner struct {
+	member lease.Member
+	heard  time.Time
+}
+
+// New returns a roll that has heard of nobody.
+func New(c Config) *Roll {
+	return &Roll{
+		self: c.Self, silence: c.Silence, step: c.Step,
+		seen: map[model.InstanceID]sight{}, joiners: map[model.InstanceID]joiner{},
+	}
+}
+
+// Heard notes any message of an instance.
+func (r *Roll) Heard(now time.Time, id model.InstanceID, incarnation uint64) {
+	s := r.seen[id]
+	if incarnation < s.incarnation {
+		return
+	}
+	if incarnation > s.incarnation {
+		s = sight{incarnation: incarnation}
+	}
+	s.heard = now
+	r.seen[id] = s
+}
+
+// Runs notes the configuration version in force at an instance, which was asked at
+// the given time.
+func (r *Roll) Runs(id model.InstanceID, incarnation, version uint64, asked time.Time) {
+	s := r.seen[id]
+	if incarnation != s.incarnation || !asked.After(s.asked) {
+		return
+	}
+	s.version, s.asked = version, asked
+	r.seen[id] = s
+}
+
+// Expect starts the clock for members that were not heard yet, so that a member of a
+// record that was just learned isn't suspected at once.
+func (r *Roll) Expect(now time.Time, members []lease.Member) {
+	for _, m := range members {
+		if s, ok := r.seen[m.Instance]; !ok || s.incarnation < m.Incarnation {
+			r.seen[m.Instance] = sight{incarnation: m.Incarnation, heard: now}
+		}
+	}
+}
+
+// Silent reports whether a member is suspected: nothing was heard of this start of it
+// for some time.
+func (r *Roll) Silent(now time.Time, m lease.Member) bool {
+	if m.Is(r.self) {
+		return false
+	}
+	s, ok := r.seen[m.Instance]
+	return !ok || s.incarnation != m.Incarnation || now.Sub(s.heard) >= r.silence
+}
+
+// Join notes that an instance which is no member wants to become one.
+func (r *Roll) Join(now time.Time, m lease.Member) {
+	if j, ok := r.joiners[m.Instance]; ok && j.member.Incarnation > m.Incarnation {
+		return
+	}
+	r.joiners[m.Instance] = joiner{member: m, heard: now}
+}
+
+// joining returns those who want to join and were heard of lately, by name.
+func (r *Roll) joining(now time.Time, record lease.Record) []lease.Member {
+	var found []lease.Member
+	for id, j := range r.joiners {
+		if now.Sub(j.heard) >= r.silence || record.Has(j.member) {
+			delete(r.joiners, id)
+			continue
+		}
+		found = append(found, j.member)
+	}
+	slices.SortFunc(found, func(a, b lease.Member) int {
+		if a.Instance < b.Instance {
+			return -1
+		}
+		return 1
+	})
+	return found
+}
+
+// Versions returns the configuration version of each member that was heard.
+func (r *Roll) Versions(members []lease.Member) map[model.InstanceID]uint64 {
+	versions := make(map[model.InstanceID]uint64, len(members))
+	for _, m := range members {
+		if s, ok := r.seen[m.Instance]; ok && s.incarnation == m.Incarnation && !s.asked.IsZero() {
+			versions[m.Instance] = s.version
+		}
+	}
+	return versions
+}
+
+// VersionAsOf returns the latest time as of which more than half of the members ran
+// no configuration newer than the given one, this instance included.
+func (r *Roll) VersionAsOf(now time.Time, members []lease.Member, version uint64) (time.Time, bool) {
+	asked := make([]time.Time, 0, len(members))
+	for _, m := range members {
+		if m.Is(r.self) {
+			asked = append(asked, now)
+			continue
+		}
+		s, ok := r.seen[m.Instance]
+		if ok && s.incarnation == m.Incarnation && !s.asked.IsZero() && s.version <= version {
+			asked = append(asked, s.asked)
+		}
+	}
+	need := len(members)/2 + 1
+	if len(asked) < need {
+		return time.Time{}, false
+	}
+	slices.SortFunc(asked, func(a, b time.Time) int { return b.Compare(a) })
+	return asked[need-1], true
+}
--- /dev/null
+++ b/io/peer/entry.go
@@ -0,0 +1,184 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pomelofork/core/lease"
+	"pomelofork/core/limit"
+	"pomelofork/core/model"
+)
+
+// tickPause is the pause between two looks at the wallets.
+const tickPause = 25 * time.Millisecond
+
+// entry draws and spends tokens for the callers of this instance.
+type entry struct {
+	fleet *Fleet
+
+	mu     sync.Mutex
+	purses map[model.AccountID]*purse
+}
+
+// newEntry returns an entry with empty wallets.
+func newEntry(f *Fleet) *entry { return &entry{fleet: f, purses: map[model.AccountID]*purse{}} }
+
+// Take spends one token of the account. It returns nil, or a *model.Refusal at once.
+func (f *Fleet) Take(ctx context.Context, account model.AccountID) error {
+	rate, ok := f.config.Limits(account)
+	if !ok {
+		return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonUnknownAccount})
+	}
+	p := f.entry.purse(account, rate)
+	id, waiting, verdict := f.entry.take(p, rate)
+	if waiting == nil {
+		return refusal(verdict)
+	}
+	select {
+	case verdict = <-waiting:
+		return refusal(verdict)
+	case <-ctx.Done():
+		p.cancel(id)
+		return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonDeadline, RetryAfter: tickPause})
+	case <-f.ctx.Done():
+		p.cancel(id)
+		return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonShuttingDown, RetryAfter: tickPause})
+	}
+}
+
+// refusal returns nil for a granted request.
+func refusal(v limit.Verdict) error {
+	if v.Granted {
+		return nil
+	}
+	return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonRateExceeded, RetryAfter: v.RetryAfter})
+}
+
+// purse returns the wallet of an account.
+func (e *entry) purse(account model.AccountID, rate limit.Rate) *purse {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p, ok := e.purses[account]
+	if !ok {
+		p = &purse{
+			account: account,
+			waiting: map[uint64]chan limit.Verdict{},
+			wallet: limit.NewWallet(limit.WalletConfig{
+				Rate: rate, Validity: e.fleet.config.Timing.Lease.Grant,
+			}),
+		}
+		e.purses[account] = p
+	}
+	return p
+}
+
+// take asks the wallet for a token. The channel is nil when the verdict is there.
+func (e *entry) take(p *purse, rate limit.Rate) (uint64, chan limit.Verdict, limit.Verdict) {
+	p.mu.Lock()
+	now := e.fleet.config.Now()
+	p.next++
+	id := p.next
+	p.wallet.SetRate(rate)
+	var waiting chan limit.Verdict
+	verdict, done := p.wallet.Take(now, id)
+	if !done {
+		waiting = make(chan limit.Verdict, 1)
+		p.waiting[id] = waiting
+	}
+	draws := p.wallet.Draws(now)
+	p.mu.Unlock()
+	e.send(p, draws)
+	return id, waiting, verdict
+}
+
+// send carries out draws. A holder in this process is asked without a detour.
+func (e *entry) send(p *purse, draws []limit.Draw) {
+	for _, draw := range draws {
+		holder, ok := e.holder(p.account, draw.Share)
+		if ok && holder.Is(e.fleet.self) {
+			ask := e.ask(p.account, draw)
+			e.answered(p, draw, e.fleet.mints.draw(&ask), nil)
+			continue
+		}
+		e.fleet.spawn(func() {
+			if !ok {
+				e.answered(p, draw, DrawAnswer{}, nil)
+				return
+			}
+			answer, err := e.draw(holder, p.account, draw)
+			e.answered(p, draw, answer, err)
+		})
+	}
+}
+
+// holder returns who holds a share, if it is alive.
+func (e *entry) holder(account model.AccountID, share int) (Member, bool) {
+	f := e.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	holder, ok := f.keeper.Roster().Holder(lease.AccountShare(account, share))
+	return holder, ok && !f.roll.Silent(f.config.Now(), holder)
+}
+
+// ask returns the message of a draw.
+func (e *entry) ask(account model.AccountID, draw limit.Draw) DrawAsk {
+	return DrawAsk{Account: account, Share: draw.Share, Ask: draw.Ask}
+}
+
+// draw asks a holder in another process.
+func (e *entry) draw(holder Member, account model.AccountID, draw limit.Draw) (DrawAnswer, error) {
+	f := e.fleet
+	ctx, cancel := context.WithTimeout(f.ctx, f.config.Timing.Call)
+	defer cancel()
+	ask := e.ask(account, draw)
+	var answer DrawAnswer
+	if err := f.links.to(holder.PeerAddress).call(ctx, "Draw", &ask, &answer); err != nil {
+		return DrawAnswer{}, err
+	}
+	if answer.Epoch > f.Epoch() {
+		f.fetchRecord(holder.PeerAddress)
+	}
+	return answer, nil
+}
+
+// answered passes an answer to the wallet and carries out what follows.
+func (e *entry) answered(p *purse, draw limit.Draw, answer DrawAnswer, err error) {
+	if draw.Quiet {
+		return
+	}
+	p.mu.Lock()
+	now := e.fleet.config.Now()
+	if err == nil && answer.Holder {
+		p.deliver(p.wallet.Answered(now, draw, answer.Answer))
+	} else {
+		p.deliver(p.wallet.Failed(now, draw))
+	}
+	more := p.wallet.Draws(now)
+	p.mu.Unlock()
+	e.send(p, more)
+}
+
+// tick looks after all wallets that hold grants or requests.
+func (e *entry) tick() {
+	for _, p := range e.all() {
+		p.mu.Lock()
+		var draws []limit.Draw
+		if p.wallet.Busy() {
+			draws = p.wallet.Tick(e.fleet.config.Now())
+		}
+		p.mu.Unlock()
+		e.send(p, draws)
+	}
+}
+
+// all returns all wallets.
+func (e *entry) all() []*purse {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := make([]*purse, 0, len(e.purses))
+	for _, p := range e.purses {
+		all = append(all, p)
+	}
+	return all
+}
--- /dev/null
+++ b/io/peer/fake_test.go
@@ -0,0 +1,184 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/core/assert"
+	"pomelofork/core/lease"
+	"pomelofork/core/limit"
+	"pomelofork/core/model"
+	"pomelofork/io/peer"
+)
+
+// errOutage is what the fake store answers while it is down.
+var errOutage = errors.New("outage")
+
+// fakeStore is the platform's service in memory.
+type fakeStore struct {
+	mu       sync.Mutex
+	entries  map[string]peer.Entry
+	revision uint64
+	down     bool
+	// loseAnswers makes swaps take effect and fail.
+	loseAnswers bool
+	reads       int
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{entries: map[string]peer.Entry{}} }
+
+func (s *fakeStore) Get(_ context.Context, key string) (peer.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return peer.Entry{}, errOutage
+	}
+	return s.entries[key], nil
+}
+
+func (s *fakeStore) Swap(_ context.Context, key string, expected uint64, value string) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, errOutage
+	}
+	if s.entries[key].Revision != expected {
+		return 0, errors.New("conflict")
+	}
+	s.revision++
+	s.entries[key] = peer.Entry{Value: value, Revision: s.revision}
+	if s.loseAnswers {
+		return 0, errors.New("answer lost")
+	}
+	return s.revision, nil
+}
+
+func (s *fakeStore) set(change func(s *fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+// shortTiming lets tests run in seconds.
+func shortTiming() peer.Timing {
+	return peer.Timing{
+		Heartbeat: 50 * time.Millisecond, StorePoll: 100 * time.Millisecond, Silence: 400 * time.Millisecond,
+		Lease: lease.Timing{
+			Hold: 500 * time.Millisecond, Grant: 200 * time.Millisecond,
+			Take: 800 * time.Millisecond, Drain: 300 * time.Millisecond,
+		},
+	}
+}
+
+// fleetNode is one instance under test.
+type fleetNode struct {
+	*peer.Fleet
+	mu      sync.Mutex
+	version uint64
+}
+
+func (n *fleetNode) configVersion() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.version
+}
+
+// setVersion never goes back.
+func (n *fleetNode) setVersion(version uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.version = max(n.version, version)
+}
+
+var testServices = []model.ServiceID{"ledger", "orders", "stock"}
+
+// startNode starts one instance in one of four failure domains.
+func startNode(store *fakeStore, id int, rate limit.Rate) *fleetNode {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	n := &fleetNode{}
+	n.Fleet, err = peer.NewFleet(peer.Config{
+		Self: peer.Member{
+			Instance:      model.InstanceID(fmt.Sprintf("i%d", id)),
+			FailureDomain: model.Domain(fmt.Sprintf("d%d", id%4)),
+		},
+		Listener:       listener,
+		Store:          store,
+		Limits:         func(a model.AccountID) (limit.Rate, bool) { return rate, a != "nobody" },
+		Services:       func() []model.ServiceID { return testServices },
+		ConfigVersion:  n.configVersion,
+		ConfigDocument: func(v uint64) ([]byte, bool) { return []byte("document"), v == n.configVersion() },
+		OnConfig:       func(v uint64, _ []byte) { n.setVersion(v) },
+		Check:          assert.NewChecker(func(i assert.Invariant, text string) { Fail(text) }),
+		Timing:         shortTiming(),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(n.Close)
+	return n
+}
+
+// startNodes starts some instances and waits until all are members.
+func startNodes(store *fakeStore, count int, rate limit.Rate) []*fleetNode {
+	var nodes []*fleetNode
+	for id := range count {
+		nodes = append(nodes, startNode(store, id, rate))
+	}
+	Eventually(func() bool { return allMembers(nodes) }, "20s", "10ms").Should(BeTrue())
+	return nodes
+}
+
+// allMembers reports whether every instance sees exactly these instances as members.
+func allMembers(nodes []*fleetNode) bool {
+	for _, n := range nodes {
+		if len(n.Members()) != len(nodes) || !n.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// gatewaysServe reports whether each service has two usable gateways.
+func gatewaysServe(nodes []*fleetNode) bool {
+	for _, service := range testServices {
+		held := 0
+		for _, n := range nodes {
+			if _, _, ok := n.Holds(service); ok {
+				held++
+			}
+		}
+		if held != lease.ServiceRanks {
+			return false
+		}
+	}
+	return true
+}
+
+// ranksOf returns the ranks that an instance holds.
+func ranksOf(n *fleetNode) map[model.ServiceID]int {
+	ranks := map[model.ServiceID]int{}
+	for _, service := range testServices {
+		if rank, _, ok := n.Holds(service); ok {
+			ranks[service] = rank
+		}
+	}
+	return ranks
+}
+
+// holdersOf returns how many instances hold a rank.
+func holdersOf(nodes []*fleetNode, service model.ServiceID, rank int) int {
+	count := 0
+	for _, n := range nodes {
+		if held, _, ok := n.Holds(service); ok && held == rank {
+			count++
+		}
+	}
+	return count
+}
--- a/io/peer/fleet.go
+++ b/io/peer/fleet.go
@@ -2,47 +2,264 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
 	"time"
 
+	"pomelofork/core/lease"
+	"pomelofork/core/member"
 	"pomelofork/core/model"
+	"pomelofork/io/event"
 )
 
 // Fleet is this instance's view of all instances and its part in their rights. Its
 // methods may be called from several goroutines at once.
-type Fleet struct{}
+type Fleet struct {
+	config Config
+	self   Member
+	links  *links
+	server *server
+	mints  *mints
+	moves  *moves
+	entry  *entry
+	beats  *beats
+	spread *spread
+	syncer *syncer
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	// running orders the start of goroutines before Close.
+	running sync.Mutex
+	done    sync.WaitGroup
+
+	// mu guards what follows, and the state of mints and moves.
+	mu        sync.Mutex
+	keeper    *lease.Keeper
+	roll      *member.Roll
+	authority bool
+	leaving   bool
+	left      bool
+}
 
 // NewFleet joins the fleet. It returns at once; rights follow when the store and the
 // peers have answered.
-func NewFleet(Config) (*Fleet, error) { return nil, errors.New("not yet written") }
-
-// Take spends one token of the account. It returns nil, or a *model.Refusal at once.
-func (f *Fleet) Take(context.Context, model.AccountID) error { return nil }
+func NewFleet(c Config) (*Fleet, error) {
+	c, err := c.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	if c.Listener == nil {
+		if c.Listener, err = net.Listen("tcp", c.Self.PeerAddress); err != nil {
+			return nil, fmt.Errorf("listen for peers: %w", err)
+		}
+	}
+	if c.Self.PeerAddress == "" {
+		c.Self.PeerAddress = c.Listener.Addr().String()
+	}
+	f := &Fleet{
+		config: c, self: c.Self, links: newLinks(c.TLS, c.Now),
+		keeper: lease.New(lease.Config{Self: c.Self, Timing: c.Timing.Lease}),
+		roll:   member.New(member.Config{Self: c.Self, Silence: c.Timing.Silence, Step: c.Timing.Heartbeat}),
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.mints, f.moves, f.spread = newMints(f), newMoves(f), newSpread(f)
+	f.entry, f.syncer, f.beats = newEntry(f), newSyncer(f), newBeats(f)
+	if f.server, err = newServer(c.Listener, c.TLS, &service{fleet: f}); err != nil {
+		f.cancel()
+		return nil, err
+	}
+	f.every(c.Timing.StorePoll, f.syncer.wake, f.syncer.step)
+	f.every(c.Timing.Heartbeat, f.beats.wake, f.beats.step)
+	f.every(tickPause, nil, f.entry.tick)
+	f.every(movePause, f.moves.wake, f.moves.step)
+	return f, nil
+}
 
 // Gateways returns the instances to use for a service now, in the order of rank.
-func (f *Fleet) Gateways(model.ServiceID) []Member { return nil }
+func (f *Fleet) Gateways(service model.ServiceID) []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.config.Now()
+	holders := f.keeper.Roster().Holders(lease.KindService, string(service))
+	return slices.DeleteFunc(holders, func(m Member) bool { return f.roll.Silent(now, m) })
+}
 
 // Holds returns this instance's rank of the service, the number of ranks, and
 // whether it may use them right now. The caller asks before and after each step
-// that needs the right.
-func (f *Fleet) Holds(model.ServiceID) (rank, of int, ok bool) { return 0, 0, false }
+// that needs the right. An instance that holds both ranks, as in a fleet of one,
+// gets the first, and 1 as the number of ranks.
+func (f *Fleet) Holds(service model.ServiceID) (rank, of int, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.config.Now()
+	var held []int
+	for rank := range lease.ServiceRanks {
+		if f.keeper.Holds(now, lease.ServiceRank(service, rank)) {
+			held = append(held, rank)
+		}
+	}
+	switch len(held) {
+	case 0:
+		return 0, lease.ServiceRanks, false
+	case lease.ServiceRanks:
+		return 0, 1, true
+	}
+	return held[0], lease.ServiceRanks, true
+}
+
+// Finishing reports whether work that was begun under a rank may go on: the rank is
+// still held, or it moved away so lately that its successor still waits.
+func (f *Fleet) Finishing(service model.ServiceID, rank int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.keeper.Finishing(f.config.Now(), lease.ServiceRank(service, rank))
+}
 
-// Finishing reports whether work that was begun under a former rank may go on.
-func (f *Fleet) Finishing(model.ServiceID) bool { return false }
+// Members returns the members of the newest known record, sorted by name.
+func (f *Fleet) Members() []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.keeper.Members())
+}
 
-// Members returns the members of the newest known record.
-func (f *Fleet) Members() []Member { return nil }
+// Self returns this instance as the others know it.
+func (f *Fleet) Self() Member { return f.self }
+
+// Epoch returns the newest known epoch of rights, or zero.
+func (f *Fleet) Epoch() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.keeper.Epoch()
+}
+
+// Ready reports whether this instance is a member and has authority, so that the
+// balancer may send callers here.
+func (f *Fleet) Ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.leaving && f.keeper.Settled() && f.keeper.Authority(f.config.Now())
+}
 
 // Confirmed returns the latest time as of which the store or more than half of the
-// members knew no newer configuration than the one in force here.
-func (f *Fleet) Confirmed() time.Time { return time.Time{} }
+// members knew no newer configuration than the one in force here. It is the zero
+// time when that was never so.
+func (f *Fleet) Confirmed() time.Time {
+	version := f.config.ConfigVersion()
+	stored := f.spread.storeConfirmed(version)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	members := f.keeper.Members()
+	if len(members) == 0 || version == 0 {
+		return stored
+	}
+	asOf, ok := f.roll.VersionAsOf(f.config.Now(), members, version)
+	if ok && asOf.After(stored) {
+		return asOf
+	}
+	return stored
+}
 
 // Versions returns the configuration version in force at each member, as last heard.
-func (f *Fleet) Versions() map[model.InstanceID]uint64 { return nil }
-
-// Leave hands all rights over and waits until the successors have confirmed. New
-// calls of Take still work until Close.
-func (f *Fleet) Leave(context.Context) error { return nil }
+func (f *Fleet) Versions() map[model.InstanceID]uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	versions := f.roll.Versions(f.keeper.Members())
+	versions[f.self.Instance] = f.config.ConfigVersion()
+	return versions
+}
 
 // Close stops everything and waits for it. It hands nothing over.
-func (f *Fleet) Close() {}
+func (f *Fleet) Close() {
+	f.running.Lock()
+	f.cancel()
+	f.running.Unlock()
+	f.links.close()
+	f.done.Wait()
+	f.server.close()
+}
+
+// spawn runs work in a goroutine that Close waits for. After Close has begun it does
+// nothing.
+func (f *Fleet) spawn(work func()) {
+	f.running.Lock()
+	defer f.running.Unlock()
+	if f.ctx.Err() == nil {
+		f.done.Go(work)
+	}
+}
+
+// learn takes in a record of rights.
+func (f *Fleet) learn(r lease.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.config.Now()
+	before := f.keeper.Epoch()
+	if !f.keeper.Learn(now, r) {
+		return
+	}
+	f.roll.Expect(now, r.Members)
+	f.notePredecessor(now, r)
+	f.mints.moved(now, r.Epoch == before+1)
+	f.log(event.RightRecordLearned, slog.Uint64("epoch", r.Epoch), slog.Int("members", len(r.Members)))
+	if m, ok := r.Member(f.self.Instance); ok && m.Incarnation > f.self.Incarnation {
+		f.log(event.RightIncarnationOld, slog.Uint64("incarnation", m.Incarnation))
+	}
+	kick(f.beats.wake)
+	kick(f.moves.wake)
+}
+
+// notePredecessor notes that an earlier start of this instance has ended, because one
+// instance runs one process.
+func (f *Fleet) notePredecessor(now time.Time, r lease.Record) {
+	for _, m := range slices.Concat(r.Members, r.Before) {
+		sameName := m.Instance == f.self.Instance && m.Incarnation < f.self.Incarnation
+		sameAddress := m.Instance != f.self.Instance && m.PeerAddress == f.self.PeerAddress
+		if sameName || sameAddress {
+			f.keeper.Ended(now, m)
+		}
+	}
+}
+
+// recordText returns the newest record's text, or nothing when it isn't newer.
+func (f *Fleet) recordText(epoch uint64) (string, error) {
+	f.mu.Lock()
+	r, ok := f.keeper.Record()
+	f.mu.Unlock()
+	if !ok || r.Epoch <= epoch {
+		return "", nil
+	}
+	return r.Encode()
+}
+
+// log writes a numbered event.
+func (f *Fleet) log(id event.ID, attrs ...slog.Attr) {
+	event.Log(f.ctx, f.config.Logger, id, attrs...)
+}
+
+// kick makes a loop take its next step at once.
+func kick(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
+// every calls step at once and then after each pause, until the fleet is closed.
+func (f *Fleet) every(pause time.Duration, wake <-chan struct{}, step func()) {
+	f.spawn(func() {
+		ticker := time.NewTicker(pause)
+		defer ticker.Stop()
+		for {
+			step()
+			select {
+			case <-f.ctx.Done():
+				return
+			case <-wake:
+			case <-ticker.C:
+			}
+		}
+	})
+}
--- /dev/null
+++ b/io/peer/moves.go
@@ -0,0 +1,162 @@
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"pomelofork/core/lease"
+	"pomelofork/core/limit"
+	"pomelofork/core/model"
+	"pomelofork/io/event"
+)
+
+// The pauses of moving rights.
+const (
+	// movePause is the pause between two offers of the same right.
+	movePause = 100 * time.Millisecond
+	// fetchPause is the pause between two tries to fetch the same right.
+	fetchPause = 50 * time.Millisecond
+)
+
+// lostRight is a right that moved away and waits for its new holder.
+type lostRight struct {
+	mint     *limit.Mint
+	epoch    uint64
+	at       time.Time
+	handed   bool
+	handover limit.Handover
+}
+
+// moves hands rights over and fetches them. The fleet's mutex guards it.
+type moves struct {
+	fleet *Fleet
+	wake  chan struct{}
+	gone  map[lease.Right]*lostRight
+	tried map[lease.Right]time.Time
+}
+
+// newMoves returns nothing to move.
+func newMoves(f *Fleet) *moves {
+	return &moves{
+		fleet: f, wake: make(chan struct{}, 1),
+		gone: map[lease.Right]*lostRight{}, tried: map[lease.Right]time.Time{},
+	}
+}
+
+// step offers rights that moved away and fetches those of services.
+func (m *moves) step() {
+	m.offerAll()
+	m.fetchServices()
+}
+
+// lost notes that a right moved away.
+func (m *moves) lost(now time.Time, right lease.Right, mint *limit.Mint) {
+	m.gone[right] = &lostRight{mint: mint, epoch: m.fleet.keeper.Epoch(), at: now}
+}
+
+// forgetAll drops what waits to be handed over.
+func (m *moves) forgetAll() { clear(m.gone) }
+
+// wanted fetches a share that belongs here and was asked for before it could be used.
+func (m *moves) wanted(now time.Time, right lease.Right) {
+	if m.fleet.keeper.Waiting(now, right) {
+		m.fetchLater(now, right, m.fleet.keeper.Epoch())
+	}
+}
+
+// fetchLater fetches a right in the background, unless that was tried a moment ago.
+func (m *moves) fetchLater(now time.Time, right lease.Right, epoch uint64) {
+	if last, ok := m.tried[right]; ok && now.Sub(last) < fetchPause {
+		return
+	}
+	m.tried[right] = now
+	m.fleet.spawn(func() { m.fetch(right, epoch) })
+}
+
+// fetch asks the former holder for a right that this instance holds at an epoch.
+func (m *moves) fetch(right lease.Right, epoch uint64) {
+	f := m.fleet
+	f.mu.Lock()
+	source, moved, ok := f.keeper.Source(right, epoch)
+	silent := ok && f.roll.Silent(f.config.Now(), source)
+	f.mu.Unlock()
+	if !ok || silent {
+		return
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, f.config.Timing.Call)
+	defer cancel()
+	var answer ReleaseAnswer
+	err := f.links.to(source.PeerAddress).call(ctx, "Release", &ReleaseAsk{Right: right, Epoch: moved}, &answer)
+	if err != nil || !answer.Released {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.received(right, moved, answer.Handover)
+}
+
+// received takes a right over. A second answer for the same right changes nothing.
+func (m *moves) received(right lease.Right, epoch uint64, handover limit.Handover) {
+	f := m.fleet
+	now := f.config.Now()
+	if !f.keeper.Confirm(now, right, epoch) {
+		return
+	}
+	f.log(event.RightTaken, slog.String("right", right.String()), slog.Uint64("epoch", epoch))
+	var mint *limit.Mint
+	if right.Kind == lease.KindAccount {
+		mint = f.mints.make(now, f.mints.share(right), now)
+		mint.Resume(now, handover)
+	}
+	if f.keeper.Assigned(right) {
+		if mint != nil {
+			f.mints.held[right] = mint
+		}
+		return
+	}
+	m.gone[right] = &lostRight{mint: mint, epoch: epoch + 1, at: now}
+}
+
+// release answers a new holder. The same answer is given to each of its tries.
+func (m *moves) release(ask *ReleaseAsk) ReleaseAnswer {
+	f := m.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.config.Now()
+	if !f.keeper.Released(now, ask.Right, ask.Epoch) {
+		if ask.Epoch > 1 {
+			m.fetchLater(now, ask.Right, ask.Epoch-1)
+		}
+		return ReleaseAnswer{}
+	}
+	if ask.Right.Kind == lease.KindService {
+		idle := f.config.Idle == nil || f.config.Idle(model.ServiceID(ask.Right.Name), ask.Right.Part)
+		return ReleaseAnswer{Released: idle}
+	}
+	lost := m.gone[ask.Right]
+	if lost == nil {
+		since, _ := f.keeper.OwnedAt(now, ask.Right, ask.Epoch-1)
+		lost = &lostRight{mint: f.mints.make(now, f.mints.share(ask.Right), since), epoch: ask.Epoch, at: now}
+		m.gone[ask.Right] = lost
+	}
+	if !lost.handed {
+		lost.handed, lost.handover = true, lost.mint.Release(now)
+		f.log(event.RightHandedOver, slog.String("right", ask.Right.String()), slog.Uint64("epoch", ask.Epoch))
+	}
+	return ReleaseAnswer{Released: true, Handover: lost.handover}
+}
+
+// fetchServices fetches the ranks that belong here and can't be used yet.
+func (m *moves) fetchServices() {
+	f := m.fleet
+	services := f.config.Services()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.config.Now()
+	for _, service := range services {
+		for rank := range lease.ServiceRanks {
+			m.wanted(now, lease.ServiceRank(service, rank))
+		}
+	}
+}
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,13 @@
+package peer_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestPeer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "peer")
+}
