Add the client of the platform's key-value service

Callers of the store have to tell a change that surely did not happen from one whose answer was lost, because only the latter must be read back. The interface types both, and memkv brings either about on demand for tests.

--- /dev/null
+++ b/io/store/client.go
@@ -0,0 +1,115 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Defaults of a client.
+const (
+	defaultTimeout  = 2 * time.Second
+	maxIdleConns    = 4
+	idleConnTimeout = 90 * time.Second
+)
+
+// ClientConfig holds the settings of a client.
+type ClientConfig struct {
+	// Address is the service's host and port.
+	Address string
+	// Timeout bounds each call. A watch gets its waiting time on top. Zero means
+	// two seconds.
+	Timeout time.Duration
+	// Transport carries the calls. Nil means a transport of the client's own.
+	Transport http.RoundTripper
+}
+
+// Client is the Store over HTTP and JSON.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+var _ Store = (*Client)(nil)
+
+// NewClient returns a client. It opens connections only when it is used.
+func NewClient(c ClientConfig) *Client {
+	if c.Timeout == 0 {
+		c.Timeout = defaultTimeout
+	}
+	if c.Transport == nil {
+		c.Transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout}
+	}
+	return &Client{base: "http://" + c.Address, timeout: c.Timeout, http: &http.Client{Transport: c.Transport}}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Item, error) {
+	var item Item
+	_, err := c.read(ctx, "/v1/kv/"+url.PathEscape(key), &item, 0)
+	return item, err
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]Item, error) {
+	var list ItemList
+	_, err := c.read(ctx, "/v1/kv?prefix="+url.QueryEscape(prefix), &list, 0)
+	return list.Items, err
+}
+
+// Swap implements Store.
+func (c *Client) Swap(ctx context.Context, swap Swap) (Item, error) {
+	if len(swap.Value) > MaxValue {
+		return Item{}, NewRequestError(http.StatusRequestEntityTooLarge, "value over the size limit")
+	}
+	var answer Revision
+	if err := c.change(ctx, http.MethodPost, "/v1/swap", swap, &answer); err != nil {
+		return Item{}, err
+	}
+	if swap.Delete {
+		return Item{Key: swap.Key}, nil
+	}
+	return Item{Key: swap.Key, Value: swap.Value, Revision: answer.Revision, LeaseID: swap.LeaseID}, nil
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, key string, afterRevision uint64, wait time.Duration) (Item, bool, error) {
+	query := url.Values{}
+	query.Set("key", key)
+	query.Set("after_revision", strconv.FormatUint(afterRevision, 10))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	var item Item
+	status, err := c.read(ctx, "/v1/watch?"+query.Encode(), &item, wait)
+	return item, status == http.StatusOK, err
+}
+
+// Instances implements Store.
+func (c *Client) Instances(ctx context.Context) ([]Listed, error) {
+	var list ListedList
+	_, err := c.read(ctx, "/v1/instances", &list, 0)
+	return list.Instances, err
+}
+
+// GrantLease implements Store.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	var grant LeaseGrant
+	err := c.change(ctx, http.MethodPost, "/v1/lease", LeaseRequest{TTLMs: ttl.Milliseconds()}, &grant)
+	return grant.LeaseID, err
+}
+
+// RenewLease implements Store.
+func (c *Client) RenewLease(ctx context.Context, id LeaseID) error {
+	return c.change(ctx, http.MethodPost, fmt.Sprintf("/v1/lease/%d/renew", id), nil, nil)
+}
+
+// DropLease implements Store.
+func (c *Client) DropLease(ctx context.Context, id LeaseID) error {
+	return c.change(ctx, http.MethodDelete, fmt.Sprintf("/v1/lease/%d", id), nil, nil)
+}
--- /dev/null
+++ b/io/store/memkv/lease.go
@@ -0,0 +1,63 @@
+package memkv
+
+import (
+	"context"
+	"time"
+
+	"pomelofork/io/store"
+)
+
+// GrantLease implements store.Store.
+func (k *KV) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	return faulty(ctx, k, CallLease, func() (store.LeaseID, error) {
+		k.leaseSeq++
+		k.leases[k.leaseSeq] = lease{ttl: ttl, end: k.now().Add(ttl)}
+		return k.leaseSeq, nil
+	})
+}
+
+// RenewLease implements store.Store.
+func (k *KV) RenewLease(ctx context.Context, id store.LeaseID) error {
+	_, err := faulty(ctx, k, CallRenew, func() (struct{}, error) {
+		held, ok := k.leases[id]
+		if !ok {
+			return struct{}{}, store.ErrNotFound
+		}
+		held.end = k.now().Add(held.ttl)
+		k.leases[id] = held
+		return struct{}{}, nil
+	})
+	return err
+}
+
+// DropLease implements store.Store.
+func (k *KV) DropLease(ctx context.Context, id store.LeaseID) error {
+	_, err := faulty(ctx, k, CallDrop, func() (struct{}, error) {
+		if _, ok := k.leases[id]; !ok {
+			return struct{}{}, store.ErrNotFound
+		}
+		k.end(id)
+		return struct{}{}, nil
+	})
+	return err
+}
+
+// expire ends every lease whose time is over. The caller holds the lock.
+func (k *KV) expire() {
+	now := k.now()
+	for id, held := range k.leases {
+		if !now.Before(held.end) {
+			k.end(id)
+		}
+	}
+}
+
+// end removes a lease and the items under it. The caller holds the lock.
+func (k *KV) end(id store.LeaseID) {
+	delete(k.leases, id)
+	for key, item := range k.items {
+		if item.LeaseID == id {
+			delete(k.items, key)
+		}
+	}
+}
