--- /dev/null
+++ b/emul/pgsim/extended.go
@@ -0,0 +1,218 @@
+package pgsim
+
+import (
+	"encoding/binary"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// oids of the types that matter here. Parameters and columns are declared as text.
+const (
+	oidInt8 = 20
+	oidInt2 = 21
+	oidInt4 = 23
+	oidText = 25
+)
+
+// formatBinary is the code of binary parameters.
+const formatBinary = 1
+
+// prepared is a prepared statement.
+type prepared struct {
+	statement parsed
+	known     statement
+	// empty says that the text held no statement.
+	empty bool
+	oids  []uint32
+}
+
+// portal is a prepared statement with its parameters.
+type portal struct {
+	prepared *prepared
+	args     []string
+}
+
+// handle takes one message.
+func (s *session) handle(m pgproto3.FrontendMessage) {
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		s.query(m.String)
+		s.ready()
+		return
+	case *pgproto3.Sync:
+		s.skip = false
+		s.ready()
+		clear(s.portals)
+		return
+	}
+	if s.skip {
+		return
+	}
+	if err := s.extended(m); err != nil {
+		s.fail(err)
+		s.skip = true
+	}
+}
+
+// extended takes one message of the extended protocol.
+func (s *session) extended(m pgproto3.FrontendMessage) error {
+	switch m := m.(type) {
+	case *pgproto3.Parse:
+		return s.prepare(m)
+	case *pgproto3.Bind:
+		return s.bind(m)
+	case *pgproto3.Describe:
+		return s.describe(m)
+	case *pgproto3.Execute:
+		return s.executePortal(m)
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(s.statements, m.Name)
+		} else {
+			delete(s.portals, m.Name)
+		}
+		s.backend.Send(&pgproto3.CloseComplete{})
+	case *pgproto3.Flush:
+	default:
+		return badParameter
+	}
+	return nil
+}
+
+func (s *session) prepare(m *pgproto3.Parse) error {
+	all := parse(m.Query)
+	if len(all) > 1 {
+		return fault{"42601", "only one statement in a prepared statement"}
+	}
+	one := &prepared{empty: len(all) == 0}
+	if !one.empty {
+		one.statement = all[0]
+		known, err := find(one.statement.shape)
+		if err != nil {
+			return err
+		}
+		one.known = known
+	}
+	one.oids = make([]uint32, one.statement.parameters())
+	for i := range one.oids {
+		one.oids[i] = oidText
+		if i < len(m.ParameterOIDs) && m.ParameterOIDs[i] != 0 {
+			one.oids[i] = m.ParameterOIDs[i]
+		}
+	}
+	s.statements[m.Name] = one
+	s.backend.Send(&pgproto3.ParseComplete{})
+	return nil
+}
+
+func (s *session) bind(m *pgproto3.Bind) error {
+	one, ok := s.statements[m.PreparedStatement]
+	if !ok {
+		return noStatement
+	}
+	if len(m.Parameters) != len(one.oids) {
+		return badParameter
+	}
+	given := make([]string, len(m.Parameters))
+	for i, raw := range m.Parameters {
+		var err error
+		if given[i], err = decode(raw, format(m.ParameterFormatCodes, i), one.oids[i]); err != nil {
+			return err
+		}
+	}
+	args, err := one.statement.fill(given)
+	if err != nil {
+		return err
+	}
+	s.portals[m.DestinationPortal] = &portal{prepared: one, args: args}
+	s.backend.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+// fill puts the parameters in the places of the statement's values.
+func (p parsed) fill(given []string) ([]string, error) {
+	args := make([]string, len(p.values))
+	for i, v := range p.values {
+		switch {
+		case v.parameter == 0:
+			args[i] = v.text
+		case v.parameter <= len(given):
+			args[i] = given[v.parameter-1]
+		default:
+			return nil, badParameter
+		}
+	}
+	return args, nil
+}
+
+// format returns the format of parameter i: none given means text, one counts for all.
+func format(codes []int16, i int) int16 {
+	switch {
+	case len(codes) == 0:
+		return 0
+	case len(codes) == 1:
+		return codes[0]
+	case i < len(codes):
+		return codes[i]
+	}
+	return 0
+}
+
+// decode returns a parameter as text.
+func decode(raw []byte, code int16, oid uint32) (string, error) {
+	if code != formatBinary {
+		return string(raw), nil
+	}
+	switch {
+	case oid == oidInt8 && len(raw) == 8:
+		return strconv.FormatInt(int64(binary.BigEndian.Uint64(raw)), 10), nil
+	case oid == oidInt4 && len(raw) == 4:
+		return strconv.FormatInt(int64(int32(binary.BigEndian.Uint32(raw))), 10), nil
+	case oid == oidInt2 && len(raw) == 2:
+		return strconv.FormatInt(int64(int16(binary.BigEndian.Uint16(raw))), 10), nil
+	case oid == oidInt8 || oid == oidInt4 || oid == oidInt2:
+		return "", badParameter
+	}
+	return string(raw), nil
+}
+
+func (s *session) describe(m *pgproto3.Describe) error {
+	var one *prepared
+	if m.ObjectType == 'S' {
+		one = s.statements[m.Name]
+		if one == nil {
+			return noStatement
+		}
+		s.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: one.oids})
+	} else {
+		p, ok := s.portals[m.Name]
+		if !ok {
+			return noPortal
+		}
+		one = p.prepared
+	}
+	if len(one.known.columns) == 0 {
+		s.backend.Send(&pgproto3.NoData{})
+		return nil
+	}
+	s.backend.Send(rowDescription(one.known.columns))
+	return nil
+}
+
+func (s *session) executePortal(m *pgproto3.Execute) error {
+	p, ok := s.portals[m.Portal]
+	if !ok {
+		return noPortal
+	}
+	if p.prepared.empty {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	res, err := s.execute(p.prepared.statement, p.args)
+	if err != nil {
+		return err
+	}
+	s.send(res)
+	return nil
+}
