--- /dev/null
+++ b/core/pool/doc.go
@@ -0,0 +1,3 @@
+// Package pool counts the connections of one gateway to one backend server and
+// keeps the idle ones. It decides when one may be opened; it opens none itself.
+package pool
