--- /dev/null
+++ b/core/fair/account.go
@@ -0,0 +1,47 @@
+package fair
+
+import (
+	"time"
+
+	"pomelofork/core/model"
+)
+
+// account is the queue of one client account and its allowance of slot time.
+type account[T any] struct {
+	id      model.AccountID
+	items   []Item[T]
+	credit  time.Duration
+	round   uint64
+	cost    cost
+	running int
+}
+
+// push adds an item behind the others, or behind the last urgent one.
+func (a *account[T]) push(item Item[T]) {
+	at := len(a.items)
+	if item.Urgent {
+		for at = 0; at < len(a.items) && a.items[at].Urgent; at++ {
+			continue
+		}
+	}
+	a.items = append(a.items, item)
+	copy(a.items[at+1:], a.items[at:])
+	a.items[at] = item
+}
+
+// find returns the index of the first item that fits, and false when none does.
+func (a *account[T]) find(fits func(T) bool) (int, bool) {
+	for i := range a.items {
+		if fits(a.items[i].Value) {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// take removes the item at the index.
+func (a *account[T]) take(at int) Item[T] {
+	item := a.items[at]
+	a.items = append(a.items[:at], a.items[at+1:]...)
+	return item
+}
