Add the entry and the wiring of an instance

The entry keeps a lane only while a unit of work runs, sends each prepared statement ahead of its use under a name made from its text, and answers settings itself.

--- a/cmd/pomelofork/main.go
+++ b/cmd/pomelofork/main.go
@@ -1,6 +1,27 @@
 // Command pomelofork is the database proxy, its checker and its operator's tool.
 package main
 
-import "os"
+import (
+	"github.com/alecthomas/kong"
+)
 
-func main() { os.Exit(0) }
+// version is what "pomelofork version" prints.
+const version = "0.1.0"
+
+// commandLine lists the commands. Every flag can be set by an environment variable
+// that starts with POMELOFORK_, for example POMELOFORK_CALLER_LISTEN.
+type commandLine struct {
+	Serve   serveCommand   `cmd:"" help:"Run one instance until SIGTERM."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	var line commandLine
+	context := kong.Parse(&line,
+		kong.Name("pomelofork"),
+		kong.Description("A database proxy with session consistency."),
+		kong.DefaultEnvars("POMELOFORK"),
+		kong.UsageOnError(),
+	)
+	context.FatalIfErrorf(context.Run())
+}
--- /dev/null
+++ b/cmd/pomelofork/serve.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"pomelofork/core/model"
+	"pomelofork/io/node"
+)
+
+// serveCommand runs one instance.
+type serveCommand struct {
+	ID            string `name:"id" required:"" help:"Name of this instance."`
+	FailureDomain string `required:"" help:"Failure domain of this instance."`
+	CallerListen  string `default:"127.0.0.1:7001" help:"Address for callers (PostgreSQL protocol)."`
+	LinkListen    string `default:"127.0.0.1:7101" help:"Address for lanes of other instances."`
+	PeerListen    string `default:"127.0.0.1:7201" help:"Address for calls of other instances (net/rpc)."`
+	AdminListen   string `default:"127.0.0.1:7301" help:"Address for operators and the balancer (HTTP)."`
+	Platform      string `default:"http://127.0.0.1:7400" help:"Base URL of the platform's key-value service."`
+	FleetSecret   string `default:"" help:"Secret that instances show each other; better set by the environment."`
+	OperatorToken string `default:"" help:"SHA-256 of the operators' token in hexadecimal digits; empty refuses changes."`
+
+	ConfigFreshness time.Duration `default:"8s" help:"How long to serve without word that the configuration is current."`
+	UnreadyPause    time.Duration `default:"500ms" help:"Time between becoming unready and taking no more callers."`
+	DrainTimeout    time.Duration `default:"30s" help:"Bound for a planned stop."`
+	LogLevel        slog.Level    `default:"info" help:"Least level that is logged: debug, info, warn or error."`
+}
+
+// Validate checks what types can't say. Kong calls it and names the command.
+func (c *serveCommand) Validate() error {
+	for name, value := range map[string]time.Duration{
+		"--config-freshness": c.ConfigFreshness, "--drain-timeout": c.DrainTimeout,
+	} {
+		if value <= 0 {
+			return fmt.Errorf("%s: want a duration above zero, got %s", name, value)
+		}
+	}
+	if c.UnreadyPause < 0 {
+		return fmt.Errorf("--unready-pause: want a duration that is not negative, got %s", c.UnreadyPause)
+	}
+	return nil
+}
+
+// Run serves until SIGTERM or an interrupt, which begin the planned stop. A second
+// signal ends the process at once.
+func (c *serveCommand) Run() error {
+	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: c.LogLevel})).
+		With(slog.String("instance", c.ID))
+	config, err := c.config(logger)
+	if err != nil {
+		return err
+	}
+	running, err := node.New(config)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	<-ctx.Done()
+	stop()
+	running.Stop()
+	return nil
+}
+
+// config opens the listeners.
+func (c *serveCommand) config(logger *slog.Logger) (node.Config, error) {
+	config := node.Config{
+		ID: model.InstanceID(c.ID), Domain: model.Domain(c.FailureDomain), Platform: c.Platform,
+		FleetSecret: c.FleetSecret, OperatorTokenHash: c.OperatorToken,
+		ConfigFreshness: c.ConfigFreshness, UnreadyPause: c.UnreadyPause, DrainTimeout: c.DrainTimeout,
+		Logger: logger,
+	}
+	var faults []error
+	for _, l := range []struct {
+		flag, address string
+		into          *net.Listener
+	}{
+		{"--caller-listen", c.CallerListen, &config.Callers},
+		{"--link-listen", c.LinkListen, &config.Links},
+		{"--peer-listen", c.PeerListen, &config.Peers},
+		{"--admin-listen", c.AdminListen, &config.Admin},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			faults = append(faults, fmt.Errorf("%s: %w", l.flag, err))
+			continue
+		}
+		*l.into = listener
+	}
+	return config, errors.Join(faults...)
+}
--- a/core/model/reason.go
+++ b/core/model/reason.go
@@ -23,6 +23,7 @@
 	ReasonAckTimeout
 	ReasonBadMessage
 	ReasonTooLarge
+	ReasonMaintenance
 )
 
 // reasonInfo is what callers see of one reason.
@@ -50,6 +51,7 @@
 	ReasonAckTimeout:       {"08007", "commit not confirmed by a majority in time"},
 	ReasonBadMessage:       {"08P01", "malformed protocol message"},
 	ReasonTooLarge:         {"54000", "request too large"},
+	ReasonMaintenance:      {"57P03", "writes are refused by the preset in force"},
 }
 
 // SQLState returns the five-character code that goes with the reason.
--- /dev/null
+++ b/io/caller/translate_test.go
@@ -0,0 +1,53 @@
+package caller
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+var _ = Describe("translation of a batch", func() {
+	var statements *prepared
+	parse := &pgproto3.Parse{Name: "s1", Query: "SELECT 1"}
+
+	BeforeEach(func() { statements = newPrepared() })
+
+	It("sends the Parse of a statement ahead of a later use and hides its answer", func() {
+		_, fault := translate(statements, []pgproto3.FrontendMessage{parse, &pgproto3.Sync{}})
+		Expect(fault).To(BeNil())
+		steps, fault := translate(statements, []pgproto3.FrontendMessage{
+			&pgproto3.Bind{PreparedStatement: "s1"}, &pgproto3.Execute{}, &pgproto3.Sync{},
+		})
+		Expect(fault).To(BeNil())
+		Expect(steps).To(HaveLen(4))
+		Expect(steps[0].hidden).To(BeTrue())
+		Expect(steps[0].message.(*pgproto3.Parse).Name).To(Equal(steps[1].message.(*pgproto3.Bind).PreparedStatement))
+	})
+
+	It("gives the same text the same name in two sessions, and other texts other names", func() {
+		same := &pgproto3.Parse{Name: "other", Query: "SELECT 1"}
+		different := &pgproto3.Parse{Name: "s1", Query: "SELECT 2"}
+		Expect(globalName(same)).To(Equal(globalName(parse)))
+		Expect(globalName(different)).NotTo(Equal(globalName(parse)))
+	})
+
+	It("uses the unnamed statement of an earlier batch", func() {
+		_, fault := translate(statements, []pgproto3.FrontendMessage{&pgproto3.Parse{Query: "SELECT 3"}, &pgproto3.Sync{}})
+		Expect(fault).To(BeNil())
+		steps, fault := translate(statements, []pgproto3.FrontendMessage{&pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}})
+		Expect(fault).To(BeNil())
+		Expect(steps[0].message.(*pgproto3.Parse).Query).To(Equal("SELECT 3"))
+	})
+
+	for name, batch := range map[string][]pgproto3.FrontendMessage{
+		"bind of an unknown statement":     {&pgproto3.Bind{PreparedStatement: "nope"}},
+		"describe of an unknown statement": {&pgproto3.Describe{ObjectType: 'S', Name: "nope"}},
+		"name used twice":                  {parse, parse},
+	} {
+		It("refuses: "+name, func() {
+			_, fault := translate(statements, batch)
+			Expect(fault).NotTo(BeNil())
+		})
+	}
+})
--- /dev/null
+++ b/io/caller/unit.go
@@ -0,0 +1,209 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"pomelofork/core/assert"
+	"pomelofork/core/conf"
+	"pomelofork/core/model"
+	"pomelofork/io/wire"
+)
+
+// maxAttempts bounds how often a unit is offered to gateways.
+const maxAttempts = 6
+
+// attemptPause is the time between two rounds over the gateways of a service.
+const attemptPause = 20 * time.Millisecond
+
+// runBatch answers one batch of the caller, whatever it holds.
+func (s *session) runBatch() error {
+	if done, err := s.answerLocally(); done {
+		return err
+	}
+	steps, fault := translate(s.statements, s.batch.messages)
+	if fault != nil {
+		s.loseTransaction()
+		s.backend.Send(fault)
+		return s.ready()
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, s.timeout)
+	defer cancel()
+	s.setRunning(cancel)
+	defer s.setRunning(nil)
+	out := newSink(s.backend, steps)
+	result, err := s.send(ctx, steps, out)
+	if err != nil {
+		s.loseTransaction()
+		return s.refuse(asRefusal(err))
+	}
+	if err := out.finish(); err != nil {
+		return errClosed
+	}
+	return s.finishBatch(result, out)
+}
+
+// finishBatch takes over what the gateway said of the transaction and the log.
+func (s *session) finishBatch(result wire.Result, out *sink) error {
+	s.server.config.Check.Hold(out.complete(), assert.InvariantWholeAnswer, "account %s: %d answers missing", s.account, out.queue.Len())
+	s.learn(result)
+	if result.TxStatus == txIdle {
+		s.dropLane()
+	}
+	return s.ready()
+}
+
+// learn moves the session's token after a write. A session without a token learns one
+// from its first read at the primary too, whose log holds all that the session ever
+// wrote; with a token, reads leave it alone, so that replicas can go on serving it.
+func (s *session) learn(result wire.Result) {
+	_, known := s.tokens.Point(s.service)
+	if result.Point.IsZero() || (known && s.access == model.AccessRead) {
+		return
+	}
+	if s.tokens.Advance(s.service, result.Point) {
+		s.backend.Send(&pgproto3.ParameterStatus{Name: parameterToken, Value: s.tokens.String()})
+	}
+}
+
+// loseTransaction gives up the lane. The caller must then roll back, as after any error
+// inside a transaction.
+func (s *session) loseTransaction() {
+	if s.lane == nil {
+		return
+	}
+	s.dropLane()
+	s.broken = true
+}
+
+func (s *session) setRunning(cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = cancel
+}
+
+// send passes the steps down the lane of the open transaction, or starts a unit of work.
+func (s *session) send(ctx context.Context, steps []step, out *sink) (wire.Result, error) {
+	forward := wire.Batch{}
+	for _, st := range steps {
+		if st.message != nil {
+			forward.Messages = append(forward.Messages, st.message)
+		}
+	}
+	if s.lane != nil {
+		return s.lane.Run(ctx, forward, out)
+	}
+	unit, refusal := s.newUnit(ctx)
+	if refusal != nil {
+		return wire.Result{}, refusal
+	}
+	if s.batch.executes() {
+		if err := s.server.config.Directory.Take(ctx, s.account); err != nil {
+			return wire.Result{}, err
+		}
+	}
+	return s.startUnit(ctx, unit, forward, out)
+}
+
+// newUnit describes the next unit of work by the configuration in force.
+func (s *session) newUnit(ctx context.Context) (wire.Unit, *model.Refusal) {
+	config, refusal := s.server.config.Directory.Config(s.now())
+	if refusal != nil {
+		return wire.Unit{}, refusal
+	}
+	if refusal := s.checkKey(config); refusal != nil {
+		return wire.Unit{}, refusal
+	}
+	route, refusal := s.checkRoute(config)
+	if refusal != nil {
+		return wire.Unit{}, refusal
+	}
+	unit := wire.Unit{
+		Account: s.account, Service: route.Service(), Route: route.ID(), Access: route.Access(),
+		MaxAge: route.MaxAge(), RequestID: s.requestID, Idempotent: route.Idempotent(),
+	}
+	if point, known := s.tokens.Point(route.Service()); known {
+		unit.Token = point.String()
+	}
+	s.requestID, s.access = "", route.Access()
+	return unit, nil
+}
+
+func (s *session) checkRoute(config *conf.Config) (conf.Route, *model.Refusal) {
+	route, ok := config.Route(s.route)
+	if !ok {
+		return conf.Route{}, notRun(model.ReasonUnknownRoute, "route %q", s.route)
+	}
+	if !route.OpenToAll() && (s.anonymous || !route.Allows(s.account)) {
+		return conf.Route{}, notRun(model.ReasonRouteForbidden, "route %q, account %q", s.route, s.account)
+	}
+	if route.Access() == model.AccessWrite && config.RefusesWrites() {
+		return conf.Route{}, model.NewRefusal(model.RefusalConfig{
+			Reason: model.ReasonMaintenance, Outcome: model.OutcomeNotRun, RetryAfter: maintenancePause,
+			Detail: "preset " + config.Preset(),
+		})
+	}
+	return route, nil
+}
+
+// startUnit offers the unit to the gateways of its service until one has run it, it
+// surely can't be run again, or its time is over.
+func (s *session) startUnit(ctx context.Context, unit wire.Unit, forward wire.Batch, out *sink) (wire.Result, error) {
+	var last error = model.NewRefusal(model.RefusalConfig{Reason: model.ReasonNoGateway, Outcome: model.OutcomeNotRun, RetryAfter: retryPause})
+	for range maxAttempts {
+		for _, gateway := range s.server.load.order(s.server.config.Directory.Gateways(unit.Service)) {
+			result, err := s.attempt(ctx, gateway, unit, forward, out)
+			if err == nil {
+				return result, nil
+			}
+			last = err
+			if out.shown > 0 || !mayMove(unit, asRefusal(err)) {
+				return wire.Result{}, err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return wire.Result{}, last
+		case <-time.After(attemptPause):
+		}
+	}
+	return wire.Result{}, last
+}
+
+// attempt runs the first batch of a unit at one gateway and keeps the lane.
+func (s *session) attempt(ctx context.Context, gateway wire.Gateway, unit wire.Unit, forward wire.Batch, out *sink) (wire.Result, error) {
+	deadline, _ := ctx.Deadline()
+	unit.Remaining = deadline.Sub(s.now())
+	release := s.server.load.enter(gateway)
+	lane, err := gateway.Open(ctx, unit)
+	if err != nil {
+		release()
+		return wire.Result{}, err
+	}
+	result, err := lane.Run(ctx, forward, out)
+	if err != nil {
+		lane.Close()
+		release()
+		return wire.Result{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lane, s.release = lane, release
+	return result, nil
+}
+
+// mayMove says whether another gateway may try the unit. A read and an idempotent
+// request may run twice; a request with an id is looked up before it is repeated; any
+// other moves only when it surely didn't run and another gateway can do better.
+func mayMove(unit wire.Unit, refusal *model.Refusal) bool {
+	if refusal.Outcome() == model.OutcomeUnknown {
+		return unit.Idempotent || unit.RequestID != "" || unit.Access == model.AccessRead
+	}
+	switch refusal.Reason() {
+	case model.ReasonNoGateway, model.ReasonShuttingDown, model.ReasonLinkLost, model.ReasonNoPrimary:
+		return true
+	}
+	return false
+}
--- a/io/event/caller.go
+++ b/io/event/caller.go
@@ -1,6 +1,14 @@
 package event
 
-// Events of area "caller": 500 to 599.
-const ()
+import "log/slog"
 
-var callerKinds = map[ID]Kind{}
+// Events of the entry: 500 to 599.
+const (
+	SessionBroken ID = 500
+	LoginRefused  ID = 501
+)
+
+var callerKinds = map[ID]Kind{
+	SessionBroken: {slog.LevelInfo, "session ended by an error", "Look at the caller's side; nothing is lost on ours."},
+	LoginRefused:  {slog.LevelWarn, "login refused", "Check the account's keys if the caller complains."},
+}
--- a/io/event/node.go
+++ b/io/event/node.go
@@ -1,6 +1,34 @@
 package event
 
-// Events of area "node": 600 to 699.
-const ()
+import "log/slog"
 
-var nodeKinds = map[ID]Kind{}
+// Events of an instance as a whole: 600 to 699.
+const (
+	InstanceStarted  ID = 600
+	InstanceReady    ID = 601
+	InstanceDraining ID = 602
+	InstanceStopped  ID = 603
+	InvariantBroken  ID = 604
+	ListenerFailed   ID = 605
+	GatewayOpened    ID = 606
+	GatewayClosed    ID = 607
+	GatewayFailed    ID = 608
+	ConfigInForce    ID = 609
+	ConfigUnreadable ID = 610
+	LeaveFailed      ID = 611
+)
+
+var nodeKinds = map[ID]Kind{
+	InstanceStarted:  {slog.LevelInfo, "instance started", ""},
+	InstanceReady:    {slog.LevelInfo, "instance ready", ""},
+	InstanceDraining: {slog.LevelInfo, "planned stop began", ""},
+	InstanceStopped:  {slog.LevelInfo, "instance stopped", ""},
+	InvariantBroken:  {slog.LevelError, "invariant broken", "Report it with the log around it; this must never happen."},
+	ListenerFailed:   {slog.LevelError, "listener failed", "Check that the address is free and belongs to this instance."},
+	GatewayOpened:    {slog.LevelInfo, "gateway of a service opened", ""},
+	GatewayClosed:    {slog.LevelInfo, "gateway of a service closed", ""},
+	GatewayFailed:    {slog.LevelError, "gateway of a service could not be opened", "Check the credentials and addresses of the service."},
+	ConfigInForce:    {slog.LevelInfo, "configuration in force", ""},
+	ConfigUnreadable: {slog.LevelError, "configuration can't be read", "Put a configuration that passes 'pomelofork check'; the one in force stays."},
+	LeaveFailed:      {slog.LevelWarn, "rights were not all handed over", "Nothing is lost; the successors wait for the rights to lapse."},
+}
--- /dev/null
+++ b/io/node/platform.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"context"
+	"errors"
+
+	"pomelofork/core/model"
+	"pomelofork/io/peer"
+	"pomelofork/io/store"
+)
+
+// platform adapts the client of the platform to what the fleet needs of it.
+type platform struct {
+	client *store.Client
+}
+
+// Get returns the entry under key, and the zero entry when it is absent.
+func (p platform) Get(ctx context.Context, key string) (peer.Entry, error) {
+	item, err := p.client.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return peer.Entry{}, nil
+	}
+	if err != nil {
+		return peer.Entry{}, err
+	}
+	return peer.Entry{Value: item.Value, Revision: item.Revision}, nil
+}
+
+// Swap replaces the entry under key if its revision is the expected one.
+func (p platform) Swap(ctx context.Context, key string, expected uint64, value string) (uint64, error) {
+	item, err := p.client.Swap(ctx, store.Swap{Key: key, ExpectedRevision: expected, Value: value})
+	if err != nil {
+		return 0, err
+	}
+	return item.Revision, nil
+}
+
+// instances returns the platform's list of entry instances.
+func (p platform) instances(ctx context.Context) ([]peer.Listed, error) {
+	all, err := p.client.Instances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var listed []peer.Listed
+	for _, one := range all {
+		if one.Kind == store.KindEntry {
+			listed = append(listed, peer.Listed{Instance: model.InstanceID(one.ID), Leaving: one.State == store.StateLeaving})
+		}
+	}
+	return listed, nil
+}
--- /dev/null
+++ b/io/node/site.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"reflect"
+
+	"pomelofork/core/conf"
+	"pomelofork/core/model"
+	"pomelofork/io/gate"
+	"pomelofork/io/group"
+)
+
+// site is this instance's part in one service: the watcher of its group and the
+// gateway in front of it.
+type site struct {
+	service conf.Service
+	rank    int
+	count   int
+	watcher *group.Watcher
+	gate    *gate.Gate
+}
+
+// newSite opens the gateway of a service at the given rank.
+func (n *Node) newSite(service conf.Service, rank, count int) (*site, error) {
+	id := service.ID()
+	holds := func() bool {
+		now, _, ok := n.fleet.Holds(id)
+		return (ok && now == rank) || n.fleet.Finishing(id)
+	}
+	lead := func() bool {
+		_, _, ok := n.fleet.Holds(id)
+		return ok
+	}
+	password, err := service.Password(os.LookupEnv)
+	if err != nil {
+		return nil, err
+	}
+	s := &site{service: service, rank: rank, count: count}
+	s.watcher = group.NewWatcher(group.Config{
+		Service: id, Servers: groupServers(service), User: service.User(), Password: password,
+		Database: service.Database(), Terms: n.terms, Lead: lead, Rank: rank, Holder: n.config.ID,
+		Logger: n.config.Logger, Check: n.check, Now: n.now,
+	})
+	s.gate, err = gate.New(gate.Config{
+		Service: id, Servers: gateServers(service), Part: gate.Part{Rank: rank, Count: count},
+		Group: s.watcher, Share: n.share, User: service.User(), Password: password,
+		Database: service.Database(), Logger: n.config.Logger, Check: n.check, Now: n.now, Holds: holds,
+	})
+	if err != nil {
+		s.watcher.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func groupServers(service conf.Service) []group.Server {
+	var servers []group.Server
+	for _, each := range service.Servers() {
+		servers = append(servers, group.Server{ID: each.ID(), Address: each.Address(), Domain: each.Domain()})
+	}
+	return servers
+}
+
+func gateServers(service conf.Service) []gate.Server {
+	var servers []gate.Server
+	for _, each := range service.Servers() {
+		servers = append(servers, gate.Server{
+			ID: each.ID(), Address: each.Address(), Domain: each.Domain(),
+			Slots: each.Slots(), Connections: each.Connections(),
+		})
+	}
+	return servers
+}
+
+// fits reports whether the site still is what the configuration and the rights ask for.
+// Another state of draining alone doesn't need another gateway.
+func (s *site) fits(service conf.Service, rank, count int) bool {
+	return s.rank == rank && s.count == count && s.service.User() == service.User() &&
+		s.service.Database() == service.Database() && reflect.DeepEqual(gateServers(s.service), gateServers(service))
+}
+
+// end lets the running lanes finish until ctx ends, and closes the site.
+func (s *site) end(ctx context.Context, logger *slog.Logger) {
+	if err := s.gate.Drain(ctx); err != nil {
+		logger.Debug("gateway closed with open lanes", slog.String("service", string(s.service.ID())))
+	}
+	s.gate.Close()
+	s.watcher.Close()
+}
+
+// share returns the weight of a client account in front of the slots.
+func (n *Node) share(account model.AccountID) int {
+	if config := n.line.current(); config != nil {
+		if one, ok := config.Account(account); ok {
+			return one.Share()
+		}
+	}
+	return 1
+}
