--- /dev/null
+++ b/core/conf/build.go
@@ -0,0 +1,84 @@
+package conf
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"pomelofork/core/model"
+)
+
+// percent is the scale of the presets' percentages.
+const percent = 100
+
+// build returns the configuration of a checked document.
+func build(d *Document) *Config {
+	preset := d.Presets[d.Preset]
+	c := &Config{document: d, writes: map[model.ServiceID]int{}}
+	for i := range d.Accounts {
+		c.accounts = append(c.accounts, newAccount(&d.Accounts[i], preset))
+	}
+	for i := range d.Services {
+		c.services = append(c.services, newService(&d.Services[i]))
+	}
+	slices.SortFunc(c.accounts, func(a, b Account) int { return cmp.Compare(a.id, b.id) })
+	slices.SortFunc(c.services, func(a, b Service) int { return cmp.Compare(a.ID(), b.ID()) })
+	for i := range d.Routes {
+		c.routes = append(c.routes, newRoute(&d.Routes[i], preset))
+	}
+	c.account = indexBy(c.accounts, Account.ID)
+	c.service = indexBy(c.services, Service.ID)
+	c.route = indexBy(c.routes, Route.ID)
+	for i, route := range c.routes {
+		if _, known := c.writes[route.Service()]; !known && route.Access() == model.AccessWrite {
+			c.writes[route.Service()] = i
+		}
+	}
+	return c
+}
+
+// indexBy maps the identifier of each element to its index.
+func indexBy[K comparable, T any](all []T, id func(T) K) map[K]int {
+	indexes := make(map[K]int, len(all))
+	for i, each := range all {
+		indexes[id(each)] = i
+	}
+	return indexes
+}
+
+// newAccount returns the account of a checked entry under a preset.
+func newAccount(entry *AccountEntry, preset PresetEntry) Account {
+	account := Account{
+		id:    entry.ID,
+		rate:  entry.RatePerS * float64(preset.RatePercent) / percent,
+		burst: entry.Burst,
+		share: entry.Share,
+	}
+	for _, key := range entry.Keys {
+		account.keys = append(account.keys, newKey(key))
+	}
+	return account
+}
+
+// newService returns the service of a checked entry.
+func newService(entry *ServiceEntry) Service {
+	service := Service{entry: entry}
+	for _, server := range entry.Servers {
+		service.servers = append(service.servers, newServer(server))
+	}
+	return service
+}
+
+// newRoute returns the route of a checked entry under a preset. A preset changes
+// only an age that the route accepts already: a read that must be fresh stays so.
+func newRoute(entry *RouteEntry, preset PresetEntry) Route {
+	age := entry.MaxAgeMs
+	switch {
+	case age == 0:
+	case preset.MaxAgeMs != nil:
+		age = *preset.MaxAgeMs
+	case preset.MaxAgePercent != nil:
+		age = age * int64(*preset.MaxAgePercent) / percent
+	}
+	return Route{entry: entry, maxAge: time.Duration(age) * time.Millisecond}
+}
--- /dev/null
+++ b/core/conf/parse.go
@@ -0,0 +1,41 @@
+package conf
+
+import "reflect"
+
+// Parse reads and checks a document. The error is a *FaultsError that names every
+// fault with its place; nothing is taken from a faulty document.
+func Parse(text []byte) (*Config, error) {
+	document, err := decodeDocument(text)
+	if err != nil {
+		return nil, err
+	}
+	return NewConfig(document)
+}
+
+// NewConfig checks a document and takes it over. The caller must not change it
+// afterwards.
+func NewConfig(document *Document) (*Config, error) {
+	if err := document.check(); err != nil {
+		return nil, err
+	}
+	return build(document), nil
+}
+
+// decodeDocument reads a document by its form alone.
+func decodeDocument(text []byte) (*Document, error) {
+	faults := &FaultsError{}
+	if len(text) > MaxSize {
+		faults.add("", "document has %d bytes, more than the store's %d", len(text), MaxSize)
+		return nil, faults
+	}
+	tree, ok := readTree(text, faults)
+	if !ok {
+		return nil, faults
+	}
+	document := &Document{}
+	decode("", tree, reflect.ValueOf(document).Elem(), faults)
+	if err := faults.orNil(); err != nil {
+		return nil, err
+	}
+	return document, nil
+}
