--- a/emul/pgsim/extended.go
+++ b/emul/pgsim/extended.go
@@ -43,7 +43,9 @@
 	case *pgproto3.Sync:
 		s.skip = false
 		s.ready()
-		clear(s.portals)
+		if s.tx == nil {
+			clear(s.portals)
+		}
 		return
 	}
 	if s.skip {
--- a/emul/pgsim/group.go
+++ b/emul/pgsim/group.go
@@ -59,6 +59,8 @@
 	if !ok {
 		return "", false
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return s.address, true
 }
 
--- a/emul/pgsim/listen.go
+++ b/emul/pgsim/listen.go
@@ -34,7 +34,7 @@
 // accept starts a session for a new connection.
 func (s *server) accept(c net.Conn) {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	one := newSession(s, &conn{Conn: c, server: s, ctx: ctx}, ctx, cancel)
+	one := newSession(ctx, s, &conn{Conn: c, server: s, ctx: ctx}, cancel)
 	s.group.mu.Lock()
 	dead := s.killed
 	if !dead {
--- a/emul/pgsim/pgsim_test.go
+++ b/emul/pgsim/pgsim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -120,10 +121,13 @@
 
 	It("keeps to the limit of connections and to the slots", func(ctx SpecContext) {
 		g := start()
+		sleeping, wake := context.WithCancel(context.Background())
+		var work sync.WaitGroup
 		for range 8 {
 			c := connect(ctx, g, "g-0")
-			go func() { _, _ = c.Exec(context.Background(), "SELECT pg_sleep(1000)") }()
+			work.Go(func() { _, _ = c.Exec(sleeping, "SELECT pg_sleep(1000)") })
 		}
+		DeferCleanup(func() { wake(); work.Wait() })
 		Eventually(func() int { return g.States()[0].StatementsWantedMax }, 10*time.Second).Should(Equal(8))
 		Expect(g.States()[0].StatementsAtOnceMax).To(Equal(2))
 		address, _ := g.Address("g-0")
--- a/emul/pgsim/session.go
+++ b/emul/pgsim/session.go
@@ -35,12 +35,11 @@
 	// told is the status that this connection was told last.
 	told status
 
-	running      sync.Mutex
-	cancelRun    context.CancelCauseFunc
-	runStatement context.Context
+	running   sync.Mutex
+	cancelRun context.CancelCauseFunc
 }
 
-func newSession(s *server, c *conn, ctx context.Context, end context.CancelCauseFunc) *session {
+func newSession(ctx context.Context, s *server, c *conn, end context.CancelCauseFunc) *session {
 	return &session{
 		server:     s,
 		conn:       c,
--- a/emul/pgsim/statement.go
+++ b/emul/pgsim/statement.go
@@ -7,11 +7,10 @@
 	"time"
 )
 
-// result is what a statement answers. Without columns it returns no rows.
+// result is what a statement answers.
 type result struct {
-	columns []string
-	rows    [][]*string
-	tag     string
+	rows [][]*string
+	tag  string
 }
 
 // call is one run of a statement.
