Run batches on backend servers: slots, connections, held commits

A slot is given back when the server has answered, or has been told to give the statement up, never before, because the server still works on it.

--- a/io/event/gate.go
+++ b/io/event/gate.go
@@ -1,6 +1,16 @@
 package event
 
+import "log/slog"
+
 // Events of area "gate": 400 to 499.
-const ()
+const (
+	GateConnectFailed ID = 400 + iota
+)
 
-var gateKinds = map[ID]Kind{}
+var gateKinds = map[ID]Kind{
+	GateConnectFailed: {
+		Level:  slog.LevelWarn,
+		Text:   "connection to a backend server failed",
+		Action: "look at the backend server and at pomelofork's credentials for it",
+	},
+}
--- /dev/null
+++ b/io/gate/admit.go
@@ -0,0 +1,52 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"pomelofork/core/model"
+)
+
+// admit waits for a slot, and for the first batch of a transaction also for a
+// connection.
+func (l *lane) admit(ctx context.Context) (grant, *model.Refusal) {
+	t := &ticket{ask: l.ask, pinned: l.server, readOnly: l.reads(), grants: make(chan grant, 1)}
+	t.ask.Since = l.gate.config.Now()
+	if refusal := l.gate.enqueue(t, l.unit.Account, l.deadline); refusal != nil {
+		return grant{}, refusal
+	}
+	wake := time.NewTimer(patience)
+	defer wake.Stop()
+	for {
+		select {
+		case granted := <-t.grants:
+			return granted, nil
+		case <-wake.C:
+			l.gate.poke()
+		case <-ctx.Done():
+			return grant{}, l.giveUp(t)
+		case <-l.gate.ctx.Done():
+			return grant{}, l.giveUp(t)
+		}
+	}
+}
+
+// giveUp leaves the queue and says why.
+func (l *lane) giveUp(t *ticket) *model.Refusal {
+	if granted, late := l.gate.abandon(t, l.unit.Account); late {
+		if granted.conn != nil {
+			l.gate.giveBack(granted.server, granted.conn, l.gate.config.Now())
+		}
+		l.gate.release(granted, l.gate.config.Now())
+	}
+	if l.gate.ctx.Err() != nil {
+		return notRun(model.ReasonShuttingDown, string(l.unit.Service))
+	}
+	if _, known := l.gate.config.Group.Known().Primary(); !known {
+		return notRun(model.ReasonNoPrimary, string(l.unit.Service))
+	}
+	return notRun(model.ReasonDeadline, string(l.unit.Service))
+}
+
+// forget ends the lane's hold on a connection that it has given away.
+func (l *lane) forget() { l.conn, l.server = nil, nil }
--- /dev/null
+++ b/io/gate/dispatch.go
@@ -0,0 +1,136 @@
+package gate
+
+import (
+	"time"
+
+	"pomelofork/core/fair"
+	"pomelofork/core/model"
+	"pomelofork/core/route"
+	"pomelofork/core/term"
+)
+
+// dispatch gives free slots to the tickets that are due, and asks for
+// connections where free slots find none.
+func (g *Gate) dispatch() {
+	if !g.config.Holds() {
+		return
+	}
+	now := g.config.Now()
+	known := g.config.Group.Known()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for g.dispatchOne(now, known) {
+		continue
+	}
+	for id, s := range g.servers {
+		if view, ok := known.Server(id); ok && view.Leaving {
+			closeAll(s.pool.Clear())
+			continue
+		}
+		for s.wants(now) {
+			s.pool.Begin()
+			s.open <- struct{}{}
+		}
+	}
+}
+
+// dispatchOne gives one slot to the ticket that is due, if any.
+func (g *Gate) dispatchOne(now time.Time, known term.Known) bool {
+	var pick route.Pick
+	item, ok := g.queue.Next(now, func(t *ticket) bool {
+		var fits bool
+		pick, fits = g.choose(now, known, t)
+		return fits
+	})
+	if !ok {
+		return false
+	}
+	s := g.servers[pick.Server]
+	s.enter(now)
+	granted := grant{item: item, pick: pick, server: s, at: now}
+	if item.Value.pinned == nil {
+		granted.conn = g.takeConn(s, item.Value.readOnly)
+	}
+	item.Value.grants <- granted
+	return true
+}
+
+// choose returns the server for a ticket, and false when it has to wait.
+func (g *Gate) choose(now time.Time, known term.Known, t *ticket) (route.Pick, bool) {
+	if t.pinned != nil {
+		return route.Pick{Server: t.pinned.id}, t.pinned.free() > 0
+	}
+	return g.policy.Choose(now, t.ask, known, func(id model.ServerID) route.Load {
+		s, ok := g.servers[id]
+		if !ok {
+			return route.Load{}
+		}
+		return s.load()
+	})
+}
+
+// takeConn takes an idle connection, of the wanted mode when there is one. It
+// returns nil when the ones that were idle have all been closed by the server.
+func (g *Gate) takeConn(s *server, readOnly bool) *conn {
+	for {
+		c, ok := s.pool.Take(func(c *conn) bool { return c.readOnly == readOnly })
+		if !ok {
+			return nil
+		}
+		if c.Quiet() {
+			return c
+		}
+		c.Close()
+		s.pool.Drop()
+	}
+}
+
+// release gives back a slot and charges its time to the client account.
+func (g *Gate) release(granted grant, now time.Time) {
+	g.mu.Lock()
+	granted.server.busy--
+	g.queue.Charge(now, granted.item, now.Sub(granted.at))
+	g.mu.Unlock()
+	g.dispatch()
+}
+
+// giveBack takes back a connection that is at the end of its transaction.
+func (g *Gate) giveBack(s *server, c *conn, now time.Time) {
+	keep := c.clean() && g.config.Holds() && g.ctx.Err() == nil
+	g.mu.Lock()
+	if keep {
+		s.pool.Give(now, c)
+	} else {
+		s.pool.Drop()
+	}
+	g.mu.Unlock()
+	if !keep {
+		c.Close()
+	}
+}
+
+// enqueue lets a ticket wait, or refuses it.
+func (g *Gate) enqueue(t *ticket, account model.AccountID, deadline time.Time) *model.Refusal {
+	now := g.config.Now()
+	g.mu.Lock()
+	refusal := g.queue.Add(now, fair.Item[*ticket]{
+		Account: account, Deadline: deadline, Urgent: t.pinned != nil, Value: t,
+	})
+	g.mu.Unlock()
+	if refusal == nil {
+		g.dispatch()
+	}
+	return refusal
+}
+
+// abandon takes a ticket out of the queue. When it was granted in the meantime,
+// the grant is returned.
+func (g *Gate) abandon(t *ticket, account model.AccountID) (grant, bool) {
+	g.mu.Lock()
+	waited := g.queue.Remove(account, func(other *ticket) bool { return other == t })
+	g.mu.Unlock()
+	if waited {
+		return grant{}, false
+	}
+	return <-t.grants, true
+}
--- /dev/null
+++ b/io/gate/gate.go
@@ -0,0 +1,158 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pomelofork/core/fair"
+	"pomelofork/core/model"
+	"pomelofork/core/route"
+	"pomelofork/io/wire"
+)
+
+// Gate is the gateway of one service. It implements wire.Gateway.
+type Gate struct {
+	config  Config
+	policy  *route.Policy
+	servers map[model.ServerID]*server
+	dialer  dialer
+	work    sync.WaitGroup
+	ctx     context.Context
+	stop    context.CancelFunc
+	kick    chan struct{}
+
+	mu       sync.Mutex
+	queue    fair.Policy[*ticket]
+	lanes    int
+	draining bool
+	idle     chan struct{}
+}
+
+// New starts the gateway. Close ends it.
+func New(c Config) (*Gate, error) {
+	d, err := newDialer(c)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	g := &Gate{
+		config:  c,
+		policy:  route.New(route.Config{Patience: patience}),
+		servers: map[model.ServerID]*server{},
+		dialer:  d,
+		ctx:     ctx,
+		stop:    stop,
+		kick:    make(chan struct{}, 1),
+		idle:    make(chan struct{}),
+	}
+	slots := 0
+	for _, each := range c.Servers {
+		s := newServer(each, c.Part)
+		slots += s.slots
+		g.servers[s.id] = s
+		g.work.Go(func() { g.openFor(s, each.Address) })
+	}
+	g.queue = fair.NewRobin[*ticket](fair.Config{
+		Slots: slots, Limit: queueLimit, Quantum: quantum, FirstCost: firstCost, Share: c.Share,
+	})
+	g.work.Go(g.watch)
+	return g, nil
+}
+
+// Open starts a unit of work. It waits for nothing.
+func (g *Gate) Open(_ context.Context, unit wire.Unit) (wire.Lane, error) {
+	if !g.config.Holds() {
+		return nil, notRun(model.ReasonNoGateway, string(g.config.Service))
+	}
+	l, err := newLane(g, unit)
+	if err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.draining {
+		return nil, notRun(model.ReasonShuttingDown, string(g.config.Service))
+	}
+	g.lanes++
+	return l, nil
+}
+
+// Drain refuses new lanes and waits until the running ones have ended or ctx has.
+func (g *Gate) Drain(ctx context.Context) error {
+	g.mu.Lock()
+	g.draining = true
+	if g.lanes == 0 {
+		g.mu.Unlock()
+		return nil
+	}
+	g.mu.Unlock()
+	select {
+	case <-g.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// leave counts a lane that has ended.
+func (g *Gate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lanes--
+	if g.draining && g.lanes == 0 {
+		close(g.idle)
+	}
+}
+
+// Close ends the gateway. Open lanes fail.
+func (g *Gate) Close() {
+	g.stop()
+	g.work.Wait()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.servers {
+		closeAll(s.pool.Clear())
+	}
+}
+
+// watch gives out slots when the picture of the group changes, and looks at the
+// gateway's right and at idle connections from time to time.
+func (g *Gate) watch() {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		changed := g.config.Group.Changed()
+		g.dispatch()
+		select {
+		case <-changed:
+		case <-g.kick:
+		case <-ticker.C:
+			g.tidy()
+		case <-g.ctx.Done():
+			return
+		}
+	}
+}
+
+// tidy closes connections that are idle for long, and all of them when the right
+// to them is gone.
+func (g *Gate) tidy() {
+	now := g.config.Now()
+	held := g.config.Holds()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.servers {
+		if held {
+			closeAll(s.pool.Expire(now.Add(-idleTimeout), s.slots))
+		} else {
+			closeAll(s.pool.Clear())
+		}
+	}
+}
+
+func closeAll(conns []*conn) {
+	for _, c := range conns {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/io/gate/judge.go
@@ -0,0 +1,87 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"pomelofork/core/model"
+	"pomelofork/core/retry"
+)
+
+// retryPause is the longest wait for news of the group before another attempt.
+const retryPause = 20 * time.Millisecond
+
+// judge decides what follows from the error of an attempt. A final answer is
+// returned as an error.
+func (l *lane) judge(ctx context.Context, a *attempt, err error) (retry.Verdict, error) {
+	var refusal *model.Refusal
+	if errors.As(err, &refusal) {
+		return retry.Verdict{}, l.certain(refusal)
+	}
+	var fault *faultError
+	if !errors.As(err, &fault) {
+		// The sink took no more. Nobody is there to be told.
+		return retry.Verdict{}, l.certain(model.NewRefusal(model.RefusalConfig{
+			Reason: model.ReasonLinkLost, Outcome: l.afterSend(), Detail: err.Error(),
+		}))
+	}
+	verdict := retry.Decide(retry.Try{
+		Fault:      fault.fault,
+		Access:     l.unit.Access,
+		Idempotent: l.unit.Idempotent,
+		Open:       a.open,
+		Shown:      a.hold.shown,
+		Committed:  l.committed || a.hold.committed,
+	})
+	l.doubt = l.doubt || verdict.Outcome == model.OutcomeUnknown
+	if ctx.Err() != nil {
+		verdict.Action = retry.ActionRefuse
+	}
+	return verdict, nil
+}
+
+// afterSend is the outcome of a batch that was sent and not answered.
+func (l *lane) afterSend() model.Outcome {
+	if l.reads() {
+		return model.OutcomeNotRun
+	}
+	return model.OutcomeUnknown
+}
+
+// certain corrects the outcome of a refusal when an earlier attempt at the same
+// batch may have taken effect.
+func (l *lane) certain(refusal *model.Refusal) *model.Refusal {
+	if !l.doubt || refusal.Outcome() == model.OutcomeUnknown {
+		return refusal
+	}
+	return model.NewRefusal(model.RefusalConfig{
+		Reason: refusal.Reason(), Outcome: model.OutcomeUnknown, RetryAfter: refusal.RetryAfter(), Detail: refusal.Detail(),
+	})
+}
+
+// refusal returns the caller's answer for a verdict.
+func (l *lane) refusal(verdict retry.Verdict, a *attempt) *model.Refusal {
+	var after time.Duration
+	if verdict.Outcome == model.OutcomeNotRun {
+		after = noPrimaryRetry
+	}
+	return l.certain(model.NewRefusal(model.RefusalConfig{
+		Reason: verdict.Reason, Outcome: verdict.Outcome, RetryAfter: after, Detail: string(a.pick.Server),
+	}))
+}
+
+// pause waits for news of the group before another attempt.
+func (l *lane) pause(ctx context.Context) error {
+	changed := l.gate.config.Group.Changed()
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return nil
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/io/gate/server.go
@@ -0,0 +1,52 @@
+package gate
+
+import (
+	"time"
+
+	"pomelofork/core/model"
+	"pomelofork/core/pool"
+	"pomelofork/core/route"
+)
+
+// server is what the gateway keeps for one backend server. The gate's lock
+// guards it.
+type server struct {
+	id    model.ServerID
+	slots int
+	busy  int
+	last  time.Time
+	pool  *pool.Pool[*conn]
+	// open asks the server's opener for one more connection.
+	open chan struct{}
+}
+
+func newServer(s Server, part Part) *server {
+	slots, connections := part.of(s.Slots), part.of(s.Connections)-watcherConnections
+	return &server{
+		id:    s.ID,
+		slots: slots,
+		pool:  pool.New[*conn](pool.Config{Limit: connections, Retry: connectRetry}),
+		open:  make(chan struct{}, max(1, connections)),
+	}
+}
+
+// free returns the number of slots that could take a statement now.
+func (s *server) free() int { return s.slots - s.busy }
+
+// load describes the server to core/route. A new statement needs a connection,
+// too.
+func (s *server) load() route.Load {
+	return route.Load{Free: min(s.free(), s.pool.Idle()), Last: s.last}
+}
+
+// wants reports whether another connection is worth opening: every free slot
+// should find an idle one.
+func (s *server) wants(now time.Time) bool {
+	return s.pool.Idle()+s.pool.Opening() < s.free() && s.pool.MayOpen(now)
+}
+
+// enter takes a slot.
+func (s *server) enter(now time.Time) {
+	s.busy++
+	s.last = now
+}
