Add the load engine and the judge of callers' histories

Sessions of a stock client send open-loop arrivals drawn from a seed, roam between entries with their token and record every attempt. The judge looks in the history and in the final ledgers for reads that miss the session's writes, lost, doubled and half-done writes, refusals that lie, answers to another request and overshoot of rate and burst. The tally works out read share, write gaps, goodput and wrongful refusals.

--- /dev/null
+++ b/bench/judge/judge_test.go
@@ -0,0 +1,276 @@
+package judge_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/bench/judge"
+)
+
+func TestJudge(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "judge")
+}
+
+// at returns a moment of the run in milliseconds.
+func at(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// write returns an acknowledged posting of session s at a moment.
+func write(id string, ms int, counter int64) judge.Op {
+	return judge.Op{
+		ID: id, Attempt: 1, Account: "a", Session: "s", Service: "db", Kind: judge.KindPost,
+		Sent: at(ms), Done: at(ms + 2), Result: judge.ResultOK,
+		Key: "k", Writer: "s", Counter: counter, LedgerIDs: []string{id + ".a"},
+	}
+}
+
+// read returns an answered read at a moment.
+func read(id, session string, ms int, counter, version int64) judge.Op {
+	return judge.Op{
+		ID: id, Attempt: 1, Account: "a", Session: session, Service: "db", Kind: judge.KindStatus,
+		Sent: at(ms), Done: at(ms + 2), Result: judge.ResultOK,
+		Key: "k", Writer: "s", Counter: counter, Version: version,
+	}
+}
+
+// with returns the attempt after a change.
+func with(op judge.Op, change func(*judge.Op)) judge.Op {
+	change(&op)
+	return op
+}
+
+func unknown(op *judge.Op) { op.Result = judge.ResultUnknown }
+func notRun(op *judge.Op)  { op.Result = judge.ResultNotRun; op.SQLState = "57P03" }
+
+// ledger returns the final state of service db.
+func ledger(ids ...string) []judge.Final {
+	final := judge.Final{Service: "db", Ledger: map[string]int{}, Items: map[string]string{}}
+	for _, id := range ids {
+		final.Ledger[id]++
+	}
+	return []judge.Final{final}
+}
+
+var _ = Describe("the checks", func() {
+	order := func(result judge.Result) judge.Op {
+		return judge.Op{
+			ID: "o", Attempt: 1, Account: "a", Session: "s", Service: "db", Kind: judge.KindOrder,
+			Result: result, SQLState: "57P03", LedgerIDs: []string{"o.a", "o.b"},
+		}
+	}
+	for name, c := range map[string]struct {
+		ops    []judge.Op
+		finals []judge.Final
+		want   map[judge.Check]int
+	}{
+		"all well": {
+			[]judge.Op{write("w", 0, 1), read("r", "s", 5, 1, 1)}, ledger("w.a"), nil,
+		},
+		"a read that misses the session's own write": {
+			[]judge.Op{write("w1", 0, 1), write("w2", 5, 2), read("r", "s", 10, 1, 1)}, ledger("w1.a", "w2.a"),
+			map[judge.Check]int{judge.CheckStaleReads: 1, judge.CheckTooOldReads: 1, judge.CheckRegister: 1},
+		},
+		"an aged read of another session may miss a young write": {
+			[]judge.Op{
+				write("w", 0, 1),
+				with(read("r", "t", 10, 0, 0), func(o *judge.Op) { o.MaxAge = at(50) }),
+			}, ledger("w.a"), nil,
+		},
+		"an aged read that misses a write older than its age": {
+			[]judge.Op{
+				write("w", 0, 1),
+				with(read("r", "t", 100, 0, 0), func(o *judge.Op) { o.MaxAge = at(50) }),
+			}, ledger("w.a"),
+			map[judge.Check]int{judge.CheckTooOldReads: 1},
+		},
+		"a write in doubt that lands after a newer one": {
+			[]judge.Op{with(write("w1", 0, 1), unknown), write("w2", 5, 2), read("r", "s", 10, 1, 2)}, ledger("w1.a", "w2.a"), nil,
+		},
+		"a stale replica that shows a write in doubt": {
+			[]judge.Op{with(write("w1", 0, 1), unknown), write("w2", 5, 2), write("w3", 10, 3), read("r", "s", 15, 1, 1)},
+			ledger("w1.a", "w2.a", "w3.a"),
+			// By its text alone the write in doubt may have landed last, so only the
+			// version gives the replica away.
+			map[judge.Check]int{judge.CheckStaleReads: 1, judge.CheckTooOldReads: 1},
+		},
+		"an acknowledged write that is gone": {
+			[]judge.Op{write("w", 0, 1)}, ledger(),
+			map[judge.Check]int{judge.CheckLostWrites: 1},
+		},
+		"a write that is there twice": {
+			[]judge.Op{write("w", 0, 1)}, ledger("w.a", "w.a"),
+			map[judge.Check]int{judge.CheckDoubledWrites: 1},
+		},
+		"a write refused as not run that is there": {
+			[]judge.Op{with(write("w", 0, 1), notRun)}, ledger("w.a"),
+			map[judge.Check]int{judge.CheckNotRunButRan: 1},
+		},
+		"a write in doubt and then refused may be there": {
+			[]judge.Op{with(write("w", 0, 1), unknown), with(write("w", 5, 1), notRun)}, ledger("w.a"), nil,
+		},
+		"half a transaction": {
+			[]judge.Op{order(judge.ResultUnknown)}, ledger("o.a"),
+			map[judge.Check]int{judge.CheckMixed: 1},
+		},
+		"half a transaction that was refused": {
+			[]judge.Op{order(judge.ResultNotRun)}, ledger("o.b"),
+			map[judge.Check]int{judge.CheckMixed: 1, judge.CheckNotRunButRan: 1},
+		},
+		"an answer to another request": {
+			[]judge.Op{with(read("r", "s", 0, 0, 0), func(o *judge.Op) { o.WrongAnswer = "asked for a, got b" })}, ledger(),
+			map[judge.Check]int{judge.CheckWrongAnswers: 1},
+		},
+		"a read that goes back in time": {
+			[]judge.Op{with(write("w", 0, 1), unknown), read("r1", "t", 10, 1, 1), read("r2", "t", 20, 0, 0)}, ledger("w.a"),
+			map[judge.Check]int{judge.CheckRegister: 1},
+		},
+	} {
+		It("sees: "+name, func() {
+			verdict := judge.Judge(judge.History{Ops: c.ops, Finals: c.finals})
+			got := map[judge.Check]int{}
+			for _, f := range verdict.Findings(10) {
+				got[f.Check]++
+			}
+			if c.want == nil {
+				c.want = map[judge.Check]int{}
+			}
+			Expect(got).To(Equal(c.want))
+			Expect(verdict.Holds()).To(Equal(len(c.want) == 0))
+		})
+	}
+
+	It("sees the same as a check of every window", func() {
+		rnd := rand.New(rand.NewPCG(7, 7))
+		for range 200 {
+			var ops []judge.Op
+			sent := 0
+			for range 1 + rnd.IntN(12) {
+				sent += rnd.IntN(150)
+				ops = append(ops, judge.Op{Account: "a", Sent: at(sent), Done: at(sent + rnd.IntN(200)), Result: judge.ResultOK})
+			}
+			rate := judge.Rate{PerSecond: 10, Burst: 2}
+			want := everyWindow(ops, rate) > 1e-6
+			Expect(len(judge.Overshoot(ops, map[string]judge.Rate{"a": rate})) > 0).To(Equal(want))
+		}
+	})
+
+	It("sees a pair of items from two transactions", func() {
+		finals := ledger()
+		finals[0].Items = map[string]string{"l": "l|o1", "r": "r|o2"}
+		found := judge.Mixed(nil, finals, []judge.Pair{{Service: "db", Left: "l", Right: "r"}})
+		Expect(found).To(HaveLen(1))
+	})
+})
+
+// everyWindow returns the worst excess over all windows, the slow way.
+func everyWindow(ops []judge.Op, rate judge.Rate) float64 {
+	worst := 0.0
+	for _, from := range ops {
+		for _, to := range ops {
+			count := 0.0
+			for _, op := range ops {
+				if op.Sent >= from.Sent && op.Done <= to.Done {
+					count++
+				}
+			}
+			if to.Done >= from.Sent {
+				worst = max(worst, count-rate.Burst-rate.PerSecond*(to.Done-from.Sent).Seconds())
+			}
+		}
+	}
+	return worst
+}
+
+var _ = Describe("Overshoot", func() {
+	served := func(ms ...int) []judge.Op {
+		var ops []judge.Op
+		for _, m := range ms {
+			ops = append(ops, judge.Op{Account: "a", Sent: at(m), Done: at(m + 10), Result: judge.ResultOK})
+		}
+		return ops
+	}
+	rates := map[string]judge.Rate{"a": {PerSecond: 10, Burst: 2}}
+	for name, c := range map[string]struct {
+		ops  []judge.Op
+		want int
+	}{
+		"inside the burst":              {served(0, 1), 0},
+		"burst and what was minted":     {served(0, 1, 100, 200, 300), 0},
+		"one above the burst":           {served(0, 1, 2), 1},
+		"one above in a later window":   {served(0, 5000, 5001, 5100, 5101), 1},
+		"a long time at the exact rate": {served(0, 100, 200, 300, 400, 500, 600, 700), 0},
+	} {
+		It("sees: "+name, func() {
+			Expect(judge.Overshoot(c.ops, rates)).To(HaveLen(c.want))
+		})
+	}
+})
+
+var _ = Describe("RateRefusals", func() {
+	refused := func(o *judge.Op) { o.Result = judge.ResultNotRun; o.SQLState = "53400" }
+	rates := map[string]judge.Rate{"a": {PerSecond: 10, Burst: 1}}
+	sent := func(ms int) judge.Op {
+		return judge.Op{Account: "a", Sent: at(ms), Done: at(ms + 1), Result: judge.ResultOK}
+	}
+	for name, c := range map[string]struct {
+		ops  []judge.Op
+		want judge.Refusals
+	}{
+		"a refusal inside the rate is wrongful": {
+			[]judge.Op{sent(0), with(sent(100), refused), sent(200)},
+			judge.Refusals{Attempts: 3, Conforming: 3, Refused: 1, Wrongful: 1},
+		},
+		"a refusal above the rate is not": {
+			[]judge.Op{sent(0), with(sent(50), refused), sent(100)},
+			judge.Refusals{Attempts: 3, Conforming: 2, Refused: 1},
+		},
+		"above the rate it is open who gets the token": {
+			[]judge.Op{sent(0), with(sent(100), refused), sent(101)},
+			judge.Refusals{Attempts: 3, Conforming: 2, Refused: 1},
+		},
+	} {
+		It("sees: "+name, func() {
+			Expect(judge.RateRefusals(c.ops, rates)["a"]).To(Equal(c.want))
+		})
+	}
+})
+
+var _ = Describe("WriteGaps", func() {
+	for name, c := range map[string]struct {
+		ops  []judge.Op
+		want time.Duration
+	}{
+		"none offered, none missed": {[]judge.Op{write("a", 0, 1), write("b", 500, 2)}, at(2)},
+		"a stall between two": {
+			[]judge.Op{write("a", 0, 1), with(write("b", 500, 2), func(o *judge.Op) { o.Intended = at(100) })}, at(402),
+		},
+		"refused tries count as offered": {
+			[]judge.Op{
+				write("a", 0, 1),
+				with(write("b", 100, 2), func(o *judge.Op) { notRun(o); o.Intended = at(100) }),
+				with(write("c", 300, 3), func(o *judge.Op) { o.Intended = at(300) }),
+			}, at(202),
+		},
+		"refused by rate doesn't": {
+			[]judge.Op{
+				write("a", 0, 1),
+				with(write("b", 100, 2), func(o *judge.Op) { notRun(o); o.SQLState = "53400"; o.Intended = at(100) }),
+				with(write("c", 300, 3), func(o *judge.Op) { o.Intended = at(300) }),
+			}, at(2),
+		},
+	} {
+		It("measures: "+name, func() {
+			ops := c.ops
+			for i := range ops {
+				if ops[i].Intended == 0 {
+					ops[i].Intended = ops[i].Sent
+				}
+			}
+			Expect(judge.WriteGaps(ops, at(501))).To(HaveKeyWithValue("db", c.want))
+		})
+	}
+})
--- /dev/null
+++ b/bench/load/clock.go
@@ -0,0 +1,30 @@
+package load
+
+import (
+	"context"
+	"time"
+)
+
+// clock gives the time since the start of a run.
+type clock struct {
+	start time.Time
+}
+
+// now returns the time since the start.
+func (c *clock) now() time.Duration { return time.Since(c.start) }
+
+// sleepUntil waits for a moment of the run. It returns false when ctx ends first.
+func (c *clock) sleepUntil(ctx context.Context, at time.Duration) bool {
+	wait := at - c.now()
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/bench/load/dial.go
@@ -0,0 +1,52 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+// The parameters of sessions.
+const (
+	paramToken    = "pomelofork.token"
+	paramRoute    = "pomelofork.route"
+	paramServedBy = "pomelofork.served_by"
+)
+
+// dialConfig says how to log in.
+type dialConfig struct {
+	// Entry is the address, Account and Key log in, Service is the database.
+	Entry, Account, Key, Service string
+	// Route and Token are the session's first settings. Empty ones aren't sent.
+	Route, Token string
+}
+
+// dial opens one connection with the stock client.
+func dial(ctx context.Context, c dialConfig) (*pgconn.PgConn, error) {
+	host, portText, err := net.SplitHostPort(c.Entry)
+	if err != nil {
+		return nil, fmt.Errorf("entry %q: %w", c.Entry, err)
+	}
+	port, err := strconv.ParseUint(portText, 10, 16)
+	if err != nil {
+		return nil, fmt.Errorf("entry %q: %w", c.Entry, err)
+	}
+	config, err := pgconn.ParseConfig("sslmode=disable")
+	if err != nil {
+		return nil, fmt.Errorf("client settings: %w", err)
+	}
+	config.Host, config.Port = host, uint16(port)
+	config.User, config.Password, config.Database = c.Account, c.Key, c.Service
+	config.Fallbacks = nil
+	config.RuntimeParams = map[string]string{}
+	if c.Route != "" {
+		config.RuntimeParams[paramRoute] = c.Route
+	}
+	if c.Token != "" {
+		config.RuntimeParams[paramToken] = c.Token
+	}
+	return pgconn.ConnectConfig(ctx, config)
+}
--- /dev/null
+++ b/bench/tally/result.go
@@ -0,0 +1,86 @@
+package tally
+
+import "pomelofork/bench/judge"
+
+// Result is the one JSON object that a run prints.
+type Result struct {
+	Seed      uint64 `json:"seed"`
+	DurationS int64  `json:"duration_s"`
+	Holds     bool   `json:"holds"`
+
+	// ReadShareByReplicas is the share of answered reads that a replica answered,
+	// and AgedReadShareByReplicas the same for routes that accept an age.
+	ReadShareByReplicas     float64 `json:"read_share_by_replicas"`
+	AgedReadShareByReplicas float64 `json:"aged_read_share_by_replicas"`
+
+	// WriteGapMS sums up the worst gaps in writes of the services.
+	WriteGapMS Gaps `json:"write_gap_ms"`
+
+	// WorstAccount is the client account with the smallest goodput.
+	WorstAccount        string  `json:"worst_account"`
+	WorstAccountGoodput float64 `json:"worst_account_goodput"`
+	WorstAccountP99MS   float64 `json:"worst_account_p99_ms"`
+
+	WrongfulRefusalsPerThousand float64 `json:"wrongful_refusals_per_thousand"`
+
+	WrongAnswers   int             `json:"wrong_answers"`
+	LostWrites     int             `json:"lost_writes"`
+	DoubledWrites  int             `json:"doubled_writes"`
+	StaleReads     int             `json:"stale_reads"`
+	TooOldReads    int             `json:"too_old_reads"`
+	Mixed          int             `json:"mixed"`
+	Overshoot      int             `json:"overshoot"`
+	NotRunButRan   int             `json:"not_run_but_ran"`
+	NotLinear      int             `json:"not_linearizable"`
+	Linearity      judge.Linearity `json:"linearity"`
+	Counts         Counts          `json:"counts"`
+	LatencyMS      Latency         `json:"latency_ms"`
+	WriteLatencyMS Latency         `json:"write_latency_ms"`
+	ReadLatencyMS  Latency         `json:"read_latency_ms"`
+
+	Accounts map[string]Account `json:"accounts"`
+	Refusals map[string]int     `json:"refusals_by_sqlstate"`
+	Findings []judge.Finding    `json:"findings,omitempty"`
+}
+
+// Gaps sums up the worst gap of each service.
+type Gaps struct {
+	Median    float64            `json:"median"`
+	Worst     float64            `json:"worst"`
+	ByService map[string]float64 `json:"by_service"`
+}
+
+// Counts are plain numbers of operations and attempts.
+type Counts struct {
+	Operations      int `json:"operations"`
+	Attempts        int `json:"attempts"`
+	OK              int `json:"ok"`
+	Reads           int `json:"reads"`
+	Writes          int `json:"writes"`
+	Retries         int `json:"retries"`
+	RefusedByRate   int `json:"refused_by_rate"`
+	NotRun          int `json:"not_run"`
+	Unknown         int `json:"unknown"`
+	ConnectionsLost int `json:"connections_lost"`
+	Unanswered      int `json:"operations_without_result"`
+}
+
+// Latency holds quantiles in milliseconds, from the intended arrival on.
+type Latency struct {
+	Median float64 `json:"median"`
+	P99    float64 `json:"p99"`
+	Max    float64 `json:"max"`
+}
+
+// Account is how one client account fared.
+type Account struct {
+	// Offered counts its operations, and Served those that got their result.
+	Offered int `json:"offered"`
+	Served  int `json:"served"`
+	// Goodput is served over what rate and burst allowed of the offer.
+	Goodput float64 `json:"goodput"`
+	// P99MS is the 99th percentile of its latency.
+	P99MS float64 `json:"p99_ms"`
+	// Refusals compares its refusals by rate with an exact bucket.
+	Refusals judge.Refusals `json:"refusals"`
+}
--- /dev/null
+++ b/cmd/pomelo-load/main.go
@@ -0,0 +1,43 @@
+// Command pomelo-load drives a fleet with open-loop traffic, judges what its
+// callers saw and measures how it fared.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// The exit statuses.
+const (
+	exitHolds  = 0
+	exitBroken = 1
+	exitError  = 2
+)
+
+// commands is the command line.
+type commands struct {
+	Run runCommand `cmd:"" help:"Drive a fleet and print one JSON object. Exit status 0: everything held; 1: something that must hold was seen broken; 2: the run failed."`
+}
+
+func main() {
+	var cli commands
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	kctx := kong.Parse(&cli,
+		kong.Name("pomelo-load"),
+		kong.Description("Open-loop load and experiments for pomelofork."),
+		kong.DefaultEnvars("POMELO_LOAD"),
+		kong.BindTo(ctx, (*context.Context)(nil)))
+	status := exitHolds
+	kctx.Bind(&status)
+	if err := kctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "pomelo-load:", err)
+		status = exitError
+	}
+	os.Exit(status)
+}
