Start, drive and stop a local fleet by script

make demo needs a fleet of separate processes with failures in the middle of the traffic. The script keeps one file with a process id for each process and ends only those.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The one door to every task. `make help` lists them.
 GO ?= go
 
-.PHONY: help build test lint ci
+.PHONY: help build test lint ci demo demo-up demo-down
 help: ## list the tasks
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
 
@@ -17,5 +17,12 @@
 	$(GO) tool staticcheck ./...
 	$(GO) tool revive -config revive.toml -formatter stylish ./...
 
+demo: build ## a fleet of 7 under mixed traffic and failures, one JSON object
+	scripts/demo.sh run
+demo-up: build ## the same fleet, left running
+	scripts/demo.sh up
+demo-down: ## stop the fleet that demo-up started
+	scripts/demo.sh down
+
 ci: ## what .ci/run does
 	bash .ci/run
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,71 @@
+#!/usr/bin/env bash
+# Runs a local fleet: demo.sh run | up | down.
+#   run   starts it, drives mixed traffic while a primary and an instance fail and
+#         another instance is stopped as planned, and prints one JSON object.
+#         Exit status 0 only when nothing that must hold was seen broken.
+#   up    starts it and leaves it running; prints addresses, accounts and keys.
+#   down  stops what up started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/lib.sh
+
+SEED=${SEED:-1}
+DURATION=${DURATION:-30}
+
+# failures: what goes wrong during the run, in seconds after its start.
+failures() {
+	local primary
+	sleep 8
+	primary=$(primary_of 0)
+	say "killing backend server $primary, the primary of the first service"
+	fault 0 "$primary" '{"killed":true}'
+	sleep 4
+	say "killing entry-3 and starting a new one in its place"
+	end entry-3 KILL
+	start_entry 3
+	sleep 4
+	say "bringing $primary back"
+	fault 0 "$primary" '{"killed":false}'
+	sleep 4
+	say "stopping entry-5 as planned and starting it again"
+	end entry-5 TERM
+	start_entry 5
+}
+
+run() {
+	local status=0
+	trap end_all EXIT
+	fleet_up
+	say "fleet is ready; driving it for ${DURATION} s with seed $SEED"
+	failures &
+	local failing=$!
+	bin/pomelo-load run --config "$CONFIG" --entries "$(entries)" --seed "$SEED" \
+		--duration "${DURATION}s" --out "$RUN_DIR/result.json" || status=$?
+	wait "$failing"
+	return "$status"
+}
+
+up() {
+	fleet_up
+	echo "entries:   $(entries | tr , ' ')"
+	echo "platform:  http://$PLATFORM"
+	echo "services:  $SERVICES"
+	echo "accounts:"
+	python3 - "$CONFIG" <<'PY'
+import json, sys
+for account in json.load(open(sys.argv[1]))["accounts"]:
+    print(f"  {account['id']}  key demo-{account['id']}  {account['rate_per_s']:g}/s, burst {account['burst']}")
+PY
+	echo "try:       PGPASSWORD=demo-ACCOUNT psql -h 127.0.0.1 -p 7000 -U ACCOUNT ${SERVICES%% *}"
+	echo "stop:      make demo-down"
+}
+
+case "${1:-run}" in
+run) run ;;
+up) up ;;
+down) end_all ;;
+*)
+	echo "usage: demo.sh run|up|down" >&2
+	exit 2
+	;;
+esac
--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,164 @@
+# Functions that start and stop the processes of a local fleet. Sourced by the
+# other scripts, from the root of the repository. Each process has a file with its
+# process id under $RUN_DIR, and only processes listed there are ever ended.
+
+RUN_DIR=${RUN_DIR:-out/demo}
+CONFIG=${CONFIG:-examples/slamka.json}
+SERVICES=${SERVICES:-"straw-ledger-0 straw-ledger-1 straw-ledger-2"}
+DOMAINS=(${DOMAINS:-sk-central-a sk-central-b sk-central-c sk-central-d})
+INSTANCES=${INSTANCES:-7}
+PLATFORM=127.0.0.1:7400
+# Flags that every group stand-in gets besides its name and addresses.
+GROUP_FLAGS=${GROUP_FLAGS:-"--slots 2 --connections 16 --connect-cost 10ms"}
+
+say() { echo "$(date +%T) $*" >&2; }
+
+# start NAME COMMAND...: runs a process in the background.
+start() {
+	local name=$1
+	shift
+	"$@" >>"$RUN_DIR/$name.log" 2>&1 </dev/null &
+	echo $! >"$RUN_DIR/$name.pid"
+	disown $!
+}
+
+# alive NAME: whether the process that was started as NAME still runs.
+alive() {
+	local pid
+	pid=$(cat "$RUN_DIR/$1.pid" 2>/dev/null) || return 1
+	# A process id can be given to another program; ours all live in bin/.
+	[[ "$(tr '\0' ' ' <"/proc/$pid/cmdline" 2>/dev/null)" == bin/* ]]
+}
+
+# end NAME [SIGNAL]: sends the signal (TERM) and waits for the process to go.
+end() {
+	local name=$1 signal=${2:-TERM} tries=0
+	if ! alive "$name"; then
+		rm -f "$RUN_DIR/$name.pid"
+		return 0
+	fi
+	kill -s "$signal" "$(cat "$RUN_DIR/$name.pid")"
+	while alive "$name"; do
+		sleep 0.1
+		tries=$((tries + 1))
+		if [ "$tries" -eq 150 ]; then
+			say "$name doesn't stop, killing it"
+			kill -s KILL "$(cat "$RUN_DIR/$name.pid")"
+		fi
+	done
+	rm -f "$RUN_DIR/$name.pid"
+}
+
+# end_all: stops everything that was started under $RUN_DIR, entries first.
+end_all() {
+	local pattern file
+	for pattern in 'entry-*' '*'; do
+		for file in "$RUN_DIR"/$pattern.pid; do
+			[ -e "$file" ] && end "$(basename "$file" .pid)"
+		done
+	done
+	return 0
+}
+
+# start_entry K: starts instance entry-K.
+start_entry() {
+	local k=$1
+	start "entry-$k" bin/pomelofork serve --id "entry-$k" \
+		--failure-domain "${DOMAINS[$((k % ${#DOMAINS[@]}))]}" \
+		--caller-listen "127.0.0.1:700$k" --link-listen "127.0.0.1:710$k" \
+		--peer-listen "127.0.0.1:720$k" --admin-listen "127.0.0.1:730$k" \
+		--platform "http://$PLATFORM"
+}
+
+# entries: the callers' addresses, joined by commas.
+entries() {
+	local k list=
+	for k in $(seq 0 $((INSTANCES - 1))); do list+=",127.0.0.1:700$k"; done
+	echo "${list#,}"
+}
+
+# fault SERVICE-NUMBER SERVER JSON: changes a fault of a backend server.
+fault() {
+	curl -sf -X POST "http://127.0.0.1:76${1}0/control/servers/$2" -d "$3" >/dev/null ||
+		say "fault $3 at $2 was refused"
+}
+
+# primary_of SERVICE-NUMBER: the backend server that leads the newest term.
+primary_of() {
+	curl -sf "http://127.0.0.1:76${1}0/control/state" |
+		python3 -c 'import json,sys; s=[x for x in json.load(sys.stdin)["servers"] if x["primary"] and not x["killed"]]; print(max(s, key=lambda x: x["promised"])["id"] if s else "")'
+}
+
+# put_instances: fills the platform's list of instances.
+put_instances() {
+	local k n service list=
+	for k in $(seq 0 $((INSTANCES - 1))); do
+		list+=",{\"id\":\"entry-$k\",\"kind\":\"entry\",\"address\":\"127.0.0.1:720$k\",\"failure_domain\":\"${DOMAINS[$((k % ${#DOMAINS[@]}))]}\",\"service\":\"\",\"state\":\"live\"}"
+	done
+	n=0
+	for service in $SERVICES; do
+		for k in 0 1 2; do
+			list+=",{\"id\":\"$service-$k\",\"kind\":\"backend_server\",\"address\":\"127.0.0.1:75$n$k\",\"failure_domain\":\"${DOMAINS[$k]}\",\"service\":\"$service\",\"state\":\"live\"}"
+		done
+		n=$((n + 1))
+	done
+	curl -sf -X PUT "http://$PLATFORM/control/instances" -d "{\"instances\":[${list#,}]}" >/dev/null
+}
+
+# put_config: puts the configuration in force.
+put_config() {
+	if bin/pomelofork admin config put --help >/dev/null 2>&1; then
+		bin/pomelofork admin --platform "http://$PLATFORM" config put "$CONFIG" >&2
+		return
+	fi
+	python3 - "$CONFIG" <<'PY' | curl -sf -X POST "http://$PLATFORM/v1/swap" -d @- >/dev/null
+import json, sys
+print(json.dumps({"key": "config", "expected_revision": 0, "value": open(sys.argv[1]).read()}))
+PY
+}
+
+# wait_ready: waits until every instance says that it is ready.
+wait_ready() {
+	local k tries=0
+	for k in $(seq 0 $((INSTANCES - 1))); do
+		until curl -sf -o /dev/null "http://127.0.0.1:730$k/ready"; do
+			tries=$((tries + 1))
+			if [ "$tries" -ge 300 ] || ! alive "entry-$k"; then
+				say "entry-$k isn't ready; the end of its log:"
+				tail -5 "$RUN_DIR/entry-$k.log" >&2
+				return 1
+			fi
+			sleep 0.1
+		done
+	done
+}
+
+# wait_port ADDRESS: waits until something listens there.
+wait_port() {
+	local tries=0
+	until (exec 3<>"/dev/tcp/${1%:*}/${1#*:}") 2>/dev/null; do
+		tries=$((tries + 1))
+		[ "$tries" -ge 100 ] && { say "nothing listens at $1"; return 1; }
+		sleep 0.05
+	done
+}
+
+# fleet_up: starts the platform, the groups and the instances, and waits for them.
+fleet_up() {
+	local n=0 service k
+	mkdir -p "$RUN_DIR"
+	end_all
+	rm -f "$RUN_DIR"/*.log
+	start platform bin/pomelo-platform --listen "$PLATFORM"
+	for service in $SERVICES; do
+		# shellcheck disable=SC2086 # the flags are meant to be split
+		start "group-$n" bin/pomelo-group --service "$service" \
+			--listen "127.0.0.1:75${n}0" --control "127.0.0.1:76${n}0" $GROUP_FLAGS
+		n=$((n + 1))
+	done
+	wait_port "$PLATFORM"
+	put_instances
+	put_config
+	for k in $(seq 0 $((INSTANCES - 1))); do start_entry "$k"; done
+	wait_ready
+}
