--- /dev/null
+++ b/bench/load/load_test.go
@@ -0,0 +1,116 @@
+package load_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/bench/judge"
+	"pomelofork/bench/load"
+	"pomelofork/bench/tally"
+	"pomelofork/emul/pgsim"
+)
+
+func TestLoad(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "load")
+}
+
+// config is a small configuration with one service.
+const config = `{
+	"preset": "peak",
+	"presets": {"peak": {"rate_percent": 200, "max_age_percent": 50}},
+	"accounts": [{"id": "large", "rate_per_s": 100, "burst": 50}, {"id": "small", "rate_per_s": 20, "burst": 10}],
+	"services": [{"id": "db"}],
+	"routes": [
+		{"id": "db-write", "service": "db", "access": "write"},
+		{"id": "db-open", "service": "db", "access": "read", "open_to_all": true},
+		{"id": "db-stock", "service": "db", "access": "read", "max_age_ms": 400},
+		{"id": "db-status", "service": "db", "access": "read"}
+	]
+}`
+
+// planFor returns a short plan against the entries.
+func planFor(entries ...string) (load.Plan, error) {
+	return load.PlanFrom([]byte(config), load.Shape{
+		Share:   0.5,
+		Factors: map[string]float64{"small": 2},
+		KeyOf:   func(account string) string { return "demo-" + account },
+	}, load.Plan{
+		Run: "r", Seed: 11, Duration: 500 * time.Millisecond, Entries: entries, Mix: load.DefaultMix(),
+		Roam: 0.1, Forgetful: 0.2, Deadline: 10 * time.Second, Attempts: 3,
+	})
+}
+
+// group starts a group of backend servers and returns the address of its primary.
+func group() string {
+	g, err := pgsim.New(pgsim.Config{Service: "db", Listen: "127.0.0.1:0", Slots: 2, Connections: 60})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(g.Close)
+	address, ok := g.Address("db-0")
+	Expect(ok).To(BeTrue())
+	return address
+}
+
+var _ = Describe("PlanFrom", func() {
+	It("takes rates, ages and routes from the preset in force", func() {
+		plan, err := planFor("127.0.0.1:1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(plan.Accounts).To(HaveLen(2))
+		Expect(plan.Accounts[0].Rate).To(Equal(judge.Rate{PerSecond: 200, Burst: 50}))
+		Expect(plan.Accounts[0].Offered).To(Equal(100.0))
+		Expect(plan.Accounts[1].Offered).To(Equal(40.0))
+		Expect(plan.Services).To(Equal([]load.Service{{
+			Name:  "db",
+			Write: load.Route{Name: "db-write"},
+			Aged:  load.Route{Name: "db-stock", MaxAge: 200 * time.Millisecond},
+			Fresh: load.Route{Name: "db-status"},
+		}}))
+	})
+})
+
+var _ = Describe("Run", func() {
+	It("finds nothing broken on a group that works", func() {
+		plan, err := planFor(group())
+		Expect(err).NotTo(HaveOccurred())
+		history, err := load.Run(context.Background(), plan)
+		Expect(err).NotTo(HaveOccurred())
+		result := tally.Sum(history)
+		Expect(result.Findings).To(BeEmpty())
+		Expect(result.Holds).To(BeTrue())
+		Expect(result.Counts.Unanswered).To(BeZero())
+		Expect(result.Counts.Reads).To(BeNumerically(">", result.Counts.Writes))
+		Expect(result.Counts.Writes).To(BeNumerically(">", 0))
+	})
+
+	It("goes on at another entry when one is gone", func() {
+		plan, err := planFor("127.0.0.1:1", group())
+		Expect(err).NotTo(HaveOccurred())
+		history, err := load.Run(context.Background(), plan)
+		Expect(err).NotTo(HaveOccurred())
+		result := tally.Sum(history)
+		Expect(result.Findings).To(BeEmpty())
+		Expect(result.Counts.Unanswered).To(BeZero())
+		Expect(result.Counts.ConnectionsLost).To(BeNumerically(">", 0))
+	})
+
+	It("draws the same arrivals from the same seed", func() {
+		entry := group()
+		ids := func() []string {
+			plan, err := planFor(entry)
+			Expect(err).NotTo(HaveOccurred())
+			plan.Duration = 100 * time.Millisecond
+			history, err := load.Run(context.Background(), plan)
+			Expect(err).NotTo(HaveOccurred())
+			var list []string
+			for _, op := range history.Ops {
+				list = append(list, op.ID+" "+string(op.Kind)+" "+op.Intended.String())
+			}
+			return list
+		}
+		Expect(ids()).To(ConsistOf(ids()))
+	})
+})
