--- /dev/null
+++ b/io/meter/meter.go
@@ -0,0 +1,174 @@
+package meter
+
+import (
+	"encoding/json"
+	"expvar"
+	"time"
+
+	"pomelofork/core/model"
+)
+
+// Name is the name of the published variable.
+const Name = "pomelofork"
+
+// defaultLimit bounds the names of each family. It leaves room for the accounts
+// and routes of a fleet and keeps a snapshot below a megabyte.
+const defaultLimit = 2000
+
+// Config holds the settings of a meter.
+type Config struct {
+	// Instance is the instance that counts.
+	Instance model.InstanceID
+	// Limit bounds the number of names in each family. Zero means 2,000.
+	Limit int
+}
+
+// Meter counts for one instance. All methods may be called at once; a nil meter
+// counts nothing.
+type Meter struct {
+	instance model.InstanceID
+	accounts *family[accountCounters]
+	routes   *family[routeCounters]
+	servers  *family[serverCounters]
+	rights   *family[rightCounters]
+	services *family[termCounters]
+	rates    *rates
+}
+
+// New returns a meter that has counted nothing.
+func New(c Config) *Meter {
+	limit := c.Limit
+	if limit == 0 {
+		limit = defaultLimit
+	}
+	return &Meter{
+		instance: c.Instance,
+		accounts: newFamily[accountCounters](limit),
+		routes:   newFamily[routeCounters](limit),
+		servers:  newFamily[serverCounters](limit),
+		rights:   newFamily[rightCounters](limit),
+		services: newFamily[termCounters](limit),
+		rates:    &rates{limit: limit},
+	}
+}
+
+// Publish makes the meter visible at /debug/vars. It may be called once in a process.
+func (m *Meter) Publish() { expvar.Publish(Name, m) }
+
+// snapshot is the JSON form of a meter.
+type snapshot struct {
+	Instance model.InstanceID         `json:"instance"`
+	Accounts *family[accountCounters] `json:"accounts"`
+	Routes   *family[routeCounters]   `json:"routes"`
+	Servers  *family[serverCounters]  `json:"servers"`
+	Rights   *family[rightCounters]   `json:"rights"`
+	Services *family[termCounters]    `json:"services"`
+	Rates    *rates                   `json:"rates"`
+}
+
+// String implements expvar.Var.
+func (m *Meter) String() string {
+	text, err := json.Marshal(snapshot{m.instance, m.accounts, m.routes, m.servers, m.rights, m.services, m.rates})
+	if err != nil {
+		return "null"
+	}
+	return string(text)
+}
+
+// Finished counts the end of one unit of work.
+func (m *Meter) Finished(now time.Time, u Unit) {
+	if m == nil {
+		return
+	}
+	m.countAccount(now, u)
+	m.countRoute(u)
+	if u.Server != "" {
+		server := m.servers.get(string(u.Server))
+		server.Units.add(1)
+		if faultOf(u.Reason) == faultSystem {
+			server.Failed.add(1)
+		}
+	}
+	if u.Reason == 0 && u.Access == model.AccessWrite {
+		m.services.get(string(u.Service)).acknowledge(now, u.Started)
+	}
+}
+
+// countAccount counts a unit for its client account.
+func (m *Meter) countAccount(now time.Time, u Unit) {
+	account := m.accounts.get(string(u.Account))
+	account.BusyUS.add(now.Sub(u.Started).Microseconds())
+	switch faultOf(u.Reason) {
+	case faultNone:
+		account.Served.add(1)
+	case faultRate:
+		account.RefusedByRate.add(1)
+	case faultCaller:
+		account.RefusedByCaller.add(1)
+	default:
+		account.Failed.add(1)
+	}
+}
+
+// countRoute counts a unit for its route.
+func (m *Meter) countRoute(u Unit) {
+	route := m.routes.get(string(u.Route))
+	switch faultOf(u.Reason) {
+	case faultNone:
+		route.Served.add(1)
+		if u.Replica {
+			route.ByReplica.add(1)
+		}
+	case faultSystem:
+		route.Failed.add(1)
+	default:
+		route.Refused.add(1)
+	}
+}
+
+// Server notes how many connections to a backend server this instance holds and
+// how many of them run a statement.
+func (m *Meter) Server(server model.ServerID, connections, busy int) {
+	if m == nil {
+		return
+	}
+	counters := m.servers.get(string(server))
+	counters.Connections.set(int64(connections))
+	counters.Busy.set(int64(busy))
+}
+
+// Right notes whether this instance holds a right, and at which epoch.
+func (m *Meter) Right(name string, held bool, epoch uint64) {
+	if m == nil {
+		return
+	}
+	right := m.rights.get(name)
+	value := int64(0)
+	if held {
+		value = 1
+	}
+	if right.Held.n.Swap(value) != value {
+		right.Changes.add(1)
+	}
+	right.Epoch.set(int64(epoch))
+}
+
+// Term notes the newest term of a service.
+func (m *Meter) Term(service model.ServiceID, term model.Term) {
+	if m == nil {
+		return
+	}
+	counters := m.services.get(string(service))
+	if before := counters.Term.n.Load(); before != 0 && int64(term) > before {
+		counters.Changes.add(1)
+	}
+	counters.Term.raise(int64(term))
+}
+
+// Rate notes the rate and burst of a client account that are in force.
+func (m *Meter) Rate(account model.AccountID, perSecond, burst float64) {
+	if m == nil {
+		return
+	}
+	m.rates.set(account, perSecond, burst)
+}
