--- a/io/caller/unit.go
+++ b/io/caller/unit.go
@@ -122,12 +122,16 @@
 	}
 	unit := wire.Unit{
 		Account: s.account, Service: route.Service(), Route: route.ID(), Access: route.Access(),
-		MaxAge: route.MaxAge(), RequestID: s.requestID, Idempotent: route.Idempotent(),
+		MaxAge: route.MaxAge(), Idempotent: route.Idempotent(),
+	}
+	// A driver prepares a statement in a batch of its own; the id is for the one that runs it.
+	if s.batch.executes() {
+		unit.RequestID, s.requestID = s.requestID, ""
 	}
 	if point, known := s.tokens.Point(route.Service()); known {
 		unit.Token = point.String()
 	}
-	s.requestID, s.access = "", route.Access()
+	s.access = route.Access()
 	return unit, nil
 }
 
