Tell ended members by the platform's list; let a former gateway's ranks finish

When more than half of the members are taken away at once and others start under new names, nobody would see a majority again. A member that is silent and missing from the list for longer than the list lags counts as ended. Holders and version counts are remembered, because entries ask for them with each statement.

--- a/core/lease/roster.go
+++ b/core/lease/roster.go
@@ -11,14 +11,26 @@
 
 // Roster answers who holds which right among a list of members. It follows from the
 // list alone, so that every instance with the same record gives the same answer.
+//
+// It remembers its answers, so it isn't safe for use by several goroutines at once.
 type Roster struct {
 	domains []model.Domain
 	members map[model.Domain][]Member
+	answers map[group][]Member
+}
+
+// group names all rights of one name.
+type group struct {
+	kind Kind
+	name string
 }
 
+// maxAnswers bounds how many answers a roster remembers.
+const maxAnswers = 1 << 14
+
 // NewRoster returns the roster of the members that are not leaving.
 func NewRoster(members []Member) *Roster {
-	r := &Roster{members: map[model.Domain][]Member{}}
+	r := &Roster{members: map[model.Domain][]Member{}, answers: map[group][]Member{}}
 	for _, m := range members {
 		if !m.Leaving {
 			r.members[m.FailureDomain] = append(r.members[m.FailureDomain], m)
@@ -41,15 +53,29 @@
 }
 
 // Holders returns the members that the rights of one name belong to, by part. It is
-// empty without members.
-//
-// Each part first chooses a failure domain by rendezvous hashing, among those that no
-// earlier part has, and then a member of that domain. When a member goes, only its
-// own parts move, and they stay in the domain while it has another member.
+// empty without members. The caller must not change it.
 func (r *Roster) Holders(kind Kind, name string) []Member {
 	if len(r.domains) == 0 {
 		return nil
 	}
+	key := group{kind: kind, name: name}
+	holders, ok := r.answers[key]
+	if !ok {
+		if len(r.answers) >= maxAnswers {
+			clear(r.answers)
+		}
+		holders = r.place(kind, name)
+		r.answers[key] = holders
+	}
+	return holders
+}
+
+// place works out the holders of one name.
+//
+// Each part first chooses a failure domain by rendezvous hashing, among those that no
+// earlier part has, and then a member of that domain. When a member goes, only its
+// own parts move, and they stay in the domain while it has another member.
+func (r *Roster) place(kind Kind, name string) []Member {
 	parts := Right{Kind: kind}.parts()
 	holders := make([]Member, 0, parts)
 	usedDomains := make([]model.Domain, 0, parts)
--- a/core/lease/use.go
+++ b/core/lease/use.go
@@ -108,12 +108,9 @@
 // Finishing reports whether work begun under a right that has moved away may go on.
 func (k *Keeper) Finishing(now time.Time, right Right) bool {
 	l := k.last()
-	if l == nil || !k.Authority(now) {
+	if l == nil || k.holderAt(l.roster, right) || !k.Authority(now) {
 		return false
 	}
-	if k.holderAt(l.roster, right) {
-		return true
-	}
 	for i := len(k.chain) - 1; i > 0; i-- {
 		if k.holderAt(k.chain[i].before, right) {
 			return now.Sub(k.chain[i].learned) < k.timing.Drain
--- a/core/member/roll.go
+++ b/core/member/roll.go
@@ -16,6 +16,9 @@
 	Silence time.Duration
 	// Step is the time between the turns of two proposers.
 	Step time.Duration
+	// Absence is the time after which a silent member that is missing from the
+	// platform's list has surely ended. It is longer than the list lags.
+	Absence time.Duration
 }
 
 // Roll keeps what was heard of the other instances. It isn't safe for use by several
@@ -24,9 +27,22 @@
 	self    lease.Member
 	silence time.Duration
 	step    time.Duration
+	absence time.Duration
+	absent  map[model.InstanceID]absence
 	seen    map[model.InstanceID]sight
 	joiners map[model.InstanceID]joiner
 	wanted  time.Time
+	// counted saves counting again while nothing was heard.
+	counted versionCount
+}
+
+// versionCount is the result of counting the members' versions.
+type versionCount struct {
+	valid   bool
+	epoch   uint64
+	version uint64
+	asOf    time.Time
+	ok      bool
 }
 
 // joiner is an instance that wants to become a member.
@@ -38,7 +54,7 @@
 // New returns a roll that has heard of nobody.
 func New(c Config) *Roll {
 	return &Roll{
-		self: c.Self, silence: c.Silence, step: c.Step,
+		self: c.Self, silence: c.Silence, step: c.Step, absence: c.Absence,
 		seen: map[model.InstanceID]sight{}, joiners: map[model.InstanceID]joiner{},
 	}
 }
@@ -64,6 +80,7 @@
 		return
 	}
 	s.version, s.asked = version, asked
+	r.counted.valid = false
 	r.seen[id] = s
 }
 
@@ -127,7 +144,17 @@
 
 // VersionAsOf returns the latest time as of which more than half of the members ran
 // no configuration newer than the given one, this instance included.
-func (r *Roll) VersionAsOf(now time.Time, members []lease.Member, version uint64) (time.Time, bool) {
+func (r *Roll) VersionAsOf(now time.Time, record lease.Record, version uint64) (time.Time, bool) {
+	c := &r.counted
+	if !c.valid || c.epoch != record.Epoch || c.version != version {
+		asOf, ok := r.countVersions(now, record.Members, version)
+		*c = versionCount{valid: len(record.Members) > 1, epoch: record.Epoch, version: version, asOf: asOf, ok: ok}
+	}
+	return c.asOf, c.ok
+}
+
+// countVersions works out VersionAsOf.
+func (r *Roll) countVersions(now time.Time, members []lease.Member, version uint64) (time.Time, bool) {
 	asked := make([]time.Time, 0, len(members))
 	for _, m := range members {
 		if m.Is(r.self) {
--- a/io/peer/default.go
+++ b/io/peer/default.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"context"
 	"errors"
 	"log/slog"
 	"time"
@@ -16,6 +15,7 @@
 	defaultCall      = 400 * time.Millisecond
 	defaultStoreCall = 1500 * time.Millisecond
 	defaultSilence   = 2500 * time.Millisecond
+	defaultAbsence   = 30 * time.Second
 )
 
 // withDefaults returns the settings with everything filled in, or says what is missing.
@@ -35,9 +35,6 @@
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
-	if c.Instances == nil {
-		c.Instances = func(context.Context) ([]Listed, error) { return nil, nil }
-	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -55,6 +52,7 @@
 	fill(&t.Call, defaultCall)
 	fill(&t.StoreCall, defaultStoreCall)
 	fill(&t.Silence, defaultSilence)
+	fill(&t.Absence, defaultAbsence)
 	if t.Lease == (lease.Timing{}) {
 		t.Lease = lease.DefaultTiming()
 	}
--- a/io/peer/fleet.go
+++ b/io/peer/fleet.go
@@ -62,7 +62,9 @@
 	f := &Fleet{
 		config: c, self: c.Self, links: newLinks(c.TLS, c.Now),
 		keeper: lease.New(lease.Config{Self: c.Self, Timing: c.Timing.Lease}),
-		roll:   member.New(member.Config{Self: c.Self, Silence: c.Timing.Silence, Step: c.Timing.Heartbeat}),
+		roll: member.New(member.Config{
+			Self: c.Self, Silence: c.Timing.Silence, Step: c.Timing.Heartbeat, Absence: c.Timing.Absence,
+		}),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.mints, f.moves, f.spread = newMints(f), newMoves(f), newSpread(f)
@@ -83,7 +85,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.config.Now()
-	holders := f.keeper.Roster().Holders(lease.KindService, string(service))
+	holders := slices.Clone(f.keeper.Roster().Holders(lease.KindService, string(service)))
 	return slices.DeleteFunc(holders, func(m Member) bool { return f.roll.Silent(now, m) })
 }
 
@@ -110,12 +112,18 @@
 	return held[0], lease.ServiceRanks, true
 }
 
-// Finishing reports whether work that was begun under a rank may go on: the rank is
-// still held, or it moved away so lately that its successor still waits.
-func (f *Fleet) Finishing(service model.ServiceID, rank int) bool {
+// Finishing reports whether work that was begun under a rank may go on although the
+// rank has moved away: its successor still waits.
+func (f *Fleet) Finishing(service model.ServiceID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.keeper.Finishing(f.config.Now(), lease.ServiceRank(service, rank))
+	now := f.config.Now()
+	for rank := range lease.ServiceRanks {
+		if f.keeper.Finishing(now, lease.ServiceRank(service, rank)) {
+			return true
+		}
+	}
+	return false
 }
 
 // Members returns the members of the newest known record, sorted by name.
@@ -151,11 +159,11 @@
 	stored := f.spread.storeConfirmed(version)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	members := f.keeper.Members()
-	if len(members) == 0 || version == 0 {
+	record, ok := f.keeper.Record()
+	if !ok || version == 0 {
 		return stored
 	}
-	asOf, ok := f.roll.VersionAsOf(f.config.Now(), members, version)
+	asOf, ok := f.roll.VersionAsOf(f.config.Now(), record, version)
 	if ok && asOf.After(stored) {
 		return asOf
 	}
--- a/io/peer/syncer.go
+++ b/io/peer/syncer.go
@@ -9,6 +9,7 @@
 
 	"pomelofork/core/lease"
 	"pomelofork/core/member"
+	"pomelofork/core/model"
 	"pomelofork/io/event"
 )
 
@@ -38,6 +39,34 @@
 	if s.needed() {
 		s.read()
 	}
+	s.readList()
+}
+
+// readList asks the platform for its list while a member is silent.
+func (s *syncer) readList() {
+	f := s.fleet
+	f.mu.Lock()
+	needed := f.config.Instances != nil && f.roll.NeedsList(f.config.Now(), f.keeper.Members())
+	f.mu.Unlock()
+	if !needed {
+		return
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, f.config.Timing.StoreCall)
+	defer cancel()
+	list, err := f.config.Instances(ctx)
+	if err != nil || len(list) == 0 {
+		return
+	}
+	listed := make(map[model.InstanceID]bool, len(list))
+	for _, one := range list {
+		listed[one.Instance] = true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.config.Now()
+	for _, m := range f.roll.Listed(now, f.keeper.Members(), listed) {
+		f.keeper.Ended(now, m)
+	}
 }
 
 // needed reports whether this instance should read the store now. Few instances of
--- a/io/peer/timing.go
+++ b/io/peer/timing.go
@@ -18,6 +18,9 @@
 	StoreCall time.Duration
 	// Silence is the time without a message after which a peer is suspected.
 	Silence time.Duration
+	// Absence is the time after which a silent member that is missing from the
+	// platform's list is taken to have ended. It must be longer than the list lags.
+	Absence time.Duration
 	// Lease holds the durations of rights.
 	Lease lease.Timing
 }
