--- a/core/lease/use.go
+++ b/core/lease/use.go
@@ -144,6 +144,21 @@
 	return false
 }
 
+// Departed returns the first epoch after the given one in which a right that this
+// instance held no longer belongs to it.
+func (k *Keeper) Departed(right Right, epoch uint64) (uint64, bool) {
+	i, ok := k.at(epoch)
+	if !ok {
+		return 0, false
+	}
+	for _, l := range k.chain[i+1:] {
+		if !k.holderAt(l.roster, right) {
+			return l.record.Epoch, true
+		}
+	}
+	return 0, false
+}
+
 // Confirm notes that the former holder has handed the right over at an epoch. It
 // returns false when that changes nothing.
 func (k *Keeper) Confirm(now time.Time, right Right, epoch uint64) bool {
--- a/core/limit/rate.go
+++ b/core/limit/rate.go
@@ -3,12 +3,14 @@
 import (
 	"math/bits"
 	"time"
+
+	"pomelofork/core/lease"
 )
 
 // Shares is the number of minting shares of each client account. It is the same
 // for every account and every size of the fleet, so that neither a change of the
 // configuration nor a new member changes what one share is.
-const Shares = 3
+const Shares = lease.AccountShares
 
 // Rate is what a client account, or one share of it, may use: for every window of
 // time at most the burst and the rate times the window.
--- a/io/peer/entry.go
+++ b/io/peer/entry.go
@@ -98,7 +98,7 @@
 		holder, ok := e.holder(p.account, draw.Share)
 		if ok && holder.Is(e.fleet.self) {
 			ask := e.ask(p.account, draw)
-			e.answered(p, draw, e.fleet.mints.draw(&ask), nil)
+			e.answered(p, draw, e.fleet.draw(&ask), nil)
 			continue
 		}
 		e.fleet.spawn(func() {
--- a/io/peer/fleet.go
+++ b/io/peer/fleet.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pomelofork/core/lease"
+	"pomelofork/core/limit"
 	"pomelofork/core/member"
 	"pomelofork/core/model"
 	"pomelofork/io/event"
@@ -22,7 +23,6 @@
 	self   Member
 	links  *links
 	server *server
-	mints  *mints
 	moves  *moves
 	entry  *entry
 	beats  *beats
@@ -35,9 +35,10 @@
 	running sync.Mutex
 	done    sync.WaitGroup
 
-	// mu guards what follows, and the state of mints and moves.
+	// mu guards what follows, and the state of moves.
 	mu        sync.Mutex
 	keeper    *lease.Keeper
+	holder    *limit.Holder
 	roll      *member.Roll
 	authority bool
 	leaving   bool
@@ -67,7 +68,7 @@
 		}),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
-	f.mints, f.moves, f.spread = newMints(f), newMoves(f), newSpread(f)
+	f.holder, f.moves, f.spread = f.newHolder(), newMoves(f), newSpread(f)
 	f.entry, f.syncer, f.beats = newEntry(f), newSyncer(f), newBeats(f)
 	if f.server, err = newServer(c.Listener, c.TLS, &service{fleet: f}); err != nil {
 		f.cancel()
@@ -201,6 +202,7 @@
 
 // learn takes in a record of rights.
 func (f *Fleet) learn(r lease.Record) {
+	services := f.serviceRights()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.config.Now()
@@ -210,7 +212,7 @@
 	}
 	f.roll.Expect(now, r.Members)
 	f.notePredecessor(now, r)
-	f.mints.moved(now, r.Epoch == before+1)
+	f.holder.Learned(now, r.Epoch == before+1, services)
 	f.log(event.RightRecordLearned, slog.Uint64("epoch", r.Epoch), slog.Int("members", len(r.Members)))
 	if m, ok := r.Member(f.self.Instance); ok && m.Incarnation > f.self.Incarnation {
 		f.log(event.RightIncarnationOld, slog.Uint64("incarnation", m.Incarnation))
--- a/io/peer/moves.go
+++ b/io/peer/moves.go
@@ -19,20 +19,10 @@
 	fetchPause = 50 * time.Millisecond
 )
 
-// lostRight is a right that moved away and waits for its new holder.
-type lostRight struct {
-	mint     *limit.Mint
-	epoch    uint64
-	at       time.Time
-	handed   bool
-	handover limit.Handover
-}
-
 // moves hands rights over and fetches them. The fleet's mutex guards it.
 type moves struct {
 	fleet *Fleet
 	wake  chan struct{}
-	gone  map[lease.Right]*lostRight
 	tried map[lease.Right]time.Time
 }
 
@@ -40,7 +30,7 @@
 func newMoves(f *Fleet) *moves {
 	return &moves{
 		fleet: f, wake: make(chan struct{}, 1),
-		gone: map[lease.Right]*lostRight{}, tried: map[lease.Right]time.Time{},
+		tried: map[lease.Right]time.Time{},
 	}
 }
 
@@ -50,14 +40,6 @@
 	m.fetchServices()
 }
 
-// lost notes that a right moved away.
-func (m *moves) lost(now time.Time, right lease.Right, mint *limit.Mint) {
-	m.gone[right] = &lostRight{mint: mint, epoch: m.fleet.keeper.Epoch(), at: now}
-}
-
-// forgetAll drops what waits to be handed over.
-func (m *moves) forgetAll() { clear(m.gone) }
-
 // wanted fetches a share that belongs here and was asked for before it could be used.
 func (m *moves) wanted(now time.Time, right lease.Right) {
 	if m.fleet.keeper.Waiting(now, right) {
@@ -99,23 +81,9 @@
 // received takes a right over. A second answer for the same right changes nothing.
 func (m *moves) received(right lease.Right, epoch uint64, handover limit.Handover) {
 	f := m.fleet
-	now := f.config.Now()
-	if !f.keeper.Confirm(now, right, epoch) {
-		return
-	}
-	f.log(event.RightTaken, slog.String("right", right.String()), slog.Uint64("epoch", epoch))
-	var mint *limit.Mint
-	if right.Kind == lease.KindAccount {
-		mint = f.mints.make(now, f.mints.share(right), now)
-		mint.Resume(now, handover)
+	if f.holder.Received(f.config.Now(), right, epoch, handover) {
+		f.log(event.RightTaken, slog.String("right", right.String()), slog.Uint64("epoch", epoch))
 	}
-	if f.keeper.Assigned(right) {
-		if mint != nil {
-			f.mints.held[right] = mint
-		}
-		return
-	}
-	m.gone[right] = &lostRight{mint: mint, epoch: epoch + 1, at: now}
 }
 
 // release answers a new holder. The same answer is given to each of its tries.
@@ -124,39 +92,35 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.config.Now()
-	if !f.keeper.Released(now, ask.Right, ask.Epoch) {
+	if ask.Right.Kind == lease.KindService && !m.idle(ask.Right) {
+		return ReleaseAnswer{}
+	}
+	handover, ok := f.holder.Release(now, ask.Right, ask.Epoch)
+	if !ok {
+		// This instance may itself still wait for its own predecessor.
 		if ask.Epoch > 1 {
 			m.fetchLater(now, ask.Right, ask.Epoch-1)
 		}
 		return ReleaseAnswer{}
 	}
-	if ask.Right.Kind == lease.KindService {
-		idle := f.config.Idle == nil || f.config.Idle(model.ServiceID(ask.Right.Name), ask.Right.Part)
-		return ReleaseAnswer{Released: idle}
-	}
-	lost := m.gone[ask.Right]
-	if lost == nil {
-		since, _ := f.keeper.OwnedAt(now, ask.Right, ask.Epoch-1)
-		lost = &lostRight{mint: f.mints.make(now, f.mints.share(ask.Right), since), epoch: ask.Epoch, at: now}
-		m.gone[ask.Right] = lost
-	}
-	if !lost.handed {
-		lost.handed, lost.handover = true, lost.mint.Release(now)
-		f.log(event.RightHandedOver, slog.String("right", ask.Right.String()), slog.Uint64("epoch", ask.Epoch))
-	}
-	return ReleaseAnswer{Released: true, Handover: lost.handover}
+	f.log(event.RightHandedOver, slog.String("right", ask.Right.String()), slog.Uint64("epoch", ask.Epoch))
+	return ReleaseAnswer{Released: true, Handover: handover}
+}
+
+// idle reports whether nothing runs any more under a former rank of a service.
+func (m *moves) idle(right lease.Right) bool {
+	idle := m.fleet.config.Idle
+	return idle == nil || idle(model.ServiceID(right.Name), right.Part)
 }
 
 // fetchServices fetches the ranks that belong here and can't be used yet.
 func (m *moves) fetchServices() {
 	f := m.fleet
-	services := f.config.Services()
+	rights := f.serviceRights()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.config.Now()
-	for _, service := range services {
-		for rank := range lease.ServiceRanks {
-			m.wanted(now, lease.ServiceRank(service, rank))
-		}
+	for _, right := range rights {
+		m.wanted(now, right)
 	}
 }
--- a/io/peer/offer.go
+++ b/io/peer/offer.go
@@ -23,21 +23,16 @@
 	wait.Wait()
 }
 
-// offers returns what to offer now, and forgets what waiting alone has moved.
+// offers returns what to offer now.
 func (m *moves) offers() []*offer {
 	f := m.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.config.Now()
-	timing := f.config.Timing.Lease
 	byHolder := map[Member]*offer{}
 	var offers []*offer
-	for right, lost := range m.gone {
-		holder, ok := f.keeper.Roster().Holder(right)
-		if !ok || now.Sub(lost.at) > 2*(timing.Take+timing.Drain) || holder.Is(f.self) {
-			delete(m.gone, right)
-			continue
-		}
+	for _, right := range f.holder.Gone(now) {
+		holder, _ := f.keeper.Roster().Holder(right)
 		if f.roll.Silent(now, holder) {
 			continue
 		}
@@ -64,7 +59,7 @@
 	defer f.mu.Unlock()
 	for i, right := range o.rights {
 		if i < len(answer.Taken) && answer.Taken[i] {
-			delete(m.gone, right)
+			f.holder.Taken(right)
 		}
 	}
 }
--- a/io/peer/rpc.go
+++ b/io/peer/rpc.go
@@ -27,7 +27,7 @@
 
 // Draw answers with tokens.
 func (s *service) Draw(ask *DrawAsk, answer *DrawAnswer) error {
-	*answer = s.fleet.mints.draw(ask)
+	*answer = s.fleet.draw(ask)
 	return nil
 }
 
--- a/io/peer/syncer.go
+++ b/io/peer/syncer.go
@@ -46,7 +46,10 @@
 func (s *syncer) readList() {
 	f := s.fleet
 	f.mu.Lock()
-	needed := f.config.Instances != nil && f.roll.NeedsList(f.config.Now(), f.keeper.Members())
+	now := f.config.Now()
+	members := f.keeper.Members()
+	needed := f.config.Instances != nil && f.roll.NeedsList(now, members) &&
+		(!f.keeper.Member() || f.roll.Watches(now, members))
 	f.mu.Unlock()
 	if !needed {
 		return
@@ -63,7 +66,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.config.Now()
+	now = f.config.Now()
 	for _, m := range f.roll.Listed(now, f.keeper.Members(), listed) {
 		f.keeper.Ended(now, m)
 	}
