Tie a swap to the settled epoch it was decided on

Cause: a proposer decided a change at a settled epoch, read the store, learned a newer epoch on the way and swapped its change in behind that one, which need not be settled. The swap now gives up unless the store shows the epoch it was decided on.

--- a/io/peer/leave.go
+++ b/io/peer/leave.go
@@ -109,13 +109,13 @@
 // tryChange swaps a change in if the newest epoch is settled.
 func (f *Fleet) tryChange(change lease.Change) {
 	f.mu.Lock()
-	settled := f.keeper.Settled()
+	settled, epoch := f.keeper.Settled(), f.keeper.Epoch()
 	f.mu.Unlock()
 	if !settled || !f.syncer.claim() {
 		return
 	}
 	defer f.syncer.free()
-	if err := f.syncer.swap(change); err != nil {
+	if err := f.syncer.swap(change, epoch); err != nil {
 		f.log(event.RightSwapFailed, slog.String("error", err.Error()))
 		f.syncer.pause(f.config.Timing.Heartbeat)
 	}
--- a/io/peer/syncer.go
+++ b/io/peer/syncer.go
@@ -148,60 +148,58 @@
 // consider swaps in a change in the background if it is this instance's turn.
 func (s *syncer) consider() {
 	f := s.fleet
-	change, ok := s.due()
+	change, epoch, ok := s.due()
 	if !ok || !s.claim() {
 		return
 	}
 	f.spawn(func() {
 		defer s.free()
-		if err := s.swap(change); err != nil {
+		if err := s.swap(change, epoch); err != nil {
 			f.log(event.RightSwapFailed, slog.String("error", err.Error()))
 			s.pause(f.config.Timing.Heartbeat)
 		}
 	})
 }
 
-// due returns the change to swap in now.
-func (s *syncer) due() (lease.Change, bool) {
+// due returns the change to swap in now, and the epoch that it follows.
+func (s *syncer) due() (lease.Change, uint64, bool) {
 	f := s.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r, ok := f.keeper.Record()
 	if f.left || !ok {
 		// Without a record there is nothing to consider but to write the first.
-		return lease.Change{Put: []Member{f.self}}, !ok && !f.left
+		return lease.Change{Put: []Member{f.self}}, 0, !ok && !f.left
 	}
-	if f.leaving && !f.keeper.Member() {
-		return lease.Change{}, false
+	if m, found := r.Member(f.self.Instance); found && m.Incarnation > f.self.Incarnation ||
+		f.leaving && !f.keeper.Member() {
+		return lease.Change{}, 0, false
 	}
 	change, ok := f.roll.Propose(f.config.Now(), member.Standing{
 		Record: r, Settled: f.keeper.Settled(), Ended: f.keeper.HasEnded,
 	})
-	if m, found := r.Member(f.self.Instance); found && m.Incarnation > f.self.Incarnation {
-		return lease.Change{}, false
-	}
-	return change, ok
+	return change, r.Epoch, ok
 }
 
-// swap tries to put a change into the store. It first reads, so that an earlier try
-// whose answer got lost is found.
-func (s *syncer) swap(change lease.Change) error {
+// swap tries to put a change into the store that follows an epoch, which was settled
+// when the change was decided. It first reads, so that an earlier try whose answer got
+// lost is found, and gives up when there is a newer epoch by now: that one need not be
+// settled.
+func (s *syncer) swap(change lease.Change, epoch uint64) error {
 	f := s.fleet
 	entry, err := s.readRights()
 	if err != nil {
 		return err
 	}
-	f.mu.Lock()
-	r, known := f.keeper.Record()
-	f.mu.Unlock()
-	if known != (entry.Revision != 0) {
-		return nil
-	}
-	if known {
-		if shown, err := lease.ParseRecord(entry.Value); err != nil || shown.Epoch != r.Epoch {
+	var r lease.Record
+	if entry.Revision != 0 {
+		if r, err = lease.ParseRecord(entry.Value); err != nil {
 			return err
 		}
 	}
+	if r.Epoch != epoch {
+		return nil
+	}
 	next := r.Next(change, s.changeID())
 	text, err := next.Encode()
 	if err != nil {
