--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -17,6 +17,11 @@
 			t.Fatal(err)
 		}
 	}
+	if os.Getenv("RAPID_CHECKS") == "" {
+		if err := flag.Set("rapid.checks", "10"); err != nil {
+			t.Fatal(err)
+		}
+	}
 	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
 		t.Fatal(err)
 	}
