--- /dev/null
+++ b/core/limit/mint_test.go
@@ -0,0 +1,146 @@
+package limit_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/core/assert"
+	"pomelofork/core/limit"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// newMint returns a full mint of ten tokens a second and a burst of ten.
+func newMint(id uint64, since time.Time) *limit.Mint {
+	return limit.NewMint(start, limit.MintConfig{
+		ID:       id,
+		Share:    limit.NewRate(limit.RateConfig{PerSecond: limit.Tokens(10), Burst: limit.Tokens(10)}),
+		Since:    since,
+		Validity: time.Second,
+		Check:    assert.NewChecker(func(_ assert.Invariant, text string) { Fail(text) }),
+	})
+}
+
+func need(tokens float64, reports ...limit.Report) limit.Ask {
+	return limit.Ask{Need: limit.Tokens(tokens), Reports: reports}
+}
+
+var _ = Describe("Mint", func() {
+	full := start.Add(-time.Hour)
+
+	It("starts empty and fills at its rate up to its burst", func() {
+		m := newMint(1, start)
+		Expect(m.Level(start)).To(BeZero())
+		Expect(m.Level(start.Add(500 * time.Millisecond))).To(Equal(limit.Tokens(5)))
+		Expect(m.Level(start.Add(time.Hour))).To(Equal(limit.Tokens(10)))
+	})
+
+	It("counts what is open against its burst until it must have expired", func() {
+		m := newMint(1, full)
+		Expect(m.Draw(start, need(10)).Amount).To(Equal(limit.Tokens(10)))
+		Expect(m.Draw(start.Add(time.Second), need(10)).Amount).To(BeZero(), "ten may still be spent")
+		// The grant is forgotten a tenth later than its validity, and only what
+		// accrues after that is new.
+		Expect(m.Level(start.Add(1200 * time.Millisecond))).To(Equal(limit.Tokens(1)))
+	})
+
+	It("accrues again as soon as tokens are reported spent", func() {
+		m := newMint(1, full)
+		grant := m.Draw(start, need(10)).Grant
+		spent := limit.Report{Grant: grant, Spent: limit.Tokens(4)}
+		m.Draw(start, need(0, spent))
+		m.Draw(start, need(0, spent))
+		Expect(m.Outstanding(start)).To(Equal(limit.Tokens(6)), "a report that comes twice counts once")
+		Expect(m.Level(start.Add(time.Second))).To(Equal(limit.Tokens(4)))
+	})
+
+	It("takes back what is returned, once", func() {
+		m := newMint(1, full)
+		grant := m.Draw(start, need(10)).Grant
+		back := limit.Report{Grant: grant, Spent: limit.Tokens(3), Done: true}
+		Expect(m.Draw(start, need(0, back)).Level).To(Equal(limit.Tokens(7)))
+		Expect(m.Draw(start, need(0, back)).Level).To(Equal(limit.Tokens(7)))
+	})
+
+	It("ignores reports on another mint's grants", func() {
+		m := newMint(1, full)
+		grant := m.Draw(start, need(10)).Grant
+		grant.Mint = 2
+		Expect(m.Draw(start, need(0, limit.Report{Grant: grant, Done: true})).Level).To(BeZero())
+	})
+
+	for name, c := range map[string]struct {
+		forget bool
+		want   limit.Micro
+	}{
+		"counts inherited grants against its burst": {false, 0},
+		"would exceed the burst if it forgot them":  {true, limit.Tokens(10)},
+	} {
+		It(name, func() {
+			former := newMint(1, full)
+			Expect(former.Draw(start, need(10)).Amount).To(Equal(limit.Tokens(10)))
+			handover := former.Release(start)
+			if c.forget {
+				handover.Outstanding = 0
+			}
+			next := newMint(2, start)
+			next.Resume(start, handover)
+			Expect(next.Level(start.Add(1050 * time.Millisecond))).To(Equal(c.want))
+		})
+	}
+
+	It("passes its level on", func() {
+		former := newMint(1, full)
+		former.Draw(start, need(4))
+		next := newMint(2, start)
+		next.Resume(start, former.Release(start))
+		Expect(next.Level(start)).To(Equal(limit.Tokens(6)))
+		Expect(next.Outstanding(start)).To(Equal(limit.Tokens(4)))
+		Expect(former.Level(start)).To(BeZero())
+	})
+
+	It("lowers its level with the burst, and says when another ask makes sense", func() {
+		m := newMint(1, full)
+		m.SetShare(start, limit.NewRate(limit.RateConfig{PerSecond: limit.Tokens(10), Burst: limit.Tokens(2)}))
+		answer := m.Draw(start, need(3))
+		Expect(answer.Amount).To(Equal(limit.Tokens(2)))
+		Expect(answer.EmptyFor).To(BeNumerically("~", 33*time.Millisecond, time.Millisecond))
+	})
+
+	It("adds nothing for a clock that went back", func() {
+		m := newMint(1, start)
+		Expect(m.Level(start.Add(-time.Hour))).To(BeZero())
+	})
+})
+
+var _ = Describe("Rate", func() {
+	for name, c := range map[string]struct{ perSecond, burst limit.Micro }{
+		"divisible": {limit.Tokens(30), limit.Tokens(9)},
+		"odd":       {1_000_001, 7},
+		"small":     {1, 2},
+		"large":     {limit.Tokens(1e7) + 2, limit.Tokens(1e9) + 1},
+		"nothing":   {0, 0},
+	} {
+		It("has shares that add up: "+name, func() {
+			whole := limit.NewRate(limit.RateConfig{PerSecond: c.perSecond, Burst: c.burst})
+			var perSecond, burst limit.Micro
+			for i := range limit.Shares {
+				perSecond += whole.Share(i).PerSecond()
+				burst += whole.Share(i).Burst()
+			}
+			Expect(perSecond).To(Equal(c.perSecond))
+			Expect(burst).To(Equal(c.burst))
+		})
+	}
+
+	It("knows how long an amount takes", func() {
+		r := limit.NewRate(limit.RateConfig{PerSecond: 3})
+		wait, ok := r.Until(1)
+		Expect(ok).To(BeTrue())
+		Expect(wait).To(Equal(333333334 * time.Nanosecond))
+		_, ok = limit.Rate{}.Until(1)
+		Expect(ok).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/core/limit/wallet_test.go
@@ -0,0 +1,98 @@
+package limit_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/core/limit"
+)
+
+// newWallet returns a wallet for thirty tokens a second and a burst of thirty.
+func newWallet() *limit.Wallet {
+	return limit.NewWallet(limit.WalletConfig{
+		Rate:     limit.NewRate(limit.RateConfig{PerSecond: limit.Tokens(30), Burst: limit.Tokens(30)}),
+		Validity: time.Second,
+	})
+}
+
+// grant is a mint's answer.
+func grant(seq uint64, tokens float64, emptyFor time.Duration) limit.Answer {
+	return limit.Answer{Grant: limit.GrantID{Mint: 1, Seq: seq}, Amount: limit.Tokens(tokens), EmptyFor: emptyFor}
+}
+
+var _ = Describe("Wallet", func() {
+	It("adds fractions up, and asks every share before it refuses", func() {
+		w := newWallet()
+		_, done := w.Take(start, 1)
+		Expect(done).To(BeFalse())
+		asked := map[int]bool{}
+		var verdicts []limit.Verdict
+		draws := w.Draws(start)
+		for seq := uint64(1); len(draws) > 0 && len(verdicts) == 0; seq++ {
+			Expect(draws).To(HaveLen(1))
+			asked[draws[0].Share] = true
+			verdicts = w.Answered(start, draws[0], grant(seq, 0.34, 100*time.Millisecond))
+			draws = w.Draws(start)
+		}
+		Expect(asked).To(HaveLen(limit.Shares))
+		Expect(verdicts).To(ConsistOf(limit.Verdict{ID: 1, Granted: true}))
+	})
+
+	It("refuses at once, and says when a token is there again", func() {
+		w := newWallet()
+		w.Take(start, 1)
+		var verdicts []limit.Verdict
+		for range limit.Shares {
+			verdicts = w.Answered(start, w.Draws(start)[0], grant(0, 0, 100*time.Millisecond))
+		}
+		Expect(verdicts).To(HaveLen(1))
+		Expect(verdicts[0].Granted).To(BeFalse())
+		Expect(verdicts[0].RetryAfter).To(BeNumerically("~", 33*time.Millisecond, time.Millisecond))
+		verdict, done := w.Take(start, 2)
+		Expect(done).To(BeTrue(), "the mints just said that they are empty")
+		Expect(verdict.Granted).To(BeFalse())
+		Expect(w.Draws(start)).To(BeEmpty())
+	})
+
+	It("spends nothing of a grant that arrives too late", func() {
+		w := newWallet()
+		w.Take(start, 1)
+		draw := w.Draws(start)[0]
+		Expect(w.Answered(start.Add(time.Second), draw, grant(1, 1, 0))).To(BeEmpty())
+	})
+
+	It("doesn't wait for a share that is slow to answer", func() {
+		w := newWallet()
+		w.Take(start, 1)
+		first := w.Draws(start)[0]
+		Expect(w.Draws(start.Add(time.Millisecond))).To(BeEmpty())
+		second := w.Tick(start.Add(30 * time.Millisecond))
+		Expect(second).To(HaveLen(1))
+		Expect(second[0].Share).NotTo(Equal(first.Share))
+	})
+
+	It("returns idle grants with what was spent of them", func() {
+		w := newWallet()
+		w.Take(start, 1)
+		w.Answered(start, w.Draws(start)[0], grant(1, 3, 0))
+		var reports []limit.Report
+		for _, d := range w.Tick(start.Add(time.Second / 2)) {
+			Expect(d.Quiet).To(BeTrue())
+			reports = append(reports, d.Ask.Reports...)
+		}
+		Expect(reports).To(ConsistOf(limit.Report{Grant: limit.GrantID{Mint: 1, Seq: 1}, Spent: limit.Token, Done: true}))
+		Expect(w.Busy()).To(BeFalse())
+	})
+
+	It("never retries an account whose burst is below one token", func() {
+		w := limit.NewWallet(limit.WalletConfig{Rate: limit.Rate{}, Validity: time.Second})
+		w.Take(start, 1)
+		var verdicts []limit.Verdict
+		for range limit.Shares {
+			verdicts = w.Failed(start, w.Draws(start)[0])
+		}
+		Expect(verdicts).To(ConsistOf(limit.Verdict{ID: 1}))
+	})
+})
