--- /dev/null
+++ b/io/certs/source_test.go
@@ -0,0 +1,147 @@
+package certs_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/io/certs"
+)
+
+func TestCerts(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "certs")
+}
+
+// signer makes certificates that it signs.
+type signer struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newSigner() *signer {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "signer"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	text, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	Expect(err).NotTo(HaveOccurred())
+	cert, err := x509.ParseCertificate(text)
+	Expect(err).NotTo(HaveOccurred())
+	return &signer{cert: cert, key: key}
+}
+
+// write puts an identity with the given serial number into dir.
+func (s *signer) write(dir string, serial int64) certs.Config {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "entry"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	text, err := x509.CreateCertificate(rand.Reader, template, s.cert, &key.PublicKey, s.key)
+	Expect(err).NotTo(HaveOccurred())
+	private, err := x509.MarshalECPrivateKey(key)
+	Expect(err).NotTo(HaveOccurred())
+	c := certs.Config{
+		CertFile: filepath.Join(dir, "cert.pem"), KeyFile: filepath.Join(dir, "key.pem"),
+		CAFile: filepath.Join(dir, "ca.pem"), Now: time.Now,
+	}
+	for name, block := range map[string]*pem.Block{
+		c.CertFile: {Type: "CERTIFICATE", Bytes: text},
+		c.KeyFile:  {Type: "EC PRIVATE KEY", Bytes: private},
+		c.CAFile:   {Type: "CERTIFICATE", Bytes: s.cert.Raw},
+	} {
+		Expect(os.WriteFile(name, pem.EncodeToMemory(block), 0o600)).To(Succeed())
+	}
+	return c
+}
+
+// shake runs a handshake and returns what the client saw of the server, or the errors.
+func shake(client, server *tls.Config) (*x509.Certificate, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	failed := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			err = tls.Server(conn, server).Handshake()
+		}
+		failed <- err
+	}()
+	conn, err := tls.Dial("tcp", listener.Addr().String(), client)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	if err := <-failed; err != nil {
+		return nil, err
+	}
+	return conn.ConnectionState().PeerCertificates[0], nil
+}
+
+var _ = Describe("a source of certificates", func() {
+	It("connects instances of one fleet", func() {
+		s := newSigner()
+		one, err := certs.NewSource(s.write(GinkgoT().TempDir(), 2))
+		Expect(err).NotTo(HaveOccurred())
+		two, err := certs.NewSource(s.write(GinkgoT().TempDir(), 3))
+		Expect(err).NotTo(HaveOccurred())
+		seen, err := shake(one.Fleet(), two.Fleet())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seen.SerialNumber.Int64()).To(Equal(int64(3)))
+	})
+
+	It("refuses an instance that another signer has signed", func() {
+		one, err := certs.NewSource(newSigner().write(GinkgoT().TempDir(), 2))
+		Expect(err).NotTo(HaveOccurred())
+		stranger, err := certs.NewSource(newSigner().write(GinkgoT().TempDir(), 3))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = shake(one.Fleet(), stranger.Fleet())
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("shows a renewed certificate without a restart and keeps the old one while files are broken", func() {
+		s, dir, now := newSigner(), GinkgoT().TempDir(), time.Now()
+		config := s.write(dir, 2)
+		config.Now = func() time.Time { return now }
+		source, err := certs.NewSource(config)
+		Expect(err).NotTo(HaveOccurred())
+		serial := func() int64 {
+			now = now.Add(time.Minute)
+			seen, err := shake(&tls.Config{InsecureSkipVerify: true}, source.Server())
+			Expect(err).NotTo(HaveOccurred())
+			return seen.SerialNumber.Int64()
+		}
+		Expect(serial()).To(Equal(int64(2)))
+		Expect(os.WriteFile(config.CertFile, []byte("broken"), 0o600)).To(Succeed())
+		Expect(os.Chtimes(config.CertFile, now, now.Add(time.Hour))).To(Succeed())
+		Expect(serial()).To(Equal(int64(2)))
+		Expect(source.Fault()).To(HaveOccurred())
+		s.write(dir, 9)
+		Expect(os.Chtimes(config.CertFile, now, now.Add(2*time.Hour))).To(Succeed())
+		Expect(serial()).To(Equal(int64(9)))
+		Expect(source.Fault()).NotTo(HaveOccurred())
+	})
+
+	It("names the file that is missing", func() {
+		_, err := certs.NewSource(certs.Config{CertFile: "none.pem", KeyFile: "none.key", Now: time.Now})
+		Expect(err).To(MatchError(ContainSubstring("none.pem")))
+	})
+})
