--- a/emul/plat/answer.go
+++ b/emul/plat/answer.go
@@ -13,7 +13,7 @@
 
 // read decodes the body of a request, and answers with an error when it can't.
 func read(w http.ResponseWriter, r *http.Request, into any) bool {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	decoder := json.NewDecoder(r.Body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
 		fail(w, http.StatusBadRequest, "bad_request", err.Error())
--- a/emul/plat/faults.go
+++ b/emul/plat/faults.go
@@ -1,6 +1,8 @@
 package plat
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"time"
@@ -50,6 +52,9 @@
 // is made in full, so the call takes effect, and then the connection is cut.
 func (s *Server) faulty(call http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !buffer(w, r) {
+			return
+		}
 		delay, lose := s.draw()
 		if !sleep(r, delay) {
 			return
@@ -63,6 +68,27 @@
 	})
 }
 
+// buffer reads the whole body ahead of the delay. The server notices a caller that
+// has gone only once the body is read.
+func buffer(w http.ResponseWriter, r *http.Request) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		fail(w, http.StatusBadRequest, "bad_request", err.Error())
+		return false
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return true
+}
+
+// bounded wraps a call of the control, which no switch slows.
+func bounded(call http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if buffer(w, r) {
+			call(w, r)
+		}
+	}
+}
+
 // draw returns the delay of one call and whether its answer gets lost.
 func (s *Server) draw() (time.Duration, bool) {
 	s.mu.Lock()
--- a/emul/plat/server.go
+++ b/emul/plat/server.go
@@ -60,7 +60,7 @@
 	for pattern, call := range calls {
 		s.mux.Handle(pattern, s.faulty(call))
 	}
-	s.mux.HandleFunc("POST /control/faults", s.setFaults)
-	s.mux.HandleFunc("PUT /control/instances", s.setInstances)
+	s.mux.HandleFunc("POST /control/faults", bounded(s.setFaults))
+	s.mux.HandleFunc("PUT /control/instances", bounded(s.setInstances))
 	s.mux.HandleFunc("GET /control/calls", s.calls)
 }
--- /dev/null
+++ b/io/store/contract_test.go
@@ -0,0 +1,157 @@
+package store_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/emul/plat"
+	"pomelofork/io/store"
+	"pomelofork/io/store/memkv"
+)
+
+// clock is a time that a test moves.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) Advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// subject is a store under the contract and the memory behind it.
+type subject struct {
+	store store.Store
+	kv    *memkv.KV
+}
+
+var _ = Describe("a store", func() {
+	for name, build := range map[string]func(c *clock) subject{
+		"in memory": func(c *clock) subject {
+			kv := memkv.New(memkv.Config{Now: c.Now})
+			return subject{store: kv, kv: kv}
+		},
+		"over HTTP": func(c *clock) subject {
+			server := plat.New(plat.Config{Seed: 1, Now: c.Now})
+			listener := httptest.NewServer(server)
+			client := store.NewClient(store.ClientConfig{Address: strings.TrimPrefix(listener.URL, "http://")})
+			DeferCleanup(listener.Close)
+			DeferCleanup(client.Close)
+			return subject{store: client, kv: server.KV()}
+		},
+	} {
+		Describe(name, func() { contract(build) })
+	}
+})
+
+// contract states what holds for every store.
+func contract(build func(*clock) subject) {
+	var (
+		ctx  = context.Background()
+		tick *clock
+		s    subject
+	)
+	BeforeEach(func() {
+		tick = &clock{now: time.Unix(0, 0)}
+		s = build(tick)
+	})
+
+	It("swaps only at the expected revision", func() {
+		first, err := s.store.Swap(ctx, store.Swap{Key: "term/a", Value: "1"})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.store.Swap(ctx, store.Swap{Key: "term/a", Value: "2"})
+		conflict := new(store.ConflictError)
+		Expect(err).To(BeAssignableToTypeOf(conflict))
+		Expect(err.(*store.ConflictError).Revision()).To(Equal(first.Revision))
+		second, err := s.store.Swap(ctx, store.Swap{Key: "term/a", Value: "<2>", ExpectedRevision: first.Revision})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.store.Get(ctx, "term/a")).To(Equal(second))
+		Expect(second.Value).To(Equal("<2>"))
+	})
+
+	It("deletes, lists and tells what is absent", func() {
+		for _, key := range []string{"term/b", "term/a", "config"} {
+			_, err := s.store.Swap(ctx, store.Swap{Key: key, Value: key})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		items, err := s.store.List(ctx, "term/")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(items).To(HaveLen(2))
+		Expect(items[0].Key).To(Equal("term/a"))
+		_, err = s.store.Swap(ctx, store.Swap{Key: "config", ExpectedRevision: 3, Delete: true})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.store.Get(ctx, "config")
+		Expect(err).To(MatchError(store.ErrNotFound))
+	})
+
+	It("ends what stands under a lease with it", func() {
+		lease, err := s.store.GrantLease(ctx, hour)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.store.Swap(ctx, store.Swap{Key: "k", Value: "v", LeaseID: lease})
+		Expect(err).NotTo(HaveOccurred())
+		tick.Advance(hour / 2)
+		Expect(s.store.RenewLease(ctx, lease)).To(Succeed())
+		tick.Advance(hour / 2)
+		_, err = s.store.Get(ctx, "k")
+		Expect(err).NotTo(HaveOccurred())
+		tick.Advance(hour / 2)
+		_, err = s.store.Get(ctx, "k")
+		Expect(err).To(MatchError(store.ErrNotFound))
+		Expect(s.store.RenewLease(ctx, lease)).To(MatchError(store.ErrNotFound))
+		Expect(s.store.DropLease(ctx, lease)).To(MatchError(store.ErrNotFound))
+	})
+
+	It("wakes a watch with the change", func() {
+		found := make(chan store.Item, 1)
+		go func() {
+			defer GinkgoRecover()
+			item, changed, err := s.store.Watch(ctx, "config", 0, hour)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(changed).To(BeTrue())
+			found <- item
+		}()
+		Eventually(s.kv.Calls).WithTimeout(liveness).Should(HaveKeyWithValue("watch", BeEquivalentTo(1)))
+		_, err := s.store.Swap(ctx, store.Swap{Key: "config", Value: "1"})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(found).WithTimeout(liveness).Should(Receive(HaveField("Value", "1")))
+		_, changed, err := s.store.Watch(ctx, "config", 1, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changed).To(BeFalse())
+	})
+
+	It("shows the list of instances after its lag", func() {
+		s.kv.SetInstances([]store.Listed{{ID: "a", Kind: store.KindEntry, State: store.StateLive}})
+		s.kv.SetInstancesLag(hour)
+		Expect(s.store.Instances(ctx)).To(BeEmpty())
+		tick.Advance(hour)
+		Expect(s.store.Instances(ctx)).To(HaveLen(1))
+	})
+
+	It("says in an outage that nothing happened", func() {
+		s.kv.SetFaults(memkv.Faults{Outage: true})
+		_, err := s.store.Swap(ctx, store.Swap{Key: "config", Value: "1"})
+		Expect(err).To(MatchError(store.ErrUnavailable))
+		s.kv.SetFaults(memkv.Faults{})
+		_, err = s.store.Get(ctx, "config")
+		Expect(err).To(MatchError(store.ErrNotFound))
+	})
+
+	It("refuses a value over the limit", func() {
+		_, err := s.store.Swap(ctx, store.Swap{Key: "config", Value: strings.Repeat("x", store.MaxValue+1)})
+		Expect(err).To(BeAssignableToTypeOf(new(store.RequestError)))
+	})
+}
