--- a/core/conf/build.go
+++ b/core/conf/build.go
@@ -11,10 +11,10 @@
 // percent is the scale of the presets' percentages.
 const percent = 100
 
-// build returns the configuration of a checked document.
-func build(d *Document) *Config {
+// build returns the configuration of a checked document, whose stored form is text.
+func build(d *Document, text []byte) *Config {
 	preset := d.Presets[d.Preset]
-	c := &Config{document: d, writes: map[model.ServiceID]int{}}
+	c := &Config{document: d, text: text, writes: map[model.ServiceID]int{}}
 	for i := range d.Accounts {
 		c.accounts = append(c.accounts, newAccount(&d.Accounts[i], preset))
 	}
--- a/core/conf/config.go
+++ b/core/conf/config.go
@@ -1,13 +1,12 @@
 package conf
 
-import (
-	"pomelofork/core/model"
-)
+import "pomelofork/core/model"
 
 // Config is a checked configuration. It never changes and is safe for concurrent
 // use.
 type Config struct {
 	document *Document
+	text     []byte
 	accounts []Account
 	services []Service
 	routes   []Route
@@ -32,6 +31,9 @@
 // change it.
 func (c *Config) Document() *Document { return c.document }
 
+// Text returns the stored form of the document. The caller must not change it.
+func (c *Config) Text() []byte { return c.text }
+
 // Accounts returns the client accounts sorted by identifier. The caller must not
 // change them.
 func (c *Config) Accounts() []Account { return c.accounts }
--- a/core/conf/parse.go
+++ b/core/conf/parse.go
@@ -1,6 +1,9 @@
 package conf
 
-import "reflect"
+import (
+	"bytes"
+	"reflect"
+)
 
 // Parse reads and checks a document. The error is a *FaultsError that names every
 // fault with its place; nothing is taken from a faulty document.
@@ -9,7 +12,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewConfig(document)
+	if err := document.check(); err != nil {
+		return nil, err
+	}
+	return build(document, bytes.Clone(text)), nil
 }
 
 // NewConfig checks a document and takes it over. The caller must not change it
@@ -18,7 +24,16 @@
 	if err := document.check(); err != nil {
 		return nil, err
 	}
-	return build(document), nil
+	text, err := document.Encode()
+	if err != nil {
+		return nil, err
+	}
+	if len(text) > MaxSize {
+		faults := &FaultsError{}
+		faults.add("", "document has %d bytes, more than the store's %d", len(text), MaxSize)
+		return nil, faults
+	}
+	return build(document, text), nil
 }
 
 // decodeDocument reads a document by its form alone.
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -18,7 +19,7 @@
 
 // ClientConfig holds the settings of a client.
 type ClientConfig struct {
-	// Address is the service's host and port.
+	// Address is the service's host and port, or its base URL.
 	Address string
 	// Timeout bounds each call. A watch gets its waiting time on top. Zero means
 	// two seconds.
@@ -44,7 +45,12 @@
 	if c.Transport == nil {
 		c.Transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout}
 	}
-	return &Client{base: "http://" + c.Address, timeout: c.Timeout, http: &http.Client{Transport: c.Transport}}
+	base := c.Address
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	base = strings.TrimSuffix(base, "/")
+	return &Client{base: base, timeout: c.Timeout, http: &http.Client{Transport: c.Transport}}
 }
 
 // Close closes the idle connections.
--- a/io/store/client_test.go
+++ b/io/store/client_test.go
@@ -36,7 +36,7 @@
 	It("tells a lost answer from a refused connection", func() {
 		server := httptest.NewServer(plat.New(plat.Config{Seed: 1}))
 		DeferCleanup(server.Close)
-		client := store.NewClient(store.ClientConfig{Address: strings.TrimPrefix(server.URL, "http://")})
+		client := store.NewClient(store.ClientConfig{Address: server.URL + "/"})
 		DeferCleanup(client.Close)
 		control(server.URL, `{"lose_answers_share":1}`)
 
--- a/io/store/contract_test.go
+++ b/io/store/contract_test.go
@@ -37,13 +37,14 @@
 type subject struct {
 	store store.Store
 	kv    *memkv.KV
+	clock *clock
 }
 
 var _ = Describe("a store", func() {
 	for name, build := range map[string]func(c *clock) subject{
 		"in memory": func(c *clock) subject {
 			kv := memkv.New(memkv.Config{Now: c.Now})
-			return subject{store: kv, kv: kv}
+			return subject{store: kv, kv: kv, clock: c}
 		},
 		"over HTTP": func(c *clock) subject {
 			server := plat.New(plat.Config{Seed: 1, Now: c.Now})
@@ -51,24 +52,23 @@
 			client := store.NewClient(store.ClientConfig{Address: strings.TrimPrefix(listener.URL, "http://")})
 			DeferCleanup(listener.Close)
 			DeferCleanup(client.Close)
-			return subject{store: client, kv: server.KV()}
+			return subject{store: client, kv: server.KV(), clock: c}
 		},
 	} {
-		Describe(name, func() { contract(build) })
+		Describe(name, func() {
+			s := &subject{clock: &clock{}}
+			BeforeEach(func() { *s = build(&clock{now: time.Unix(0, 0)}) })
+			swapContract(s)
+			leaseContract(s)
+			watchContract(s)
+			faultContract(s)
+		})
 	}
 })
 
-// contract states what holds for every store.
-func contract(build func(*clock) subject) {
-	var (
-		ctx  = context.Background()
-		tick *clock
-		s    subject
-	)
-	BeforeEach(func() {
-		tick = &clock{now: time.Unix(0, 0)}
-		s = build(tick)
-	})
+// swapContract states what holds of values.
+func swapContract(s *subject) {
+	ctx := context.Background()
 
 	It("swaps only at the expected revision", func() {
 		first, err := s.store.Swap(ctx, store.Swap{Key: "term/a", Value: "1"})
@@ -97,23 +97,33 @@
 		_, err = s.store.Get(ctx, "config")
 		Expect(err).To(MatchError(store.ErrNotFound))
 	})
+}
+
+// leaseContract states what holds of leases.
+func leaseContract(s *subject) {
+	ctx := context.Background()
 
 	It("ends what stands under a lease with it", func() {
 		lease, err := s.store.GrantLease(ctx, hour)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = s.store.Swap(ctx, store.Swap{Key: "k", Value: "v", LeaseID: lease})
 		Expect(err).NotTo(HaveOccurred())
-		tick.Advance(hour / 2)
+		s.clock.Advance(hour / 2)
 		Expect(s.store.RenewLease(ctx, lease)).To(Succeed())
-		tick.Advance(hour / 2)
+		s.clock.Advance(hour / 2)
 		_, err = s.store.Get(ctx, "k")
 		Expect(err).NotTo(HaveOccurred())
-		tick.Advance(hour / 2)
+		s.clock.Advance(hour / 2)
 		_, err = s.store.Get(ctx, "k")
 		Expect(err).To(MatchError(store.ErrNotFound))
 		Expect(s.store.RenewLease(ctx, lease)).To(MatchError(store.ErrNotFound))
 		Expect(s.store.DropLease(ctx, lease)).To(MatchError(store.ErrNotFound))
 	})
+}
+
+// watchContract states what holds of what changes by itself.
+func watchContract(s *subject) {
+	ctx := context.Background()
 
 	It("wakes a watch with the change", func() {
 		found := make(chan store.Item, 1)
@@ -137,9 +147,14 @@
 		s.kv.SetInstances([]store.Listed{{ID: "a", Kind: store.KindEntry, State: store.StateLive}})
 		s.kv.SetInstancesLag(hour)
 		Expect(s.store.Instances(ctx)).To(BeEmpty())
-		tick.Advance(hour)
+		s.clock.Advance(hour)
 		Expect(s.store.Instances(ctx)).To(HaveLen(1))
 	})
+}
+
+// faultContract states what holds of calls that fail.
+func faultContract(s *subject) {
+	ctx := context.Background()
 
 	It("says in an outage that nothing happened", func() {
 		s.kv.SetFaults(memkv.Faults{Outage: true})
