Decide terms and failover, and watch a group of backend servers

core/term is a state machine: statuses, evidence and ticks in, fences, promotions, reservations and reports out. A commit counts once a majority holds it at its own term and had promised nothing newer. A failover fences a majority and promotes the highest log point among those that promised.

io/group keeps one status connection to each server with held-back questions, which a cancel request ends when a fence can't wait.

--- /dev/null
+++ b/core/term/drain.go
@@ -0,0 +1,78 @@
+package term
+
+import (
+	"time"
+)
+
+// drain is a planned change of primary that lets writes end first.
+type drain struct {
+	on    bool
+	since time.Time
+	// busy is how many units with writes this instance has under way.
+	busy int
+}
+
+// Move asks for a planned change of primary, by an operator's word.
+func (m *Machine) Move(now time.Time) []Action {
+	m.startDrain(now)
+	return m.flush()
+}
+
+// drainLeaving begins a planned change when the primary is leaving.
+func (m *Machine) drainLeaving(now time.Time) {
+	if m.lead.server == "" || now.Before(m.retryAt) {
+		return
+	}
+	if m.drain.on && m.attempt == nil && !m.successors(now) {
+		// Without anybody to take over, the primary must get work again.
+		m.drain = drain{}
+	}
+	if r := m.records[m.lead.server]; r.known && r.status.Leaving {
+		m.startDrain(now)
+	}
+}
+
+// startDrain keeps new work from the primary when enough others could take over.
+func (m *Machine) startDrain(now time.Time) {
+	if !m.leads || m.drain.on || m.attempt != nil || m.lead.server == "" {
+		return
+	}
+	if !m.successors(now) {
+		return
+	}
+	m.drain.on, m.drain.since = true, now
+	m.do(Report{Kind: ReportDraining, Server: m.lead.server, Term: m.lead.term})
+}
+
+// successors says that a majority without the primary answers and that one of them
+// stays.
+func (m *Machine) successors(now time.Time) bool {
+	n, stays := 0, false
+	for id, r := range m.records {
+		if id == m.lead.server || !r.reachable(now, m.timing.Overdue) {
+			continue
+		}
+		n++
+		stays = stays || !r.status.Leaving
+	}
+	return n >= m.majority() && stays
+}
+
+// drained says that the planned change may begin: the writes of this instance have
+// ended and the others hold all of the primary's log, or the time for it is over.
+func (m *Machine) drained(now time.Time) bool {
+	waited := now.Sub(m.drain.since)
+	if waited >= m.timing.DrainLimit {
+		return true
+	}
+	if waited < m.timing.Drain || m.drain.busy > 0 {
+		return false
+	}
+	log := m.records[m.lead.server].status.Log
+	for id, r := range m.records {
+		if id != m.lead.server && r.reachable(now, m.timing.Overdue) && r.status.Log.Less(log) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/term/record.go
@@ -0,0 +1,52 @@
+package term
+
+import (
+	"time"
+
+	"pomelofork/core/model"
+)
+
+// record is what the machine keeps of one server.
+type record struct {
+	// known is true once the server has answered.
+	known bool
+	// asked is when the question of status was sent.
+	asked  time.Time
+	status Status
+	// promised is the newest promise seen. A promise never falls back, so a late
+	// answer can't lower it.
+	promised model.Term
+	// heard is when the last answer came, or when counting began.
+	heard time.Time
+	// failed is true when the last question failed.
+	failed     bool
+	refusals   int
+	statements int
+	fresh      time.Time
+	// fencedAt is when the server was last told that it leads no more.
+	fencedAt time.Time
+}
+
+// take replaces the status by a newer one.
+func (r *record) take(now, asked time.Time, s Status) {
+	r.promised = max(r.promised, s.Promised)
+	r.heard, r.failed, r.refusals, r.statements = now, false, 0, 0
+	if r.known && asked.Before(r.asked) {
+		return
+	}
+	r.known, r.asked, r.status = true, asked, s
+}
+
+// reachable says that the server answered lately.
+func (r *record) reachable(now time.Time, overdue time.Duration) bool {
+	return r.known && !r.failed && now.Sub(r.heard) <= overdue
+}
+
+// holds returns the index up to which the server holds the log of term, given that
+// it has promised nothing newer.
+func (r *record) holds(term model.Term) (model.Position, bool) {
+	if !r.known || r.status.Promised != term || r.status.Log.Term() != term {
+		return 0, false
+	}
+	return r.status.Log.Pos(), true
+}
--- /dev/null
+++ b/core/term/timing.go
@@ -0,0 +1,41 @@
+package term
+
+import "time"
+
+// Timing holds the times by which a machine acts.
+type Timing struct {
+	// Overdue is the silence after which a server counts as unreachable. Statuses
+	// must come several times as often.
+	Overdue time.Duration
+	// Pause is a gap between two ticks that shows that this process itself stood
+	// still. Silence during such a gap is no evidence against anybody.
+	Pause time.Duration
+	// Rank is the head start of each gateway over the next one, longer than a usual
+	// failover, so that two of them don't interrupt each other.
+	Rank time.Duration
+	// Attempt is how long one attempt may take before it is given up.
+	Attempt time.Duration
+	// Retry is the wait after an attempt that failed.
+	Retry time.Duration
+	// Orphan is how long a group may have no primary, or a stranded replica, before
+	// this instance acts. It leaves time to an attempt of another gateway.
+	Orphan time.Duration
+	// Drain is how long a planned change lets writes end at least, and DrainLimit
+	// at the most.
+	Drain, DrainLimit time.Duration
+	// Reserve is the wait between two tries to reserve terms.
+	Reserve time.Duration
+}
+
+// DefaultTiming suits a network with about 1 ms one way.
+var DefaultTiming = Timing{
+	Overdue:    120 * time.Millisecond,
+	Pause:      100 * time.Millisecond,
+	Rank:       50 * time.Millisecond,
+	Attempt:    300 * time.Millisecond,
+	Retry:      50 * time.Millisecond,
+	Orphan:     200 * time.Millisecond,
+	Drain:      30 * time.Millisecond,
+	DrainLimit: 500 * time.Millisecond,
+	Reserve:    time.Second,
+}
--- /dev/null
+++ b/io/group/report.go
@@ -0,0 +1,62 @@
+package group
+
+import (
+	"context"
+	"log/slog"
+
+	"pomelofork/core/model"
+	"pomelofork/core/term"
+	"pomelofork/io/event"
+)
+
+// reportEvents maps what a machine reports to the numbered events.
+var reportEvents = map[term.ReportKind]event.ID{
+	term.ReportPrimary:    event.GroupPrimary,
+	term.ReportSuspected:  event.GroupSuspected,
+	term.ReportBegan:      event.GroupTermBegan,
+	term.ReportPromoted:   event.GroupPromoted,
+	term.ReportAbandoned:  event.GroupAbandoned,
+	term.ReportStale:      event.GroupStale,
+	term.ReportNoMajority: event.GroupNoMajority,
+	term.ReportNoTerm:     event.GroupNoTerm,
+	term.ReportReserved:   event.GroupReserved,
+	term.ReportDraining:   event.GroupDraining,
+}
+
+// report logs a report and passes it on.
+func (w *Watcher) report(r term.Report) {
+	attrs := []slog.Attr{
+		slog.String("service", string(w.conf.Service)),
+		slog.String("server", string(r.Server)),
+		slog.Uint64("term", uint64(r.Term)),
+	}
+	if r.Cause != term.CauseNone {
+		attrs = append(attrs, slog.String("cause", r.Cause.String()))
+	}
+	if r.Kind == term.ReportPromoted {
+		attrs = append(attrs,
+			slog.Duration("detect", r.Gap.Detect), slog.Duration("decide", r.Gap.Decide),
+			slog.Duration("fence", r.Gap.Fence), slog.Duration("promote", r.Gap.Promote))
+	}
+	event.Log(w.ctx, w.conf.Logger, reportEvents[r.Kind], attrs...)
+	w.conf.Report(r)
+}
+
+// logConnected logs a new status connection.
+func (w *Watcher) logConnected(ctx context.Context, id model.ServerID) {
+	event.Log(ctx, w.conf.Logger, event.GroupConnected,
+		slog.String("service", string(w.conf.Service)), slog.String("server", string(id)))
+}
+
+// logLost logs a status connection that failed.
+func (w *Watcher) logLost(ctx context.Context, id model.ServerID, err error) {
+	event.Log(ctx, w.conf.Logger, event.GroupLost,
+		slog.String("service", string(w.conf.Service)), slog.String("server", string(id)),
+		slog.String("error", err.Error()))
+}
+
+// logNotReserved logs a reservation that failed.
+func (w *Watcher) logNotReserved(ctx context.Context, err error) {
+	event.Log(ctx, w.conf.Logger, event.GroupNotReserved,
+		slog.String("service", string(w.conf.Service)), slog.String("error", err.Error()))
+}
