Carry lanes between instances over the PostgreSQL protocol

The unit travels as a query in the same packet as its first batch, so a lane at another instance costs one round trip like a lane here.

--- a/io/gate/fake_test.go
+++ b/io/gate/fake_test.go
@@ -238,8 +238,6 @@
 
 func on() *bool { yes := true; return &yes }
 
-func off() *bool { no := false; return &no }
-
 // answer collects what a sink got.
 type answer struct {
 	rows   [][]string
--- /dev/null
+++ b/io/link/client.go
@@ -0,0 +1,123 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"pomelofork/core/model"
+	"pomelofork/io/line"
+	"pomelofork/io/wire"
+)
+
+// Client opens lanes at the gateways of another instance. It implements
+// wire.Gateway and is safe for concurrent use.
+type Client struct {
+	config   ClientConfig
+	settings *pgconn.Config
+	places   chan struct{}
+
+	mu     sync.Mutex
+	idle   []*line.Conn
+	closed bool
+}
+
+// NewClient returns a client without a connection.
+func NewClient(c ClientConfig) (*Client, error) {
+	settings, err := pgconn.ParseConfig("host=127.0.0.1 port=5432 sslmode=disable passfile=/dev/null")
+	if err != nil {
+		return nil, fmt.Errorf("connection settings: %w", err)
+	}
+	host, text, err := net.SplitHostPort(c.Address)
+	if err != nil {
+		return nil, fmt.Errorf("address of an instance: %w", err)
+	}
+	port, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		return nil, fmt.Errorf("port of an instance: %w", err)
+	}
+	settings.Host, settings.Port, settings.Fallbacks = host, uint16(port), nil
+	settings.User, settings.Password, settings.Database = User, c.Secret, User
+	settings.RuntimeParams = nil
+	settings.ConnectTimeout = startupTimeout
+	if c.TLS != nil {
+		settings.TLSConfig = c.TLS.Clone()
+	}
+	return &Client{config: c, settings: settings, places: make(chan struct{}, max(1, c.Limit))}, nil
+}
+
+// Open implements wire.Gateway. It sends nothing yet.
+func (c *Client) Open(_ context.Context, unit wire.Unit) (wire.Lane, error) {
+	return &lane{client: c, unit: unit, opened: c.config.Now()}, nil
+}
+
+// Close closes the idle connections and those that come back.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, each := range c.idle {
+		each.Close()
+	}
+	c.idle = nil
+}
+
+// take returns a connection, a new one if need be. Nothing was sent when it fails.
+func (c *Client) take(ctx context.Context) (*line.Conn, *model.Refusal) {
+	select {
+	case c.places <- struct{}{}:
+	case <-ctx.Done():
+		return nil, refuse(model.ReasonDeadline, model.OutcomeNotRun, "connections to "+c.config.Address)
+	}
+	if conn, ok := c.takeIdle(); ok {
+		return conn, nil
+	}
+	opened, err := pgconn.ConnectConfig(ctx, c.settings)
+	if err != nil {
+		<-c.places
+		return nil, refuse(model.ReasonLinkLost, model.OutcomeNotRun, "connect to "+c.config.Address)
+	}
+	hijacked, err := opened.Hijack()
+	if err != nil {
+		<-c.places
+		return nil, refuse(model.ReasonLinkLost, model.OutcomeNotRun, "connect to "+c.config.Address)
+	}
+	return line.New(hijacked.Conn), nil
+}
+
+// takeIdle returns the idle connection used last that is still good.
+func (c *Client) takeIdle() (*line.Conn, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.idle) > 0 {
+		conn := c.idle[len(c.idle)-1]
+		c.idle = c.idle[:len(c.idle)-1]
+		if conn.Quiet() {
+			return conn, true
+		}
+		conn.Close()
+	}
+	return nil, false
+}
+
+// give takes back a connection. It is kept when it is at the end of a unit.
+func (c *Client) give(conn *line.Conn, clean bool) {
+	c.mu.Lock()
+	if clean && !c.closed {
+		c.idle = append(c.idle, conn)
+	} else {
+		conn.Close()
+	}
+	c.mu.Unlock()
+	<-c.places
+}
+
+func refuse(reason model.Reason, outcome model.Outcome, detail string) *model.Refusal {
+	return model.NewRefusal(model.RefusalConfig{
+		Reason: reason, Outcome: outcome, RetryAfter: noGatewayRetry, Detail: detail,
+	})
+}
