Make a link's client without an error, and give every result its point

The entry keeps one client for each address it hears of; what is wrong with one is the matter of the lanes that use it. A session without a token learns one from its first confirmed read, so reads report their point, too.

--- a/io/event/gate.go
+++ b/io/event/gate.go
@@ -5,6 +5,7 @@
 // Events of area "gate": 400 to 499.
 const (
 	GateConnectFailed ID = 400 + iota
+	LinkConnectFailed
 )
 
 var gateKinds = map[ID]Kind{
@@ -13,4 +14,9 @@
 		Text:   "connection to a backend server failed",
 		Action: "look at the backend server and at pomelofork's credentials for it",
 	},
+	LinkConnectFailed: {
+		Level:  slog.LevelWarn,
+		Text:   "connection to another instance's gateway failed",
+		Action: "look at the instance, at the network, and at the fleet secret of both",
+	},
 }
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -53,13 +53,10 @@
 	return a.result(), nil
 }
 
-// result returns the state of the lane after the batch.
+// result returns the state of the lane after the batch. The point of a read is
+// where it was read.
 func (a *attempt) result() wire.Result {
-	result := wire.Result{TxStatus: a.hold.txStatus}
-	if !a.lane.reads() {
-		result.Point = a.hold.point
-	}
-	return result
+	return wire.Result{TxStatus: a.hold.txStatus, Point: a.hold.point}
 }
 
 // exchange runs the batch on the granted connection. The slot is given back when
--- a/io/link/client.go
+++ b/io/link/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"strconv"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"pomelofork/core/model"
+	"pomelofork/io/event"
 	"pomelofork/io/line"
 	"pomelofork/io/wire"
 )
@@ -19,6 +21,7 @@
 type Client struct {
 	config   ClientConfig
 	settings *pgconn.Config
+	fault    error
 	places   chan struct{}
 
 	mu     sync.Mutex
@@ -26,8 +29,19 @@
 	closed bool
 }
 
-// NewClient returns a client without a connection.
-func NewClient(c ClientConfig) (*Client, error) {
+// NewClient returns a client without a connection. What is wrong with the address
+// is told to the lanes.
+func NewClient(c ClientConfig) *Client {
+	if c.Limit <= 0 {
+		c.Limit = DefaultClientLimit
+	}
+	settings, err := settingsFor(c)
+	return &Client{config: c, settings: settings, fault: err, places: make(chan struct{}, c.Limit)}
+}
+
+// settingsFor states every setting of a connection, so that nothing of the
+// environment gets in.
+func settingsFor(c ClientConfig) (*pgconn.Config, error) {
 	settings, err := pgconn.ParseConfig("host=127.0.0.1 port=5432 sslmode=disable passfile=/dev/null")
 	if err != nil {
 		return nil, fmt.Errorf("connection settings: %w", err)
@@ -47,7 +61,7 @@
 	if c.TLS != nil {
 		settings.TLSConfig = c.TLS.Clone()
 	}
-	return &Client{config: c, settings: settings, places: make(chan struct{}, max(1, c.Limit))}, nil
+	return settings, nil
 }
 
 // Open implements wire.Gateway. It sends nothing yet.
@@ -76,15 +90,28 @@
 	if conn, ok := c.takeIdle(); ok {
 		return conn, nil
 	}
-	opened, err := pgconn.ConnectConfig(ctx, c.settings)
+	conn, err := c.dial(ctx)
 	if err != nil {
 		<-c.places
+		event.Log(ctx, c.config.Logger, event.LinkConnectFailed,
+			slog.String("address", c.config.Address), slog.String("error", err.Error()))
 		return nil, refuse(model.ReasonLinkLost, model.OutcomeNotRun, "connect to "+c.config.Address)
 	}
+	return conn, nil
+}
+
+// dial opens a connection and logs in.
+func (c *Client) dial(ctx context.Context) (*line.Conn, error) {
+	if c.fault != nil {
+		return nil, c.fault
+	}
+	opened, err := pgconn.ConnectConfig(ctx, c.settings)
+	if err != nil {
+		return nil, err
+	}
 	hijacked, err := opened.Hijack()
 	if err != nil {
-		<-c.places
-		return nil, refuse(model.ReasonLinkLost, model.OutcomeNotRun, "connect to "+c.config.Address)
+		return nil, err
 	}
 	return line.New(hijacked.Conn), nil
 }
--- a/io/link/config.go
+++ b/io/link/config.go
@@ -14,6 +14,10 @@
 const (
 	// User is the user name of instances towards each other.
 	User = "pomelofork"
+	// DefaultServerLimit bounds the connections of a server.
+	DefaultServerLimit = 4096
+	// DefaultClientLimit bounds the connections of a client.
+	DefaultClientLimit = 256
 	// startupTimeout bounds the time until a new connection has logged in.
 	startupTimeout = 5 * time.Second
 	// maxBatchBytes bounds the messages of one batch.
@@ -40,9 +44,11 @@
 	Secret string
 	// TLS secures the connections, or is nil.
 	TLS *tls.Config
-	// Limit bounds the connections.
+	// Limit bounds the connections. Zero stands for DefaultServerLimit.
 	Limit  int
 	Logger *slog.Logger
+	// Now returns the present time.
+	Now func() time.Time
 }
 
 // ClientConfig holds the parts of a client.
@@ -53,8 +59,10 @@
 	Secret string
 	// TLS secures the connections, or is nil.
 	TLS *tls.Config
-	// Limit bounds the connections and with them the lanes at once.
-	Limit int
+	// Limit bounds the connections and with them the lanes at once. Zero stands
+	// for DefaultClientLimit.
+	Limit  int
+	Logger *slog.Logger
 	// Now returns the present time.
 	Now func() time.Time
 }
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"strconv"
 	"sync"
@@ -67,7 +68,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := link.NewServer(link.ServerConfig{
-		Listener: listener, Secret: "secret", Limit: 8,
+		Listener: listener, Secret: "secret", Limit: 8, Now: time.Now,
 		Gateways: func(id model.ServiceID) (wire.Gateway, bool) { return s, id == "orders" },
 	})
 	DeferCleanup(server.Close)
@@ -75,8 +76,9 @@
 }
 
 func dial(address, secret string) *link.Client {
-	client, err := link.NewClient(link.ClientConfig{Address: address, Secret: secret, Limit: 4, Now: time.Now})
-	Expect(err).NotTo(HaveOccurred())
+	client := link.NewClient(link.ClientConfig{
+		Address: address, Secret: secret, Limit: 4, Logger: slog.New(slog.DiscardHandler), Now: time.Now,
+	})
 	DeferCleanup(client.Close)
 	return client
 }
@@ -283,7 +285,7 @@
 	It("lets nobody in without the secret", func(ctx SpecContext) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		server := link.NewServer(link.ServerConfig{Listener: listener, Secret: "secret", Limit: 1})
+		server := link.NewServer(link.ServerConfig{Listener: listener, Secret: "secret", Limit: 1, Now: time.Now})
 		DeferCleanup(server.Close)
 		lane, err := dial(listener.Addr().String(), "guess").Open(ctx, unit(model.AccessRead))
 		Expect(err).NotTo(HaveOccurred())
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -19,11 +19,14 @@
 
 // NewServer starts to take connections. Close ends the server.
 func NewServer(c ServerConfig) *Server {
+	if c.Limit <= 0 {
+		c.Limit = DefaultServerLimit
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	s := &Server{
 		config: c, ctx: ctx, stop: stop,
 		draining: make(chan struct{}),
-		places:   make(chan struct{}, max(1, c.Limit)),
+		places:   make(chan struct{}, c.Limit),
 	}
 	s.work.Go(func() {
 		for {
--- a/io/link/startup.go
+++ b/io/link/startup.go
@@ -21,7 +21,7 @@
 
 // startup lets the client log in.
 func (s *session) startup() error {
-	if err := s.conn.SetDeadline(time.Now().Add(startupTimeout)); err != nil {
+	if err := s.conn.SetDeadline(s.server.config.Now().Add(startupTimeout)); err != nil {
 		return err
 	}
 	s.backend = pgproto3.NewBackend(s.conn, s.conn)
