--- /dev/null
+++ b/core/drain/drain_test.go
@@ -0,0 +1,45 @@
+package drain_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/core/drain"
+)
+
+func TestDrain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "drain")
+}
+
+var start = time.Unix(1_000_000, 0)
+
+var _ = Describe("Door", func() {
+	It("lets those inside finish and nobody else in", func() {
+		var door drain.Door
+		Expect(door.Enter()).To(BeTrue())
+		Expect(door.Enter()).To(BeTrue())
+		Expect(door.Shut()).To(BeFalse())
+		Expect(door.Enter()).To(BeFalse())
+		Expect(door.Leave()).To(BeFalse())
+		Expect(door.Leave()).To(BeTrue())
+		Expect(door.Shut()).To(BeTrue())
+	})
+})
+
+var _ = Describe("Leavers", func() {
+	It("bounds the time of open transactions from the first word on", func() {
+		leavers := drain.NewLeavers(drain.LeaversConfig{Bound: 3 * time.Second})
+		leavers.Observe(start, "s", true)
+		leavers.Observe(start.Add(2*time.Second), "s", true)
+		Expect(leavers.Leaving("s")).To(BeTrue())
+		Expect(leavers.Expired(start.Add(2*time.Second), "s")).To(BeFalse())
+		Expect(leavers.Expired(start.Add(3*time.Second), "s")).To(BeTrue())
+		leavers.Observe(start.Add(4*time.Second), "s", false)
+		Expect(leavers.Leaving("s")).To(BeFalse())
+		Expect(leavers.Expired(start.Add(9*time.Second), "s")).To(BeFalse())
+	})
+})
--- a/core/route/ask.go
+++ b/core/route/ask.go
@@ -20,7 +20,7 @@
 	Since time.Time
 }
 
-// primaryOnly reports whether only the primary can serve the unit.
-func (a Ask) primaryOnly() bool {
+// PrimaryOnly reports whether only the primary can serve the unit.
+func (a Ask) PrimaryOnly() bool {
 	return a.Access == model.AccessWrite || a.MaxAge <= 0 || !a.TokenKnown
 }
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -25,7 +25,7 @@
 // Choose returns the server for a unit, and false when the unit has to wait.
 // The function load tells how busy a server is.
 func (p *Policy) Choose(now time.Time, ask Ask, known term.Known, load func(model.ServerID) Load) (Pick, bool) {
-	if ask.primaryOnly() {
+	if ask.PrimaryOnly() {
 		return primary(known, load)
 	}
 	best, found, hope := replica(now, ask, known, load)
--- a/io/gate/admit.go
+++ b/io/gate/admit.go
@@ -12,6 +12,9 @@
 func (l *lane) admit(ctx context.Context) (grant, *model.Refusal) {
 	t := &ticket{ask: l.ask, pinned: l.server, readOnly: l.reads(), grants: make(chan grant, 1)}
 	t.ask.Since = l.gate.config.Now()
+	if refusal := l.hopeless(t.ask.Since); refusal != nil {
+		return grant{}, refusal
+	}
 	if refusal := l.gate.enqueue(t, l.unit.Account, l.deadline); refusal != nil {
 		return grant{}, refusal
 	}
@@ -31,6 +34,18 @@
 	}
 }
 
+// hopeless refuses at once what needs a primary that will probably come too late.
+func (l *lane) hopeless(now time.Time) *model.Refusal {
+	if l.conn != nil || !l.ask.PrimaryOnly() {
+		return nil
+	}
+	gap := l.gate.expectedGap()
+	if gap == 0 || now.Add(gap).Before(l.deadline) {
+		return nil
+	}
+	return noPrimary(l.unit.Service, gap)
+}
+
 // giveUp leaves the queue and says why.
 func (l *lane) giveUp(t *ticket) *model.Refusal {
 	if granted, late := l.gate.abandon(t, l.unit.Account); late {
@@ -42,11 +57,8 @@
 	if l.gate.ctx.Err() != nil {
 		return notRun(model.ReasonShuttingDown, string(l.unit.Service))
 	}
-	if _, known := l.gate.config.Group.Known().Primary(); !known {
-		return notRun(model.ReasonNoPrimary, string(l.unit.Service))
+	if gap := l.gate.expectedGap(); gap > 0 {
+		return noPrimary(l.unit.Service, gap)
 	}
 	return notRun(model.ReasonDeadline, string(l.unit.Service))
 }
-
-// forget ends the lane's hold on a connection that it has given away.
-func (l *lane) forget() { l.conn, l.server = nil, nil }
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -6,10 +6,8 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"pomelofork/core/model"
 	"pomelofork/core/retry"
 	"pomelofork/core/route"
-	"pomelofork/io/line"
 	"pomelofork/io/script"
 	"pomelofork/io/wire"
 )
@@ -22,6 +20,8 @@
 	grant grant
 	pick  route.Pick
 	open  bool
+	// once is set for the first batch of a write with a request id.
+	once *once
 }
 
 // run waits for a slot, sends the batch, and passes on the answer once it is
@@ -38,6 +38,7 @@
 	if a.open {
 		a.grant.conn, a.pick = l.conn, l.pick
 	}
+	a.once = newOnce(a)
 	a.hold.through = !a.pick.Primary
 	a.hold.certain = func() error { return a.confirm(ctx) }
 	if err := a.exchange(ctx); err != nil {
@@ -59,37 +60,12 @@
 	return wire.Result{TxStatus: a.hold.txStatus, Point: a.hold.point}
 }
 
-// exchange runs the batch on the granted connection. The slot is given back when
-// the server has answered; after a failure the connection is closed.
-func (a *attempt) exchange(ctx context.Context) error {
-	g, c := a.lane.gate, a.grant.conn
-	if c == nil {
-		g.release(a.grant, g.config.Now())
-		return &faultError{retry.FaultNotSent, errors.New("idle connections had been closed")}
-	}
-	if !g.config.Holds() {
-		a.discard()
-		g.release(a.grant, g.config.Now())
-		return notRun(model.ReasonNoGateway, string(g.config.Service))
-	}
-	if err := c.prepare(a.batch.Messages, a.lane.reads()); err != nil {
-		a.discard()
-		g.release(a.grant, g.config.Now())
-		return notRun(model.ReasonBadMessage, err.Error())
-	}
-	err := c.Exchange(ctx, a.take)
-	if err == nil && a.hold.fatal == "" {
-		a.settle()
-		g.release(a.grant, g.config.Now())
-		return nil
-	}
-	return a.failed(ctx, err)
-}
-
 // take handles one step of the answer.
 func (a *attempt) take(step script.Step) error {
 	a.grant.conn.learn(step.Done)
-	if step.Failed != nil {
+	if step.Failed != nil && a.once != nil {
+		a.once.failed = step.Failed.Code
+	} else if step.Failed != nil {
 		return &faultError{retry.FaultLost, errors.New("server refused to switch the mode: " + step.Failed.Code)}
 	}
 	for _, m := range step.Show {
@@ -125,51 +101,3 @@
 	}
 	return a.grant.conn.Interject(messages...)
 }
-
-// failed closes the connection, gives back the slot, and names the fault.
-func (a *attempt) failed(ctx context.Context, err error) error {
-	g := a.lane.gate
-	var lost *line.LostError
-	if ctx.Err() != nil && errors.As(err, &lost) {
-		newRescue(g, a.grant)
-		a.lane.forget()
-		return &faultError{retry.FaultTimeout, err}
-	}
-	a.discard()
-	g.release(a.grant, g.config.Now())
-	if err == nil {
-		err = errors.New("server ended the connection: " + a.hold.fatal)
-	}
-	var sink *sinkError
-	var fault *faultError
-	switch {
-	case errors.As(err, &sink), errors.As(err, &fault):
-		return err
-	case errors.Is(err, errTooLarge):
-		return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonTooLarge, Outcome: model.OutcomeUnknown, Detail: err.Error()})
-	}
-	g.config.Group.Evidence(a.grant.server.id, err)
-	if lost != nil && !lost.Sent() {
-		return &faultError{retry.FaultNotSent, err}
-	}
-	return &faultError{retry.FaultLost, err}
-}
-
-// discard closes the connection, which isn't known to be clean.
-func (a *attempt) discard() {
-	a.grant.conn.altered = true
-	a.lane.gate.giveBack(a.grant.server, a.grant.conn, a.lane.gate.config.Now())
-	a.lane.forget()
-}
-
-// settle keeps the connection for an open transaction, or gives it back.
-func (a *attempt) settle() {
-	l, c := a.lane, a.grant.conn
-	c.altered = c.altered || a.hold.altered
-	if a.hold.txStatus == 'I' {
-		l.gate.giveBack(a.grant.server, c, l.gate.config.Now())
-		l.forget()
-		return
-	}
-	l.conn, l.server, l.pick = c, a.grant.server, a.pick
-}
--- a/io/gate/config.go
+++ b/io/gate/config.go
@@ -56,6 +56,9 @@
 	Check  *assert.Checker
 	// Now returns the present time.
 	Now func() time.Time
+	// Leaving reports whether a backend server is leaving by the platform's list
+	// or an operator's word. It may be nil; what servers say themselves counts too.
+	Leaving func(model.ServerID) bool
 	// Holds reports whether the gateway still has the right to its part.
 	Holds func() bool
 }
@@ -90,6 +93,10 @@
 	endBytes = 16 * 1024 * 1024
 	// statementNames bounds the prepared statements of one connection.
 	statementNames = 256
+	// leavingBound is how long open transactions go on at a leaving server.
+	leavingBound = 3 * time.Second
+	// firstGap is the time without a primary assumed before one was seen.
+	firstGap = 300 * time.Millisecond
 	// noPrimaryRetry is told to callers that were refused for want of a primary.
 	noPrimaryRetry = 500 * time.Millisecond
 )
--- a/io/gate/conn.go
+++ b/io/gate/conn.go
@@ -28,20 +28,24 @@
 	// altered says that callers changed the state of the connection, so that it
 	// must not be given on.
 	altered bool
+	// writes says that the connection is in use by a unit that writes.
+	writes bool
 }
 
 func newConn(l *line.Conn, cancel *pgconn.PgConn, readOnly bool) *conn {
 	return &conn{Conn: l, cancel: cancel, names: newNames(statementNames), readOnly: readOnly}
 }
 
-// prepare adds the messages of a batch for a unit that reads or writes.
-func (c *conn) prepare(messages []pgproto3.FrontendMessage, readOnly bool) error {
+// ready adds what has to go ahead of a batch for a unit that reads or writes.
+func (c *conn) ready(readOnly bool) error {
 	if err := c.turn(readOnly); err != nil {
 		return err
 	}
-	if err := c.shed(); err != nil {
-		return err
-	}
+	return c.shed()
+}
+
+// add adds the messages of a batch.
+func (c *conn) add(messages []pgproto3.FrontendMessage) error {
 	for _, m := range messages {
 		if err := c.addOne(m); err != nil {
 			return err
--- a/io/gate/dispatch.go
+++ b/io/gate/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pomelofork/core/assert"
 	"pomelofork/core/fair"
 	"pomelofork/core/model"
 	"pomelofork/core/route"
@@ -19,18 +20,42 @@
 	known := g.config.Group.Known()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.observe(now, known)
+	g.abort(known)
 	for g.dispatchOne(now, known) {
 		continue
 	}
 	for id, s := range g.servers {
-		if view, ok := known.Server(id); ok && view.Leaving {
-			closeAll(s.pool.Clear())
-			continue
-		}
-		for s.wants(now) {
-			s.pool.Begin()
-			s.open <- struct{}{}
-		}
+		g.warm(now, id, s)
+	}
+}
+
+// observe takes in what the picture says of primaries and leaving servers.
+func (g *Gate) observe(now time.Time, known term.Known) {
+	primary, found := known.Primary()
+	g.gap.Observe(now, found)
+	for id := range g.servers {
+		view, _ := known.Server(id)
+		// Somebody has to take writes until the group has moved the primary.
+		told := id != primary && g.config.Leaving != nil && g.config.Leaving(id)
+		g.leavers.Observe(now, id, view.Leaving || told)
+	}
+}
+
+// warm keeps an idle connection for each free slot, unless the server leaves or
+// the gateway only finishes what it has.
+func (g *Gate) warm(now time.Time, id model.ServerID, s *server) {
+	if g.leavers.Leaving(id) {
+		closeAll(s.pool.Clear())
+		return
+	}
+	if g.door.IsShut() && g.queue.Len() == 0 {
+		closeAll(s.pool.Clear())
+		return
+	}
+	for s.wants(now) {
+		s.pool.Begin()
+		s.open <- struct{}{}
 	}
 }
 
@@ -47,6 +72,7 @@
 	}
 	s := g.servers[pick.Server]
 	s.enter(now)
+	g.config.Check.Hold(!g.leavers.Expired(now, s.id), assert.InvariantLeavingServer, "new work for %s", s.id)
 	granted := grant{item: item, pick: pick, server: s, at: now}
 	if item.Value.pinned == nil {
 		granted.conn = g.takeConn(s, item.Value.readOnly)
@@ -62,7 +88,7 @@
 	}
 	return g.policy.Choose(now, t.ask, known, func(id model.ServerID) route.Load {
 		s, ok := g.servers[id]
-		if !ok {
+		if !ok || g.leavers.Leaving(id) {
 			return route.Load{}
 		}
 		return s.load()
@@ -78,6 +104,10 @@
 			return nil
 		}
 		if c.Quiet() {
+			c.writes = !readOnly
+			if c.writes {
+				g.busy++
+			}
 			return c
 		}
 		c.Close()
@@ -98,6 +128,10 @@
 func (g *Gate) giveBack(s *server, c *conn, now time.Time) {
 	keep := c.clean() && g.config.Holds() && g.ctx.Err() == nil
 	g.mu.Lock()
+	if c.writes {
+		c.writes = false
+		g.busy--
+	}
 	if keep {
 		s.pool.Give(now, c)
 	} else {
@@ -134,3 +168,20 @@
 	}
 	return <-t.grants, true
 }
+
+// expectedGap returns how long the service will probably still have no primary.
+func (g *Gate) expectedGap() time.Duration {
+	now := g.config.Now()
+	_, found := g.config.Group.Known().Primary()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gap.Observe(now, found)
+	return g.gap.Expect(now)
+}
+
+// expired reports whether open transactions of a server get no statement any more.
+func (g *Gate) expired(id model.ServerID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leavers.Expired(g.config.Now(), id)
+}
--- a/io/gate/errors.go
+++ b/io/gate/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"pomelofork/core/model"
 )
@@ -22,3 +23,10 @@
 		Reason: reason, Outcome: model.OutcomeNotRun, RetryAfter: noPrimaryRetry, Detail: detail,
 	})
 }
+
+// noPrimary returns the refusal of something that needs a primary.
+func noPrimary(service model.ServiceID, gap time.Duration) *model.Refusal {
+	return model.NewRefusal(model.RefusalConfig{
+		Reason: model.ReasonNoPrimary, Outcome: model.OutcomeNotRun, RetryAfter: gap, Detail: string(service),
+	})
+}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"pomelofork/core/drain"
 	"pomelofork/core/fair"
 	"pomelofork/core/model"
 	"pomelofork/core/route"
@@ -22,11 +23,15 @@
 	stop    context.CancelFunc
 	kick    chan struct{}
 
-	mu       sync.Mutex
-	queue    fair.Policy[*ticket]
-	lanes    int
-	draining bool
-	idle     chan struct{}
+	mu      sync.Mutex
+	queue   fair.Policy[*ticket]
+	door    drain.Door
+	leavers *drain.Leavers
+	gap     *route.Gap
+	// busy counts the units of work that write and hold a connection.
+	busy int
+	// empty is closed when the last lane behind a shut door has ended.
+	empty chan struct{}
 }
 
 // New starts the gateway. Close ends it.
@@ -44,7 +49,9 @@
 		ctx:     ctx,
 		stop:    stop,
 		kick:    make(chan struct{}, 1),
-		idle:    make(chan struct{}),
+		empty:   make(chan struct{}),
+		leavers: drain.NewLeavers(drain.LeaversConfig{Bound: leavingBound}),
+		gap:     route.NewGap(route.GapConfig{First: firstGap}),
 	}
 	slots := 0
 	for _, each := range c.Servers {
@@ -71,24 +78,29 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.draining {
+	if !g.door.Enter() {
 		return nil, notRun(model.ReasonShuttingDown, string(g.config.Service))
 	}
-	g.lanes++
 	return l, nil
 }
 
+// Busy returns the number of units of work that write and hold a connection.
+func (g *Gate) Busy() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.busy
+}
+
 // Drain refuses new lanes and waits until the running ones have ended or ctx has.
 func (g *Gate) Drain(ctx context.Context) error {
 	g.mu.Lock()
-	g.draining = true
-	if g.lanes == 0 {
-		g.mu.Unlock()
+	empty := g.door.Shut()
+	g.mu.Unlock()
+	if empty {
 		return nil
 	}
-	g.mu.Unlock()
 	select {
-	case <-g.idle:
+	case <-g.empty:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -99,9 +111,8 @@
 func (g *Gate) leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lanes--
-	if g.draining && g.lanes == 0 {
-		close(g.idle)
+	if g.door.Leave() {
+		close(g.empty)
 	}
 }
 
--- a/io/gate/hold.go
+++ b/io/gate/hold.go
@@ -36,6 +36,7 @@
 	rows      bool
 	reads     bool
 	committed bool
+	began     bool
 	altered   bool
 	failure   string
 	fatal     string
@@ -94,6 +95,7 @@
 func (h *hold) command(tag string) {
 	h.completed = true
 	h.committed = h.committed || commits(tag)
+	h.began = h.began || begins(tag)
 	h.altered = h.altered || alters(tag)
 	h.reads = h.reads || (h.rows && !changes(tag))
 	h.rows = false
@@ -146,3 +148,8 @@
 	}
 	return nil
 }
+
+// discard forgets an answer of which nothing was passed on.
+func (h *hold) discard() {
+	*h = hold{sink: h.sink, through: h.through, certain: h.certain}
+}
--- a/io/gate/lane.go
+++ b/io/gate/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"pomelofork/core/model"
@@ -12,6 +13,8 @@
 
 // lane is one unit of work. It implements wire.Lane.
 type lane struct {
+	// mu keeps the end of the unit's time out of a running batch.
+	mu       sync.Mutex
 	gate     *Gate
 	unit     wire.Unit
 	ask      route.Ask
@@ -22,6 +25,7 @@
 	conn   *conn
 	server *server
 	pick   route.Pick
+	expiry *time.Timer
 	// confirmed says that the primary was seen to lead after the unit began.
 	confirmed bool
 	committed bool
@@ -53,8 +57,11 @@
 
 // Run implements wire.Lane.
 func (l *lane) Run(ctx context.Context, batch wire.Batch, sink wire.Sink) (wire.Result, error) {
-	if l.finished {
-		return wire.Result{}, notRun(model.ReasonShuttingDown, "the lane is finished")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if refusal := l.unusable(); refusal != nil {
+		l.end()
+		return wire.Result{}, refusal
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.deadline.Sub(l.gate.config.Now()))
 	defer cancel()
@@ -64,40 +71,79 @@
 		if err == nil {
 			return result, nil
 		}
-		verdict, final := l.judge(ctx, a, err)
-		if final != nil {
-			l.Close()
+		if final := l.next(ctx, a, err); final != nil {
+			l.end()
 			return wire.Result{}, final
 		}
-		if verdict.Action != retry.ActionAgain {
-			l.Close()
-			return wire.Result{}, l.refusal(verdict, a)
-		}
-		if err := l.pause(ctx); err != nil {
-			l.Close()
-			return wire.Result{}, l.refusal(verdict, a)
-		}
 	}
 }
 
+// next returns nil when the batch is to be tried again, and otherwise the final
+// answer.
+func (l *lane) next(ctx context.Context, a *attempt, err error) error {
+	verdict, final := l.judge(ctx, a, err)
+	if final != nil {
+		return final
+	}
+	if verdict.Action == retry.ActionRefuse {
+		return l.refusal(verdict, a)
+	}
+	if err := l.pause(ctx); err != nil {
+		return l.refusal(verdict, a)
+	}
+	return nil
+}
+
+// unusable returns the refusal of a lane that can't run anything more. What was
+// done in its open transaction is rolled back.
+func (l *lane) unusable() *model.Refusal {
+	switch {
+	case l.finished:
+		return l.certain(notRun(model.ReasonDeadline, "the unit of work is over"))
+	case l.conn == nil:
+		return nil
+	case l.pick.Primary && !l.reads() && l.gate.config.Group.Known().Term() > l.pick.Term:
+		return l.certain(notRun(model.ReasonNoPrimary, "the transaction's primary was replaced"))
+	case l.gate.expired(l.server.id):
+		return l.certain(notRun(model.ReasonShuttingDown, "backend server "+string(l.server.id)+" is leaving"))
+	}
+	return nil
+}
+
 // Close implements wire.Lane.
 func (l *lane) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.end()
+}
+
+// end ends the lane. A connection with an open transaction is closed, and the
+// server then rolls back.
+func (l *lane) end() {
 	if l.finished {
 		return
 	}
 	l.finished = true
 	if l.conn != nil {
-		l.dropConn()
+		l.conn.altered = true
+		l.gate.giveBack(l.server, l.conn, l.gate.config.Now())
 	}
+	l.forget()
 	l.gate.leave()
 }
 
-// dropConn closes the connection of an open transaction, which the server then
-// rolls back.
-func (l *lane) dropConn() {
-	l.conn.Close()
-	l.gate.mu.Lock()
-	l.server.pool.Drop()
-	l.gate.mu.Unlock()
+// pin keeps a connection for an open transaction, but not past the unit's time.
+func (l *lane) pin(s *server, c *conn, a *attempt) {
+	if l.conn == nil {
+		l.expiry = time.AfterFunc(l.deadline.Sub(l.gate.config.Now()), l.Close)
+	}
+	l.conn, l.server, l.pick = c, s, a.pick
+}
+
+// forget ends the lane's hold on a connection that it has given away.
+func (l *lane) forget() {
+	if l.expiry != nil {
+		l.expiry.Stop()
+	}
 	l.conn, l.server = nil, nil
 }
--- /dev/null
+++ b/io/gate/reply.go
@@ -0,0 +1,60 @@
+package gate
+
+import (
+	"context"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"pomelofork/core/model"
+	"pomelofork/io/script"
+)
+
+// reply is the answer to a statement of the gateway's own.
+type reply struct {
+	failure  string
+	txStatus byte
+	point    model.Point
+	rows     [][]string
+}
+
+// ask runs a statement of the gateway's own on a connection.
+func ask(ctx context.Context, c *conn, text string) (*reply, error) {
+	if err := c.Add(&pgproto3.Query{String: text}); err != nil {
+		return nil, err
+	}
+	r := &reply{}
+	err := c.Exchange(ctx, func(step script.Step) error {
+		for _, m := range step.Show {
+			if err := r.take(m); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return r, err
+}
+
+func (r *reply) take(m pgproto3.BackendMessage) error {
+	switch m := m.(type) {
+	case *pgproto3.ErrorResponse:
+		if r.failure == "" {
+			r.failure = m.Code
+		}
+	case *pgproto3.ReadyForQuery:
+		r.txStatus = m.TxStatus
+	case *pgproto3.DataRow:
+		row := make([]string, len(m.Values))
+		for i, value := range m.Values {
+			row[i] = string(value)
+		}
+		r.rows = append(r.rows, row)
+	case *pgproto3.ParameterStatus:
+		if m.Name != parameterPoint {
+			return nil
+		}
+		point, err := model.ParsePoint(m.Value)
+		r.point = point
+		return err
+	}
+	return nil
+}
--- a/io/gate/server.go
+++ b/io/gate/server.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"time"
 
 	"pomelofork/core/model"
@@ -18,6 +19,8 @@
 	pool  *pool.Pool[*conn]
 	// open asks the server's opener for one more connection.
 	open chan struct{}
+	// running are the attempts that the server works on.
+	running map[*attempt]context.CancelCauseFunc
 }
 
 func newServer(s Server, part Part) *server {
@@ -27,6 +30,8 @@
 		slots: slots,
 		pool:  pool.New[*conn](pool.Config{Limit: connections, Retry: connectRetry}),
 		open:  make(chan struct{}, max(1, connections)),
+
+		running: map[*attempt]context.CancelCauseFunc{},
 	}
 }
 
--- a/io/gate/tags.go
+++ b/io/gate/tags.go
@@ -23,6 +23,9 @@
 	return beginsWith(tag, []string{"COMMIT", "PREPARE TRANSACTION"})
 }
 
+// begins reports whether a completed command opened a transaction block.
+func begins(tag string) bool { return beginsWith(tag, []string{"BEGIN", "START TRANSACTION"}) }
+
 func beginsWith(tag string, words []string) bool {
 	for _, word := range words {
 		if strings.HasPrefix(tag, word) {
