--- a/io/gate/judge.go
+++ b/io/gate/judge.go
@@ -17,16 +17,16 @@
 func (l *lane) judge(ctx context.Context, a *attempt, err error) (retry.Verdict, error) {
 	var refusal *model.Refusal
 	if errors.As(err, &refusal) {
-		return retry.Verdict{}, l.certain(refusal)
+		return retry.Verdict{}, l.course.Correct(refusal)
 	}
 	var fault *faultError
 	if !errors.As(err, &fault) {
 		// The sink took no more. Nobody is there to be told.
-		return retry.Verdict{}, l.certain(model.NewRefusal(model.RefusalConfig{
+		return retry.Verdict{}, l.course.Correct(model.NewRefusal(model.RefusalConfig{
 			Reason: model.ReasonLinkLost, Outcome: l.afterSend(), Detail: err.Error(),
 		}))
 	}
-	verdict := retry.Decide(retry.Try{
+	verdict := l.course.Fail(retry.Try{
 		Fault:      fault.fault,
 		Access:     l.unit.Access,
 		Idempotent: l.unit.Idempotent,
@@ -35,7 +35,6 @@
 		Shown:      a.hold.shown,
 		Committed:  l.committed || a.hold.committed,
 	})
-	l.doubt = l.doubt || verdict.Outcome == model.OutcomeUnknown
 	if ctx.Err() != nil {
 		verdict.Action = retry.ActionRefuse
 	}
@@ -50,24 +49,13 @@
 	return model.OutcomeUnknown
 }
 
-// certain corrects the outcome of a refusal when an earlier attempt at the same
-// batch may have taken effect.
-func (l *lane) certain(refusal *model.Refusal) *model.Refusal {
-	if !l.doubt || refusal.Outcome() == model.OutcomeUnknown {
-		return refusal
-	}
-	return model.NewRefusal(model.RefusalConfig{
-		Reason: refusal.Reason(), Outcome: model.OutcomeUnknown, RetryAfter: refusal.RetryAfter(), Detail: refusal.Detail(),
-	})
-}
-
 // refusal returns the caller's answer for a verdict.
 func (l *lane) refusal(verdict retry.Verdict, a *attempt) *model.Refusal {
 	var after time.Duration
 	if verdict.Outcome == model.OutcomeNotRun {
 		after = noPrimaryRetry
 	}
-	return l.certain(model.NewRefusal(model.RefusalConfig{
+	return l.course.Correct(model.NewRefusal(model.RefusalConfig{
 		Reason: verdict.Reason, Outcome: verdict.Outcome, RetryAfter: after, Detail: string(a.pick.Server),
 	}))
 }
--- a/io/gate/lane.go
+++ b/io/gate/lane.go
@@ -29,8 +29,8 @@
 	// confirmed says that the primary was seen to lead after the unit began.
 	confirmed bool
 	committed bool
-	// doubt says that an earlier attempt at the batch may have taken effect.
-	doubt    bool
+	// course follows the attempts at the present batch.
+	course   retry.Course
 	finished bool
 }
 
@@ -59,6 +59,7 @@
 func (l *lane) Run(ctx context.Context, batch wire.Batch, sink wire.Sink) (wire.Result, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.course = retry.Course{}
 	if refusal := l.unusable(); refusal != nil {
 		l.end()
 		return wire.Result{}, refusal
@@ -99,13 +100,13 @@
 func (l *lane) unusable() *model.Refusal {
 	switch {
 	case l.finished:
-		return l.certain(notRun(model.ReasonDeadline, "the unit of work is over"))
+		return l.course.Correct(notRun(model.ReasonDeadline, "the unit of work is over"))
 	case l.conn == nil:
 		return nil
 	case l.pick.Primary && !l.reads() && l.gate.config.Group.Known().Term() > l.pick.Term:
-		return l.certain(notRun(model.ReasonNoPrimary, "the transaction's primary was replaced"))
+		return l.course.Correct(notRun(model.ReasonNoPrimary, "the transaction's primary was replaced"))
 	case l.gate.expired(l.server.id):
-		return l.certain(notRun(model.ReasonShuttingDown, "backend server "+string(l.server.id)+" is leaving"))
+		return l.course.Correct(notRun(model.ReasonShuttingDown, "backend server "+string(l.server.id)+" is leaving"))
 	}
 	return nil
 }
