Keep the scan's starting place while looking for the account that is due

Random loads of accounts that always have work gave an account with cheap statements 6 % less slot time than the others, at any length of the run. Ruled out: the cap on credit, the estimates and their rounding (both came out even when logged). Cause: the scan over the ring moved the cursor that it counted from, so it passed over some accounts when all had overdrawn.

--- a/core/fair/robin.go
+++ b/core/fair/robin.go
@@ -110,8 +110,9 @@
 	var first *account[T]
 	var firstAt int
 	var rounds int64
+	begin := r.cursor
 	for i := range r.ring {
-		at := (r.cursor + i) % len(r.ring)
+		at := (begin + i) % len(r.ring)
 		queue := r.ring[at]
 		item, ok := queue.find(fits)
 		if !ok {
