--- a/core/burn/alert.go
+++ b/core/burn/alert.go
@@ -15,8 +15,10 @@
 // Window returns the rule.
 func (a Alert) Window() Window { return a.window }
 
-// Long and Short return the burn in the two windows, for the same part.
-func (a Alert) Long() Rate  { return a.long }
+// Long returns the burn in the long window, for the part that fares worst.
+func (a Alert) Long() Rate { return a.long }
+
+// Short returns the burn in the short window, for the same part.
 func (a Alert) Short() Rate { return a.short }
 
 // Firing reports whether both windows burn too fast.
--- /dev/null
+++ b/io/chart/doc.go
@@ -0,0 +1,2 @@
+// Package chart draws figures as PNG pictures.
+package chart
--- /dev/null
+++ b/io/scrape/file.go
@@ -0,0 +1,36 @@
+package scrape
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// WriteLines appends snapshots as JSON lines.
+func WriteLines(w io.Writer, snapshots []Snapshot) error {
+	encoder := json.NewEncoder(w)
+	for _, snapshot := range snapshots {
+		if err := encoder.Encode(snapshot); err != nil {
+			return fmt.Errorf("write snapshots: %w", err)
+		}
+	}
+	return nil
+}
+
+// ReadLines reads all snapshots of a file of JSON lines.
+func ReadLines(r io.Reader) ([]Snapshot, error) {
+	var list []Snapshot
+	decoder := json.NewDecoder(r)
+	for {
+		var snapshot Snapshot
+		err := decoder.Decode(&snapshot)
+		if errors.Is(err, io.EOF) {
+			return list, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("read snapshot %d: %w", len(list)+1, err)
+		}
+		list = append(list, snapshot)
+	}
+}
--- /dev/null
+++ b/io/scrape/vars.go
@@ -0,0 +1,68 @@
+package scrape
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"pomelofork/core/model"
+	"pomelofork/io/meter"
+)
+
+// Account holds the counters of one client account at one instance.
+type Account struct {
+	Served        float64 `json:"served"`
+	RefusedByRate float64 `json:"refused_by_rate"`
+	Failed        float64 `json:"failed"`
+}
+
+// Service holds the counters of one service at one instance.
+type Service struct {
+	Term       uint64  `json:"term"`
+	WritesOK   float64 `json:"writes_ok"`
+	GapMS      float64 `json:"gap_ms"`
+	WorstGapMS float64 `json:"worst_gap_ms"`
+}
+
+// Rate is the rate and burst of one client account.
+type Rate struct {
+	PerSecond float64 `json:"per_second"`
+	Burst     float64 `json:"burst"`
+}
+
+// Vars are the metrics of one instance, as far as objectives need them.
+type Vars struct {
+	Instance model.InstanceID            `json:"instance"`
+	Accounts map[model.AccountID]Account `json:"accounts"`
+	Services map[model.ServiceID]Service `json:"services"`
+	Rates    map[model.AccountID]Rate    `json:"rates"`
+}
+
+// Snapshot holds the metrics of one instance at one moment.
+type Snapshot struct {
+	// AtMS is the moment, in milliseconds of Unix time.
+	AtMS int64 `json:"at_ms"`
+	// Vars are the metrics.
+	Vars Vars `json:"vars"`
+}
+
+// At returns the moment of the snapshot.
+func (s Snapshot) At() time.Time { return time.UnixMilli(s.AtMS) }
+
+// decodeVars reads the answer of /debug/vars.
+func decodeVars(r io.Reader) (Vars, error) {
+	var all map[string]json.RawMessage
+	if err := json.NewDecoder(r).Decode(&all); err != nil {
+		return Vars{}, fmt.Errorf("metrics: %w", err)
+	}
+	text, ok := all[meter.Name]
+	if !ok {
+		return Vars{}, fmt.Errorf("metrics: no variable %q", meter.Name)
+	}
+	var vars Vars
+	if err := json.Unmarshal(text, &vars); err != nil {
+		return Vars{}, fmt.Errorf("metrics: %q: %w", meter.Name, err)
+	}
+	return vars, nil
+}
