--- a/bench/load/config.go
+++ b/bench/load/config.go
@@ -1,43 +1,14 @@
 package load
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
-	"time"
 
 	"pomelofork/bench/judge"
+	"pomelofork/core/conf"
+	"pomelofork/core/model"
 )
 
-// document is the part of a configuration file that shapes the load.
-type document struct {
-	Preset  string `json:"preset"`
-	Presets map[string]struct {
-		RatePercent   float64 `json:"rate_percent"`
-		MaxAgePercent *int64  `json:"max_age_percent"`
-		MaxAgeMS      *int64  `json:"max_age_ms"`
-	} `json:"presets"`
-	Accounts []struct {
-		ID       string  `json:"id"`
-		RatePerS float64 `json:"rate_per_s"`
-		Burst    float64 `json:"burst"`
-	} `json:"accounts"`
-	Services []struct {
-		ID string `json:"id"`
-	} `json:"services"`
-	Routes []documentRoute `json:"routes"`
-}
-
-// documentRoute is one route of a configuration file.
-type documentRoute struct {
-	ID        string   `json:"id"`
-	Service   string   `json:"service"`
-	Access    string   `json:"access"`
-	MaxAgeMS  int64    `json:"max_age_ms"`
-	Accounts  []string `json:"accounts"`
-	OpenToAll bool     `json:"open_to_all"`
-}
-
 // Shape says how a plan follows from a configuration.
 type Shape struct {
 	// Share is the part of its rate that each account offers.
@@ -48,31 +19,27 @@
 	KeyOf func(account string) string
 }
 
-// PlanFrom fills the services and accounts of a plan from the text of a
-// configuration file.
-func PlanFrom(text []byte, shape Shape, base Plan) (Plan, error) {
-	var doc document
-	if err := json.Unmarshal(text, &doc); err != nil {
-		return Plan{}, fmt.Errorf("configuration: %w", err)
-	}
-	ratePercent := 100.0
-	if preset, ok := doc.Presets[doc.Preset]; ok && preset.RatePercent > 0 {
-		ratePercent = preset.RatePercent
-	}
-	for _, account := range doc.Accounts {
-		rate := judge.Rate{PerSecond: account.RatePerS * ratePercent / 100, Burst: account.Burst}
-		factor, ok := shape.Factors[account.ID]
+// PlanFrom fills the services and accounts of a plan from a configuration, under
+// the preset that is in force in it.
+func PlanFrom(config *conf.Config, shape Shape, base Plan) (Plan, error) {
+	services := config.Services()
+	for _, account := range config.Accounts() {
+		name := string(account.ID())
+		factor, ok := shape.Factors[name]
 		if !ok {
 			factor = 1
 		}
-		offered := rate.PerSecond * shape.Share * factor
+		offered := account.Rate() * shape.Share * factor
 		base.Accounts = append(base.Accounts, Account{
-			Name: account.ID, Key: shape.KeyOf(account.ID), Rate: rate, Offered: offered,
-			Sessions: sessionsFor(offered, len(doc.Services)),
+			Name:     name,
+			Key:      shape.KeyOf(name),
+			Rate:     judge.Rate{PerSecond: account.Rate(), Burst: float64(account.Burst())},
+			Offered:  offered,
+			Sessions: sessionsFor(offered, len(services)),
 		})
 	}
-	for _, service := range doc.Services {
-		found, err := doc.service(service.ID)
+	for _, service := range services {
+		found, err := serviceOf(config, service.ID())
 		if err != nil {
 			return Plan{}, err
 		}
@@ -82,7 +49,7 @@
 }
 
 // sessionsFor returns enough sessions that an operation seldom waits for the one
-// before it, and at least one for each service.
+// before it, and at least two for each service.
 func sessionsFor(offered float64, services int) int {
 	const (
 		perSession = 4.0 // operations a second
@@ -91,41 +58,35 @@
 	return min(most, max(2*services, int(math.Ceil(offered/perSession))))
 }
 
-// service finds the routes of a service by use.
-func (d *document) service(id string) (Service, error) {
-	s := Service{Name: id}
-	for _, route := range d.Routes {
-		if route.Service != id || route.OpenToAll || len(route.Accounts) > 0 {
+// serviceOf finds the routes of a service by use.
+func serviceOf(config *conf.Config, id model.ServiceID) (Service, error) {
+	s := Service{Name: string(id)}
+	for _, route := range config.Routes() {
+		if route.Service() != id || route.OpenToAll() {
 			continue
 		}
-		age := d.ageOf(route)
-		found := Route{Name: route.ID, MaxAge: age}
+		found := Route{Name: string(route.ID()), MaxAge: route.MaxAge()}
 		switch {
-		case route.Access == "write" && s.Write.Name == "":
-			s.Write = found
-		case route.Access != "write" && age > 0 && s.Aged.Name == "":
-			s.Aged = found
-		case route.Access != "write" && age == 0 && s.Fresh.Name == "":
-			s.Fresh = found
+		case route.Access() == model.AccessWrite:
+			// The ledger counts doubles, so its writes are no idempotent requests.
+			if !route.Idempotent() {
+				takeFirst(&s.Write, found)
+			}
+		case route.MaxAge() > 0:
+			takeFirst(&s.Aged, found)
+		default:
+			takeFirst(&s.Fresh, found)
 		}
 	}
 	if s.Write.Name == "" || s.Aged.Name == "" || s.Fresh.Name == "" {
-		return s, fmt.Errorf("configuration: service %s needs a write route, an aged and a fresh read route for every account", id)
+		return s, fmt.Errorf("service %s needs a write route, an aged and a fresh read route for every account", id)
 	}
 	return s, nil
 }
 
-// ageOf returns the age that a route accepts under the preset in force.
-func (d *document) ageOf(route documentRoute) time.Duration {
-	age := time.Duration(route.MaxAgeMS) * time.Millisecond
-	preset := d.Presets[d.Preset]
-	switch {
-	case age == 0:
-		return 0
-	case preset.MaxAgeMS != nil:
-		return time.Duration(*preset.MaxAgeMS) * time.Millisecond
-	case preset.MaxAgePercent != nil:
-		return age * time.Duration(*preset.MaxAgePercent) / 100
+// takeFirst keeps the route that was declared first.
+func takeFirst(slot *Route, found Route) {
+	if slot.Name == "" {
+		*slot = found
 	}
-	return age
 }
--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -11,6 +11,7 @@
 	"pomelofork/bench/judge"
 	"pomelofork/bench/load"
 	"pomelofork/bench/tally"
+	"pomelofork/core/conf"
 	"pomelofork/emul/pgsim"
 )
 
@@ -21,10 +22,17 @@
 
 // config is a small configuration with one service.
 const config = `{
+	"format": 1, "version": 1,
 	"preset": "peak",
 	"presets": {"peak": {"rate_percent": 200, "max_age_percent": 50}},
-	"accounts": [{"id": "large", "rate_per_s": 100, "burst": 50}, {"id": "small", "rate_per_s": 20, "burst": 10}],
-	"services": [{"id": "db"}],
+	"accounts": [
+		{"id": "large", "rate_per_s": 100, "burst": 50, "share": 1, "keys": []},
+		{"id": "small", "rate_per_s": 20, "burst": 10, "share": 1, "keys": []}
+	],
+	"services": [{
+		"id": "db", "database": "db", "user": "u", "password": "p", "statement_timeout_ms": 5000,
+		"servers": [{"id": "db-0", "address": "127.0.0.1:7500", "failure_domain": "a", "slots": 2, "connections": 16}]
+	}],
 	"routes": [
 		{"id": "db-write", "service": "db", "access": "write"},
 		{"id": "db-open", "service": "db", "access": "read", "open_to_all": true},
@@ -35,7 +43,11 @@
 
 // planFor returns a short plan against the entries.
 func planFor(entries ...string) (load.Plan, error) {
-	return load.PlanFrom([]byte(config), load.Shape{
+	parsed, err := conf.Parse([]byte(config))
+	if err != nil {
+		return load.Plan{}, err
+	}
+	return load.PlanFrom(parsed, load.Shape{
 		Share:   0.5,
 		Factors: map[string]float64{"small": 2},
 		KeyOf:   func(account string) string { return "demo-" + account },
--- /dev/null
+++ b/cmd/pomelo-load/layout.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"pomelofork/core/conf"
+)
+
+// layoutCommand prints parts of a configuration, so that scripts need no JSON tool.
+type layoutCommand struct {
+	Config string `required:"" type:"existingfile" help:"Configuration file."`
+	Part   string `arg:"" enum:"services,accounts,servers,swap" help:"services: 'number id user password slots connections address'; accounts: 'id rate burst'; servers: 'id service address failure-domain'; swap: body of the call that stores the configuration."`
+}
+
+// readConfig reads and checks a configuration file.
+func readConfig(path string) (*conf.Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	config, err := conf.Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return config, nil
+}
+
+// Run prints the part, one line for each entry.
+func (c *layoutCommand) Run() error {
+	config, err := readConfig(c.Config)
+	if err != nil {
+		return err
+	}
+	switch c.Part {
+	case "services":
+		return printServices(config)
+	case "servers":
+		for _, service := range config.Services() {
+			for _, server := range service.Servers() {
+				fmt.Println(server.ID(), service.ID(), server.Address(), server.Domain())
+			}
+		}
+	case "accounts":
+		for _, account := range config.Accounts() {
+			fmt.Println(account.ID(), account.Rate(), account.Burst())
+		}
+	case "swap":
+		return c.printSwap()
+	}
+	return nil
+}
+
+// printServices prints one line for each service.
+func printServices(config *conf.Config) error {
+	for i, service := range config.Services() {
+		password, err := service.Password(os.LookupEnv)
+		if err != nil {
+			return err
+		}
+		first := service.Servers()[0]
+		fmt.Println(i, service.ID(), service.User(), password, first.Slots(), first.Connections(), first.Address())
+	}
+	return nil
+}
+
+// swapBody is the call that stores a configuration where there was none.
+type swapBody struct {
+	Key              string `json:"key"`
+	ExpectedRevision uint64 `json:"expected_revision"`
+	Value            string `json:"value"`
+}
+
+// printSwap prints the body of the call that stores the file.
+func (c *layoutCommand) printSwap() error {
+	text, err := os.ReadFile(c.Config)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(swapBody{Key: "config", Value: string(text)})
+}
--- a/cmd/pomelo-load/main.go
+++ b/cmd/pomelo-load/main.go
@@ -21,7 +21,9 @@
 
 // commands is the command line.
 type commands struct {
-	Run runCommand `cmd:"" help:"Drive a fleet and print one JSON object. Exit status 0: everything held; 1: something that must hold was seen broken; 2: the run failed."`
+	Run     runCommand     `cmd:"" help:"Drive a fleet and print one JSON object. Exit status 0: everything held; 1: something that must hold was seen broken; 2: the run failed."`
+	Layout  layoutCommand  `cmd:"" help:"Print parts of a configuration in the forms that scripts need."`
+	Primary primaryCommand `cmd:"" help:"Print the backend server that leads a group of the stand-in."`
 }
 
 func main() {
--- a/cmd/pomelo-load/run.go
+++ b/cmd/pomelo-load/run.go
@@ -34,7 +34,7 @@
 
 // plan builds the plan of the run.
 func (c *runCommand) plan() (load.Plan, error) {
-	text, err := os.ReadFile(c.Config)
+	config, err := readConfig(c.Config)
 	if err != nil {
 		return load.Plan{}, err
 	}
@@ -42,7 +42,7 @@
 	if run == "" {
 		run = "r" + strconv.FormatInt(time.Now().UnixMilli(), 36)
 	}
-	return load.PlanFrom(text, load.Shape{
+	return load.PlanFrom(config, load.Shape{
 		Share:   c.Share,
 		Factors: c.Factor,
 		KeyOf:   func(account string) string { return c.KeyPrefix + account },
--- a/cmd/pomelofork/report_burn.go
+++ b/cmd/pomelofork/report_burn.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"pomelofork/core/burn"
@@ -39,7 +41,9 @@
 }
 
 // Run prints the report.
-func (c *burnCommand) Run(ctx context.Context) error {
+func (c *burnCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	rounds, err := c.rounds(ctx)
 	if err != nil {
 		return err
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -46,17 +46,17 @@
 }
 
 up() {
+	local id rate burst
 	fleet_up
 	echo "entries:   $(entries | tr , ' ')"
 	echo "platform:  http://$PLATFORM"
-	echo "services:  $SERVICES"
+	echo "services:  $(layout services | cut -d' ' -f2 | tr '\n' ' ')"
 	echo "accounts:"
-	python3 - "$CONFIG" <<'PY'
-import json, sys
-for account in json.load(open(sys.argv[1]))["accounts"]:
-    print(f"  {account['id']}  key demo-{account['id']}  {account['rate_per_s']:g}/s, burst {account['burst']}")
-PY
-	echo "try:       PGPASSWORD=demo-ACCOUNT psql -h 127.0.0.1 -p 7000 -U ACCOUNT ${SERVICES%% *}"
+	layout accounts | while read -r id rate burst; do
+		echo "  $id  key demo-$id  $rate/s, burst $burst"
+	done
+	read -r id _ < <(layout accounts)
+	echo "try:       PGPASSWORD=demo-$id psql -h 127.0.0.1 -p 7000 -U $id $(layout services | head -1 | cut -d' ' -f2)"
 	echo "stop:      make demo-down"
 }
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -4,12 +4,22 @@
 
 RUN_DIR=${RUN_DIR:-out/demo}
 CONFIG=${CONFIG:-examples/slamka.json}
-SERVICES=${SERVICES:-"straw-ledger-0 straw-ledger-1 straw-ledger-2"}
-DOMAINS=(${DOMAINS:-sk-central-a sk-central-b sk-central-c sk-central-d})
 INSTANCES=${INSTANCES:-7}
 PLATFORM=127.0.0.1:7400
-# Flags that every group stand-in gets besides its name and addresses.
-GROUP_FLAGS=${GROUP_FLAGS:-"--slots 2 --connections 16 --connect-cost 10ms"}
+CONNECT_COST=${CONNECT_COST:-10ms}
+# What instances show each other on links. A real fleet keeps it in the environment.
+export POMELOFORK_FLEET_SECRET=${POMELOFORK_FLEET_SECRET:-demo-fleet}
+
+# layout PART: prints a part of the configuration, see pomelo-load layout --help.
+layout() { bin/pomelo-load layout "$1" --config "$CONFIG"; }
+
+# domain_of K: the failure domain of instance entry-K. Instances take turns through
+# the failure domains of the backend servers.
+domain_of() {
+	local domains
+	mapfile -t domains < <(layout servers | cut -d' ' -f4 | sort -u)
+	echo "${domains[$(($1 % ${#domains[@]}))]}"
+}
 
 say() { echo "$(date +%T) $*" >&2; }
 
@@ -64,7 +74,7 @@
 start_entry() {
 	local k=$1
 	start "entry-$k" bin/pomelofork serve --id "entry-$k" \
-		--failure-domain "${DOMAINS[$((k % ${#DOMAINS[@]}))]}" \
+		--failure-domain "$(domain_of "$k")" \
 		--caller-listen "127.0.0.1:700$k" --link-listen "127.0.0.1:710$k" \
 		--peer-listen "127.0.0.1:720$k" --admin-listen "127.0.0.1:730$k" \
 		--platform "http://$PLATFORM"
@@ -84,38 +94,22 @@
 }
 
 # primary_of SERVICE-NUMBER: the backend server that leads the newest term.
-primary_of() {
-	curl -sf "http://127.0.0.1:76${1}0/control/state" |
-		python3 -c 'import json,sys; s=[x for x in json.load(sys.stdin)["servers"] if x["primary"] and not x["killed"]]; print(max(s, key=lambda x: x["promised"])["id"] if s else "")'
-}
+primary_of() { bin/pomelo-load primary "127.0.0.1:76${1}0"; }
 
 # put_instances: fills the platform's list of instances.
 put_instances() {
-	local k n service list=
+	local k id service address domain list=
 	for k in $(seq 0 $((INSTANCES - 1))); do
-		list+=",{\"id\":\"entry-$k\",\"kind\":\"entry\",\"address\":\"127.0.0.1:720$k\",\"failure_domain\":\"${DOMAINS[$((k % ${#DOMAINS[@]}))]}\",\"service\":\"\",\"state\":\"live\"}"
-	done
-	n=0
-	for service in $SERVICES; do
-		for k in 0 1 2; do
-			list+=",{\"id\":\"$service-$k\",\"kind\":\"backend_server\",\"address\":\"127.0.0.1:75$n$k\",\"failure_domain\":\"${DOMAINS[$k]}\",\"service\":\"$service\",\"state\":\"live\"}"
-		done
-		n=$((n + 1))
+		list+=",{\"id\":\"entry-$k\",\"kind\":\"entry\",\"address\":\"127.0.0.1:720$k\",\"failure_domain\":\"$(domain_of "$k")\",\"service\":\"\",\"state\":\"live\"}"
 	done
+	while read -r id service address domain; do
+		list+=",{\"id\":\"$id\",\"kind\":\"backend_server\",\"address\":\"$address\",\"failure_domain\":\"$domain\",\"service\":\"$service\",\"state\":\"live\"}"
+	done < <(layout servers)
 	curl -sf -X PUT "http://$PLATFORM/control/instances" -d "{\"instances\":[${list#,}]}" >/dev/null
 }
 
 # put_config: puts the configuration in force.
-put_config() {
-	if bin/pomelofork admin config put --help >/dev/null 2>&1; then
-		bin/pomelofork admin --platform "http://$PLATFORM" config put "$CONFIG" >&2
-		return
-	fi
-	python3 - "$CONFIG" <<'PY' | curl -sf -X POST "http://$PLATFORM/v1/swap" -d @- >/dev/null
-import json, sys
-print(json.dumps({"key": "config", "expected_revision": 0, "value": open(sys.argv[1]).read()}))
-PY
-}
+put_config() { layout swap | curl -sf -X POST "http://$PLATFORM/v1/swap" -d @- >/dev/null; }
 
 # wait_ready: waits until every instance says that it is ready.
 wait_ready() {
@@ -143,19 +137,24 @@
 	done
 }
 
+# start_groups: starts the stand-in of each service's group of backend servers.
+start_groups() {
+	local n service user password slots connections address
+	while read -r n service user password slots connections address; do
+		POMELO_GROUP_PASSWORD=$password start "group-$n" bin/pomelo-group --service "$service" \
+			--listen "$address" --control "127.0.0.1:76${n}0" --user "$user" \
+			--slots "$slots" --connections "$connections" --connect-cost "$CONNECT_COST"
+	done < <(layout services)
+}
+
 # fleet_up: starts the platform, the groups and the instances, and waits for them.
 fleet_up() {
-	local n=0 service k
+	local k
 	mkdir -p "$RUN_DIR"
 	end_all
 	rm -f "$RUN_DIR"/*.log
 	start platform bin/pomelo-platform --listen "$PLATFORM"
-	for service in $SERVICES; do
-		# shellcheck disable=SC2086 # the flags are meant to be split
-		start "group-$n" bin/pomelo-group --service "$service" \
-			--listen "127.0.0.1:75${n}0" --control "127.0.0.1:76${n}0" $GROUP_FLAGS
-		n=$((n + 1))
-	done
+	start_groups
 	wait_port "$PLATFORM"
 	put_instances
 	put_config
