--- /dev/null
+++ b/cmd/pomelo-load/sample.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"time"
+
+	"pomelofork/bench/proc"
+)
+
+// sampleCommand measures what running processes use.
+type sampleCommand struct {
+	Dir      string        `required:"" type:"existingdir" help:"Directory of files NAME.pid."`
+	Pattern  string        `default:"entry-*" help:"Names of the processes to measure."`
+	For      time.Duration `default:"10s" help:"Time over which to measure."`
+	Platform string        `help:"Base URL of the platform's stand-in, whose calls are counted too."`
+}
+
+// sampleReport is what the command prints.
+type sampleReport struct {
+	ElapsedS float64 `json:"elapsed_s"`
+	// Processes are the samples, and the rest their means.
+	Processes   []proc.Sample `json:"processes"`
+	CoreShare   float64       `json:"mean_core_share"`
+	RSSBytes    float64       `json:"mean_rss_bytes"`
+	ReadPerS    float64       `json:"mean_read_bytes_per_s"`
+	WrittenPerS float64       `json:"mean_written_bytes_per_s"`
+	// StoreCallsPerS are the calls on the platform a second, by kind.
+	StoreCallsPerS map[string]float64 `json:"store_calls_per_s,omitempty"`
+}
+
+// Run prints the report as one JSON object.
+func (c *sampleCommand) Run(ctx context.Context) error {
+	pids, err := proc.PIDs(c.Dir, c.Pattern)
+	if err != nil {
+		return err
+	}
+	report, err := sample(ctx, pids, c.For, c.Platform)
+	if err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(report)
+}
+
+// sample measures the processes over a stretch of time.
+func sample(ctx context.Context, pids map[string]int, length time.Duration, platform string) (sampleReport, error) {
+	var report sampleReport
+	callsBefore, err := storeCalls(ctx, platform)
+	if err != nil {
+		return report, err
+	}
+	before, err := proc.ReadAll(pids)
+	if err != nil {
+		return report, err
+	}
+	start := time.Now()
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+		return report, ctx.Err()
+	}
+	after, err := proc.ReadAll(pids)
+	if err != nil {
+		return report, err
+	}
+	elapsed := time.Since(start)
+	callsAfter, err := storeCalls(ctx, platform)
+	if err != nil {
+		return report, err
+	}
+	report = newSampleReport(proc.Between(before, after, elapsed), elapsed)
+	for name, calls := range callsAfter {
+		if report.StoreCallsPerS == nil {
+			report.StoreCallsPerS = map[string]float64{}
+		}
+		report.StoreCallsPerS[name] = (calls - callsBefore[name]) / elapsed.Seconds()
+	}
+	return report, nil
+}
+
+// newSampleReport works out the means.
+func newSampleReport(samples []proc.Sample, elapsed time.Duration) sampleReport {
+	report := sampleReport{ElapsedS: elapsed.Seconds(), Processes: samples}
+	for _, s := range samples {
+		part := 1 / float64(len(samples))
+		report.CoreShare += s.CoreShare * part
+		report.RSSBytes += float64(s.RSSBytes) * part
+		report.ReadPerS += s.ReadPerS * part
+		report.WrittenPerS += s.WrittenPerS * part
+	}
+	return report
+}
+
+// storeCalls asks the platform's stand-in how often each call was made.
+func storeCalls(ctx context.Context, platform string) (map[string]float64, error) {
+	if platform == "" {
+		return nil, nil
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, platform+"/control/calls", nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	calls := map[string]float64{}
+	return calls, json.NewDecoder(response.Body).Decode(&calls)
+}
