--- a/bench/tally/result.go
+++ b/bench/tally/result.go
@@ -39,8 +39,11 @@
 	ReadLatencyMS  Latency         `json:"read_latency_ms"`
 
 	Accounts map[string]Account `json:"accounts"`
-	Refusals map[string]int     `json:"refusals_by_sqlstate"`
-	Findings []judge.Finding    `json:"findings,omitempty"`
+	// StoreCallsPerS are the calls on the platform's service a second, by kind.
+	StoreCallsPerS map[string]float64 `json:"store_calls_per_s,omitempty"`
+
+	Refusals map[string]int  `json:"refusals_by_sqlstate"`
+	Findings []judge.Finding `json:"findings,omitempty"`
 }
 
 // Gaps sums up the worst gap of each service.
--- a/cmd/pomelo-load/run.go
+++ b/cmd/pomelo-load/run.go
@@ -28,6 +28,8 @@
 	Deadline  time.Duration      `default:"15s" help:"Time that a caller gives one operation."`
 	Attempts  int                `default:"200" help:"Largest number of attempts of one operation."`
 	Mark      string             `help:"Mark of this run's data. Default: from the present time."`
+	FreshOnly bool               `help:"Send every read on the route without age, as a baseline."`
+	Platform  string             `help:"Base URL of the platform's stand-in, whose calls are counted."`
 	Out       string             `help:"File for the result, besides standard output."`
 	History   string             `help:"File for the whole history."`
 }
@@ -42,7 +44,7 @@
 	if run == "" {
 		run = "r" + strconv.FormatInt(time.Now().UnixMilli(), 36)
 	}
-	return load.PlanFrom(config, load.Shape{
+	plan, err := load.PlanFrom(config, load.Shape{
 		Share:   c.Share,
 		Factors: c.Factor,
 		KeyOf:   func(account string) string { return c.KeyPrefix + account },
@@ -57,6 +59,12 @@
 		Deadline:  c.Deadline,
 		Attempts:  c.Attempts,
 	})
+	if c.FreshOnly {
+		for i := range plan.Services {
+			plan.Services[i].Aged = plan.Services[i].Fresh
+		}
+	}
+	return plan, err
 }
 
 // Run drives the fleet, prints the result and sets the exit status.
@@ -65,6 +73,11 @@
 	if err != nil {
 		return err
 	}
+	before, err := storeCalls(ctx, c.Platform)
+	if err != nil {
+		return err
+	}
+	start := time.Now()
 	history, err := load.Run(ctx, plan)
 	if c.History != "" {
 		if err := writeJSON(c.History, history); err != nil {
@@ -76,6 +89,13 @@
 	}
 	result := tally.Sum(history)
 	result.Seed = c.Seed
+	if c.Platform != "" {
+		calls, err := callsSince(ctx, c.Platform, before, start)
+		if err != nil {
+			return err
+		}
+		result.StoreCallsPerS = calls
+	}
 	if err := c.print(result, history); err != nil {
 		return err
 	}
--- a/cmd/pomelo-load/sample.go
+++ b/cmd/pomelo-load/sample.go
@@ -68,18 +68,22 @@
 		return report, err
 	}
 	elapsed := time.Since(start)
-	callsAfter, err := storeCalls(ctx, platform)
+	report = newSampleReport(proc.Between(before, after, elapsed), elapsed)
+	report.StoreCallsPerS, err = callsSince(ctx, platform, callsBefore, start)
+	return report, err
+}
+
+// callsSince returns the calls on the platform a second since an earlier count.
+func callsSince(ctx context.Context, platform string, before map[string]float64, start time.Time) (map[string]float64, error) {
+	calls, err := storeCalls(ctx, platform)
 	if err != nil {
-		return report, err
+		return nil, err
 	}
-	report = newSampleReport(proc.Between(before, after, elapsed), elapsed)
-	for name, calls := range callsAfter {
-		if report.StoreCallsPerS == nil {
-			report.StoreCallsPerS = map[string]float64{}
-		}
-		report.StoreCallsPerS[name] = (calls - callsBefore[name]) / elapsed.Seconds()
+	elapsed := time.Since(start).Seconds()
+	for name := range calls {
+		calls[name] = (calls[name] - before[name]) / elapsed
 	}
-	return report, nil
+	return calls, nil
 }
 
 // newSampleReport works out the means.
