--- /dev/null
+++ b/bench/slope/config.go
@@ -0,0 +1,39 @@
+package slope
+
+import (
+	"fmt"
+
+	"pomelofork/core/conf"
+)
+
+// Config holds the growth of a configuration.
+type Config struct {
+	// Bytes is the size of the stored document, Heap what a parsed one keeps alive
+	// in bytes, ParseUS the time to parse and check one, in microseconds.
+	Bytes   Line `json:"bytes"`
+	Heap    Line `json:"heap_bytes"`
+	ParseUS Line `json:"parse_us"`
+}
+
+// ConfigBy measures documents of several sizes.
+func ConfigBy(sizes []int, document func(size int) conf.Document) (Config, error) {
+	var bytes, heap, parse []Point
+	for _, size := range sizes {
+		doc := document(size)
+		text, err := doc.Encode()
+		if err != nil {
+			return Config{}, err
+		}
+		if _, err := conf.Parse(text); err != nil {
+			return Config{}, fmt.Errorf("size %d: %w", size, err)
+		}
+		x := float64(size)
+		bytes = append(bytes, Point{x, float64(len(text))})
+		heap = append(heap, Point{x, heapOf(func() *conf.Config {
+			parsed, _ := conf.Parse(text)
+			return parsed
+		})})
+		parse = append(parse, Point{x, timeOf(func() { _, _ = conf.Parse(text) })})
+	}
+	return Config{Bytes: Fit(bytes), Heap: Fit(heap), ParseUS: Fit(parse)}, nil
+}
--- /dev/null
+++ b/bench/tally/tally_test.go
@@ -0,0 +1,58 @@
+package tally_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"pomelofork/bench/judge"
+	"pomelofork/bench/tally"
+)
+
+// op returns an answered operation that arrived at a moment and took ten milliseconds.
+func op(id, account string, kind judge.Kind, arrived int) judge.Op {
+	at := time.Duration(arrived) * time.Millisecond
+	return judge.Op{
+		ID: id, Attempt: 1, Account: account, Session: account, Service: "db", Kind: kind,
+		Intended: at, Sent: at + 4*time.Millisecond, Done: at + 10*time.Millisecond, Result: judge.ResultOK,
+	}
+}
+
+// refusedByRate turns an operation into one that its account's rate refused.
+func refusedByRate(o judge.Op) judge.Op {
+	o.Result, o.SQLState = judge.ResultNotRun, "53400"
+	return o
+}
+
+func TestSum(t *testing.T) {
+	g := gomega.NewWithT(t)
+	aged := op("r1", "a", judge.KindStock, 0)
+	aged.MaxAge, aged.Role = time.Second, "replica"
+	fresh := op("r2", "a", judge.KindStatus, 10)
+	fresh.Role = "primary"
+	lost := op("w1", "a", judge.KindPost, 20)
+	lost.Result, lost.Lost = judge.ResultUnknown, true
+	again := op("w1", "a", judge.KindPost, 20)
+	again.Attempt, again.Done = 2, 70*time.Millisecond
+	result := tally.Sum(judge.History{
+		Ops: []judge.Op{
+			aged, fresh, lost, again,
+			op("b1", "b", judge.KindStatus, 0), refusedByRate(op("b2", "b", judge.KindStatus, 1000)),
+		},
+		Rates: map[string]judge.Rate{"a": {PerSecond: 1000, Burst: 100}, "b": {PerSecond: 10, Burst: 2}},
+		End:   2 * time.Second,
+	})
+	g.Expect(result.Holds).To(gomega.BeTrue())
+	g.Expect(result.ReadShareByReplicas).To(gomega.BeNumerically("~", 1.0/3, 1e-9))
+	g.Expect(result.AgedReadShareByReplicas).To(gomega.Equal(1.0))
+	g.Expect(result.WriteGapMS).To(gomega.Equal(tally.Gaps{Median: 50, Worst: 50, ByService: map[string]float64{"db": 50}}))
+	g.Expect(result.WorstAccount).To(gomega.Equal("b"))
+	g.Expect(result.WorstAccountGoodput).To(gomega.Equal(0.5))
+	g.Expect(result.WrongfulRefusalsPerThousand).To(gomega.BeNumerically("~", 1000.0/6, 1e-9))
+	g.Expect(result.Counts).To(gomega.Equal(tally.Counts{
+		Operations: 5, Attempts: 6, OK: 4, Reads: 3, Writes: 1, Retries: 1,
+		RefusedByRate: 1, NotRun: 1, Unknown: 1, ConnectionsLost: 1,
+	}))
+	g.Expect(result.WriteLatencyMS.Median).To(gomega.BeNumerically("~", 50, 0.1))
+}
--- a/cmd/pomelo-load/main.go
+++ b/cmd/pomelo-load/main.go
@@ -25,6 +25,7 @@
 	Layout  layoutCommand  `cmd:"" help:"Print parts of a configuration in the forms that scripts need."`
 	Config  configCommand  `cmd:"" help:"Print a configuration of a given size."`
 	Sample  sampleCommand  `cmd:"" help:"Measure what running processes use."`
+	Slopes  slopesCommand  `cmd:"" help:"Measure how single parts grow with the size of a fleet."`
 	Speed   speedCommand   `cmd:"" help:"Measure the path through an instance against a direct connection."`
 	Primary primaryCommand `cmd:"" help:"Print the backend server that leads a group of the stand-in."`
 }
--- /dev/null
+++ b/cmd/pomelo-load/slopes.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+
+	"pomelofork/bench/slope"
+	"pomelofork/core/conf"
+)
+
+// slopesCommand measures how single parts grow, inside this process.
+type slopesCommand struct{}
+
+// slopesReport is what the command prints.
+type slopesReport struct {
+	ConfigByAccounts slope.Config `json:"config_by_accounts"`
+	ConfigByServices slope.Config `json:"config_by_services"`
+	RightsByMembers  slope.Rights `json:"rights_by_members"`
+	LimitsByAccounts slope.Limits `json:"limits_by_accounts"`
+	QueuesByAccounts slope.Queues `json:"queues_by_accounts"`
+}
+
+// Run prints the report as one JSON object.
+func (c *slopesCommand) Run() error {
+	var report slopesReport
+	var err error
+	byAccounts := func(size int) conf.Document {
+		return (&configCommand{Services: 1, Accounts: size, Rate: 100, Burst: 100, Slots: 2, Connections: 16, FirstPort: 7500}).document()
+	}
+	if report.ConfigByAccounts, err = slope.ConfigBy([]int{10, 500, 1000, 2000, 4000}, byAccounts); err != nil {
+		return err
+	}
+	byServices := func(size int) conf.Document {
+		return (&configCommand{Services: size, Accounts: 8, Rate: 100, Burst: 100, Slots: 2, Connections: 16, FirstPort: 7500}).document()
+	}
+	if report.ConfigByServices, err = slope.ConfigBy([]int{3, 100, 200, 400, 830}, byServices); err != nil {
+		return err
+	}
+	if report.RightsByMembers, err = slope.RightsBy([]int{7, 100, 200, 400, 780}); err != nil {
+		return err
+	}
+	report.LimitsByAccounts = slope.LimitsBy([]int{8, 100, 1000, 5000})
+	report.QueuesByAccounts = slope.QueuesBy([]int{2, 8, 64, 512})
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", " ")
+	return encoder.Encode(report)
+}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -7,6 +7,7 @@
 INSTANCES=${INSTANCES:-7}
 PLATFORM=127.0.0.1:7400
 CONNECT_COST=${CONNECT_COST:-10ms}
+STATEMENT_COST=${STATEMENT_COST:-1ms}
 # What instances show each other on links. A real fleet keeps it in the environment.
 export POMELOFORK_FLEET_SECRET=${POMELOFORK_FLEET_SECRET:-demo-fleet}
 
@@ -75,15 +76,15 @@
 	local k=$1
 	start "entry-$k" bin/pomelofork serve --id "entry-$k" \
 		--failure-domain "$(domain_of "$k")" \
-		--caller-listen "127.0.0.1:700$k" --link-listen "127.0.0.1:710$k" \
-		--peer-listen "127.0.0.1:720$k" --admin-listen "127.0.0.1:730$k" \
+		--caller-listen "127.0.0.1:$((7000 + k))" --link-listen "127.0.0.1:$((7100 + k))" \
+		--peer-listen "127.0.0.1:$((7200 + k))" --admin-listen "127.0.0.1:$((7300 + k))" \
 		--platform "http://$PLATFORM"
 }
 
 # entries: the callers' addresses, joined by commas.
 entries() {
 	local k list=
-	for k in $(seq 0 $((INSTANCES - 1))); do list+=",127.0.0.1:700$k"; done
+	for k in $(seq 0 $((INSTANCES - 1))); do list+=",127.0.0.1:$((7000 + k))"; done
 	echo "${list#,}"
 }
 
@@ -100,7 +101,7 @@
 put_instances() {
 	local k id service address domain list=
 	for k in $(seq 0 $((INSTANCES - 1))); do
-		list+=",{\"id\":\"entry-$k\",\"kind\":\"entry\",\"address\":\"127.0.0.1:720$k\",\"failure_domain\":\"$(domain_of "$k")\",\"service\":\"\",\"state\":\"live\"}"
+		list+=",{\"id\":\"entry-$k\",\"kind\":\"entry\",\"address\":\"127.0.0.1:$((7200 + k))\",\"failure_domain\":\"$(domain_of "$k")\",\"service\":\"\",\"state\":\"live\"}"
 	done
 	while read -r id service address domain; do
 		list+=",{\"id\":\"$id\",\"kind\":\"backend_server\",\"address\":\"$address\",\"failure_domain\":\"$domain\",\"service\":\"$service\",\"state\":\"live\"}"
@@ -115,7 +116,7 @@
 wait_ready() {
 	local k tries=0
 	for k in $(seq 0 $((INSTANCES - 1))); do
-		until curl -sf -o /dev/null "http://127.0.0.1:730$k/ready"; do
+		until curl -sf -o /dev/null "http://127.0.0.1:$((7300 + k))/ready"; do
 			tries=$((tries + 1))
 			if [ "$tries" -ge 300 ] || ! alive "entry-$k"; then
 				say "entry-$k isn't ready; the end of its log:"
@@ -143,7 +144,7 @@
 	while read -r n service user password slots connections address; do
 		POMELO_GROUP_PASSWORD=$password start "group-$n" bin/pomelo-group --service "$service" \
 			--listen "$address" --control "127.0.0.1:76${n}0" --user "$user" \
-			--slots "$slots" --connections "$connections" --connect-cost "$CONNECT_COST"
+			--slots "$slots" --connections "$connections" --connect-cost "$CONNECT_COST" --statement-cost "$STATEMENT_COST"
 	done < <(layout services)
 }
 
