--- /dev/null
+++ b/bench/pages/files.go
@@ -0,0 +1,95 @@
+package pages
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"pomelofork/bench/proc"
+	"pomelofork/bench/slope"
+)
+
+// Sampled is what one fleet used over a stretch of time.
+type Sampled struct {
+	ElapsedS       float64            `json:"elapsed_s"`
+	Processes      []proc.Sample      `json:"processes"`
+	CoreShare      float64            `json:"mean_core_share"`
+	RSSBytes       float64            `json:"mean_rss_bytes"`
+	ReadPerS       float64            `json:"mean_read_bytes_per_s"`
+	WrittenPerS    float64            `json:"mean_written_bytes_per_s"`
+	StoreCallsPerS map[string]float64 `json:"store_calls_per_s,omitempty"`
+}
+
+// NewSampled works out the means.
+func NewSampled(samples []proc.Sample, elapsedS float64) Sampled {
+	s := Sampled{ElapsedS: elapsedS, Processes: samples}
+	part := 1 / float64(len(samples))
+	for _, one := range samples {
+		s.CoreShare += one.CoreShare * part
+		s.RSSBytes += float64(one.RSSBytes) * part
+		s.ReadPerS += one.ReadPerS * part
+		s.WrittenPerS += one.WrittenPerS * part
+	}
+	return s
+}
+
+// StoreCalls returns all calls on the platform a second.
+func (s Sampled) StoreCalls() float64 {
+	sum := 0.0
+	for _, calls := range s.StoreCallsPerS {
+		sum += calls
+	}
+	return sum
+}
+
+// BytesPerS returns the traffic of one instance in both directions, halved, since
+// each byte is written by one end and read by the other.
+func (s Sampled) BytesPerS() float64 { return (s.ReadPerS + s.WrittenPerS) / 2 }
+
+// readFile reads one JSON file.
+func readFile(path string, into any) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
+// sampledBy reads the files NAME-SIZE.json of a directory, by size.
+func sampledBy(dir, name string) (map[float64]Sampled, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, name+"-*.json"))
+	if err != nil {
+		return nil, err
+	}
+	all := map[float64]Sampled{}
+	for _, path := range paths {
+		text := strings.TrimSuffix(strings.TrimPrefix(filepath.Base(path), name+"-"), ".json")
+		size, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			continue
+		}
+		var sampled Sampled
+		if err := readFile(path, &sampled); err != nil {
+			return nil, err
+		}
+		all[size] = sampled
+	}
+	return all, nil
+}
+
+// fitBy fits a line to one figure of the samples by size.
+func fitBy(samples map[float64]Sampled, figure func(Sampled) float64) slope.Line {
+	var points []slope.Point
+	for size, sampled := range samples {
+		points = append(points, slope.Point{X: size, Y: figure(sampled)})
+	}
+	slices.SortFunc(points, func(a, b slope.Point) int { return int(a.X - b.X) })
+	return slope.Fit(points)
+}
--- a/cmd/pomelo-load/sample.go
+++ b/cmd/pomelo-load/sample.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"pomelofork/bench/pages"
 	"pomelofork/bench/proc"
 )
 
@@ -18,19 +19,6 @@
 	Platform string        `help:"Base URL of the platform's stand-in, whose calls are counted too."`
 }
 
-// sampleReport is what the command prints.
-type sampleReport struct {
-	ElapsedS float64 `json:"elapsed_s"`
-	// Processes are the samples, and the rest their means.
-	Processes   []proc.Sample `json:"processes"`
-	CoreShare   float64       `json:"mean_core_share"`
-	RSSBytes    float64       `json:"mean_rss_bytes"`
-	ReadPerS    float64       `json:"mean_read_bytes_per_s"`
-	WrittenPerS float64       `json:"mean_written_bytes_per_s"`
-	// StoreCallsPerS are the calls on the platform a second, by kind.
-	StoreCallsPerS map[string]float64 `json:"store_calls_per_s,omitempty"`
-}
-
 // Run prints the report as one JSON object.
 func (c *sampleCommand) Run(ctx context.Context) error {
 	pids, err := proc.PIDs(c.Dir, c.Pattern)
@@ -47,8 +35,8 @@
 }
 
 // sample measures the processes over a stretch of time.
-func sample(ctx context.Context, pids map[string]int, length time.Duration, platform string) (sampleReport, error) {
-	var report sampleReport
+func sample(ctx context.Context, pids map[string]int, length time.Duration, platform string) (pages.Sampled, error) {
+	var report pages.Sampled
 	callsBefore, err := storeCalls(ctx, platform)
 	if err != nil {
 		return report, err
@@ -68,7 +56,7 @@
 		return report, err
 	}
 	elapsed := time.Since(start)
-	report = newSampleReport(proc.Between(before, after, elapsed), elapsed)
+	report = pages.NewSampled(proc.Between(before, after, elapsed), elapsed.Seconds())
 	report.StoreCallsPerS, err = callsSince(ctx, platform, callsBefore, start)
 	return report, err
 }
@@ -86,19 +74,6 @@
 	return calls, nil
 }
 
-// newSampleReport works out the means.
-func newSampleReport(samples []proc.Sample, elapsed time.Duration) sampleReport {
-	report := sampleReport{ElapsedS: elapsed.Seconds(), Processes: samples}
-	for _, s := range samples {
-		part := 1 / float64(len(samples))
-		report.CoreShare += s.CoreShare * part
-		report.RSSBytes += float64(s.RSSBytes) * part
-		report.ReadPerS += s.ReadPerS * part
-		report.WrittenPerS += s.WrittenPerS * part
-	}
-	return report
-}
-
 // storeCalls asks the platform's stand-in how often each call was made.
 func storeCalls(ctx context.Context, platform string) (map[string]float64, error) {
 	if platform == "" {
--- a/cmd/pomelo-load/slopes.go
+++ b/cmd/pomelo-load/slopes.go
@@ -11,18 +11,9 @@
 // slopesCommand measures how single parts grow, inside this process.
 type slopesCommand struct{}
 
-// slopesReport is what the command prints.
-type slopesReport struct {
-	ConfigByAccounts slope.Config `json:"config_by_accounts"`
-	ConfigByServices slope.Config `json:"config_by_services"`
-	RightsByMembers  slope.Rights `json:"rights_by_members"`
-	LimitsByAccounts slope.Limits `json:"limits_by_accounts"`
-	QueuesByAccounts slope.Queues `json:"queues_by_accounts"`
-}
-
 // Run prints the report as one JSON object.
 func (c *slopesCommand) Run() error {
-	var report slopesReport
+	var report slope.Report
 	var err error
 	byAccounts := func(size int) conf.Document {
 		return (&configCommand{Services: 1, Accounts: size, Rate: 100, Burst: 100, Slots: 2, Connections: 16, FirstPort: 7500}).document()
--- a/cmd/pomelo-load/speed.go
+++ b/cmd/pomelo-load/speed.go
@@ -24,45 +24,13 @@
 	Settle   time.Duration `default:"3s" help:"Time to wait before memory is read."`
 }
 
-// speedReport is what the command prints.
-type speedReport struct {
-	// Fresh and Aged compare a direct statement with one on a route.
-	Fresh speed.Pair `json:"fresh"`
-	Aged  speed.Pair `json:"aged"`
-	// Flood is the throughput of busy sessions.
-	Flood floodReport `json:"flood"`
-	// Idle is what idle connections cost.
-	Idle idleReport `json:"idle"`
-}
-
-// floodReport is the throughput of busy sessions.
-type floodReport struct {
-	Sessions       int     `json:"sessions"`
-	StatementsPerS float64 `json:"statements_per_s"`
-	// CoresOfInstances is the processor time of all instances over elapsed time.
-	CoresOfInstances  float64 `json:"cores_of_instances"`
-	StatementsPerCore float64 `json:"statements_per_s_per_core"`
-}
-
-// idleReport is the resident memory of one instance by its idle connections.
-type idleReport struct {
-	Steps              []idleStep `json:"steps"`
-	BytesPerConnection float64    `json:"bytes_per_connection"`
-}
-
-// idleStep is one size.
-type idleStep struct {
-	Connections int   `json:"connections"`
-	RSSBytes    int64 `json:"rss_bytes"`
-}
-
 // Run prints the report as one JSON object.
 func (c *speedCommand) Run(ctx context.Context) error {
 	ways, err := c.ways()
 	if err != nil {
 		return err
 	}
-	var report speedReport
+	var report speed.Report
 	if report.Fresh, err = speed.Compare(ctx, ways.direct, ways.fresh[0], c.For); err != nil {
 		return err
 	}
@@ -120,8 +88,8 @@
 const demoKeyPrefix = "demo-"
 
 // flood measures throughput and what it costs the instances.
-func (c *speedCommand) flood(ctx context.Context, logins []speed.Login) (floodReport, error) {
-	report := floodReport{Sessions: c.Sessions}
+func (c *speedCommand) flood(ctx context.Context, logins []speed.Login) (speed.Throughput, error) {
+	report := speed.Throughput{Sessions: c.Sessions}
 	pids, err := proc.PIDs(c.Dir, "entry-*")
 	if err != nil {
 		return report, err
@@ -152,8 +120,8 @@
 const idleParts = 4
 
 // idle measures the memory of the first instance as idle connections come.
-func (c *speedCommand) idle(ctx context.Context, login speed.Login) (idleReport, error) {
-	var report idleReport
+func (c *speedCommand) idle(ctx context.Context, login speed.Login) (speed.Memory, error) {
+	var report speed.Memory
 	pids, err := proc.PIDs(c.Dir, "entry-0")
 	if err != nil {
 		return report, err
@@ -173,7 +141,7 @@
 		if err != nil {
 			return report, err
 		}
-		report.Steps = append(report.Steps, idleStep{Connections: crowd.Len(), RSSBytes: usage.RSS})
+		report.Steps = append(report.Steps, speed.MemoryStep{Connections: crowd.Len(), RSSBytes: usage.RSS})
 	}
 	first, last := report.Steps[0], report.Steps[len(report.Steps)-1]
 	report.BytesPerConnection = float64(last.RSSBytes-first.RSSBytes) / float64(last.Connections-first.Connections)
