--- /dev/null
+++ b/bench/pages/caplines.go
@@ -0,0 +1,130 @@
+package pages
+
+import (
+	"slices"
+
+	"pomelofork/bench/slope"
+)
+
+// measuredInstances is the size of the fleets on which services, client accounts
+// and load were varied.
+const measuredInstances = 7
+
+// CostLine is one line of the control budget of an instance.
+type CostLine struct {
+	// Name says what the line pays for, How by what mechanism and from which slope.
+	Name, How string
+	// CoreShare, Bytes and BytesPerS are the cost at the target size.
+	CoreShare, Bytes, BytesPerS float64
+}
+
+// Fits are the lines fitted to the samples of fleets.
+type Fits struct {
+	// PeerCPU, PeerRSS and PeerBytes grow with the number of instances.
+	PeerCPU, PeerRSS, PeerBytes, PeerStore slope.Line
+	// GateCPU, GateRSS and GateBytes grow with the gateways that an instance is.
+	GateCPU, GateRSS, GateBytes slope.Line
+	// AccountRSS grows with the number of client accounts.
+	AccountRSS slope.Line
+	// LoadCPU and LoadBytes grow with the units of work a second of an instance.
+	LoadCPU, LoadBytes slope.Line
+}
+
+// fits fits all lines.
+func (d CapacityData) fits() Fits {
+	cpu := func(s Sampled) float64 { return s.CoreShare }
+	rss := func(s Sampled) float64 { return s.RSSBytes }
+	gates := scaled(d.ByServices, gatewaysPerService/float64(measuredInstances))
+	load := map[float64]Sampled{}
+	for rate, sampled := range d.ByRate {
+		run := d.Runs[rate]
+		load[float64(run.Counts.OK)/float64(run.DurationS)/measuredInstances] = sampled
+	}
+	return Fits{
+		PeerCPU: fitBy(d.ByInstances, cpu), PeerRSS: fitBy(d.ByInstances, rss),
+		PeerBytes: fitBy(d.ByInstances, Sampled.BytesPerS), PeerStore: fitBy(d.ByInstances, Sampled.StoreCalls),
+		GateCPU: fitBy(gates, cpu), GateRSS: fitBy(gates, rss), GateBytes: fitBy(gates, Sampled.BytesPerS),
+		AccountRSS: fitBy(d.ByAccounts, rss),
+		LoadCPU:    fitBy(load, cpu), LoadBytes: fitBy(load, Sampled.BytesPerS),
+	}
+}
+
+// scaled returns the samples with their sizes multiplied.
+func scaled(samples map[float64]Sampled, factor float64) map[float64]Sampled {
+	all := make(map[float64]Sampled, len(samples))
+	for size, sampled := range samples {
+		all[size*factor] = sampled
+	}
+	return all
+}
+
+// microsecond is a second's part.
+const microsecond = 1e-6
+
+// controlLines works out the control budget of one instance at a size.
+func (d CapacityData) controlLines(f Fits, size Size) []CostLine {
+	change := size.ChangesPerS()
+	parse := d.Slopes.ConfigByAccounts.ParseUS.Slope*size.Accounts + d.Slopes.ConfigByServices.ParseUS.Slope*size.Databases
+	document := d.Slopes.ConfigByAccounts.Bytes.Slope*size.Accounts + d.Slopes.ConfigByServices.Bytes.Slope*size.Databases
+	heap := d.Slopes.ConfigByAccounts.Heap.Slope*size.Accounts + d.Slopes.ConfigByServices.Heap.Slope*size.Databases
+	shares := size.SharesPerNode()
+	lookUps := size.Accounts*d.Slopes.RightsByMembers.LookUpUS.At(size.Nodes) + d.Slopes.RightsByMembers.RosterUS.At(size.Nodes)
+	recordChanges := restartsPerDay * changesPerRestart / 86400.0
+	return []CostLine{
+		{
+			Name: "process at rest", How: "the program without peers or services: base of the line over instances",
+			CoreShare: max(0, f.PeerCPU.Base), Bytes: f.PeerRSS.Base,
+		},
+		{
+			Name: "peers' heartbeats and spreading", How: "each instance to each other one; slope over instances",
+			CoreShare: f.PeerCPU.Slope * size.Nodes, Bytes: f.PeerRSS.Slope * size.Nodes, BytesPerS: f.PeerBytes.Slope * size.Nodes,
+		},
+		{
+			Name: "watching groups as their gateway", How: "status of each backend server; slope over gateways held",
+			CoreShare: f.GateCPU.Slope * size.GatewaysPerNode(), Bytes: f.GateRSS.Slope * size.GatewaysPerNode(),
+			BytesPerS: f.GateBytes.Slope * size.GatewaysPerNode(),
+		},
+		{
+			Name: "configuration", How: "the whole document for each change, parsed and checked; slopes over accounts and services",
+			CoreShare: parse * microsecond * change, Bytes: document + heap, BytesPerS: document * change,
+		},
+		{
+			Name: "record of rights", How: "fetched and worked out for each change of members; slopes over members",
+			CoreShare: lookUps * microsecond * recordChanges, Bytes: 2 * d.Slopes.RightsByMembers.Bytes.At(size.Nodes),
+			BytesPerS: d.Slopes.RightsByMembers.Bytes.At(size.Nodes) * recordChanges,
+		},
+		{
+			Name: "mints of the shares held", How: "heap for each share",
+			Bytes: d.Slopes.LimitsByAccounts.MintHeap.Slope * shares,
+		},
+	}
+}
+
+// The changes of the record of rights.
+const (
+	// restartsPerDay are the instances restarted, replaced or lost on a day.
+	restartsPerDay = 383
+	// changesPerRestart are the changes of one: leaving, gone and joined again.
+	changesPerRestart = 3
+)
+
+// total adds up lines.
+func total(lines []CostLine) CostLine {
+	sum := CostLine{Name: "sum"}
+	for _, line := range lines {
+		sum.CoreShare += line.CoreShare
+		sum.Bytes += line.Bytes
+		sum.BytesPerS += line.BytesPerS
+	}
+	return sum
+}
+
+// pointsOf lists sizes in order.
+func pointsOf[T any](samples map[float64]T) []float64 {
+	var sizes []float64
+	for size := range samples {
+		sizes = append(sizes, size)
+	}
+	slices.Sort(sizes)
+	return sizes
+}
--- /dev/null
+++ b/cmd/pomelo-load/capacity.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"errors"
+	"os"
+
+	"pomelofork/bench/pages"
+)
+
+// capacityCommand writes the capacity page.
+type capacityCommand struct {
+	In  string `required:"" type:"existingdir" help:"Directory of the results of scripts/capacity.sh."`
+	Out string `required:"" help:"File to write."`
+}
+
+// Run writes the page.
+func (c *capacityCommand) Run() error {
+	data, err := pages.ReadCapacity(c.In)
+	if err != nil {
+		return err
+	}
+	file, err := os.Create(c.Out)
+	if err != nil {
+		return err
+	}
+	return errors.Join(pages.WriteCapacity(file, data), file.Close())
+}
--- a/cmd/pomelo-load/main.go
+++ b/cmd/pomelo-load/main.go
@@ -21,13 +21,14 @@
 
 // commands is the command line.
 type commands struct {
-	Run     runCommand     `cmd:"" help:"Drive a fleet and print one JSON object. Exit status 0: everything held; 1: something that must hold was seen broken; 2: the run failed."`
-	Layout  layoutCommand  `cmd:"" help:"Print parts of a configuration in the forms that scripts need."`
-	Config  configCommand  `cmd:"" help:"Print a configuration of a given size."`
-	Sample  sampleCommand  `cmd:"" help:"Measure what running processes use."`
-	Slopes  slopesCommand  `cmd:"" help:"Measure how single parts grow with the size of a fleet."`
-	Speed   speedCommand   `cmd:"" help:"Measure the path through an instance against a direct connection."`
-	Primary primaryCommand `cmd:"" help:"Print the backend server that leads a group of the stand-in."`
+	Run      runCommand      `cmd:"" help:"Drive a fleet and print one JSON object. Exit status 0: everything held; 1: something that must hold was seen broken; 2: the run failed."`
+	Layout   layoutCommand   `cmd:"" help:"Print parts of a configuration in the forms that scripts need."`
+	Config   configCommand   `cmd:"" help:"Print a configuration of a given size."`
+	Sample   sampleCommand   `cmd:"" help:"Measure what running processes use."`
+	Capacity capacityCommand `cmd:"" help:"Write the capacity page from measured results."`
+	Slopes   slopesCommand   `cmd:"" help:"Measure how single parts grow with the size of a fleet."`
+	Speed    speedCommand    `cmd:"" help:"Measure the path through an instance against a direct connection."`
+	Primary  primaryCommand  `cmd:"" help:"Print the backend server that leads a group of the stand-in."`
 }
 
 func main() {
