--- a/bench/pages/caplines.go
+++ b/bench/pages/caplines.go
@@ -42,13 +42,28 @@
 	}
 	return Fits{
 		PeerCPU: fitBy(d.ByInstances, cpu), PeerRSS: fitBy(d.ByInstances, rss),
-		PeerBytes: fitBy(d.ByInstances, Sampled.BytesPerS), PeerStore: fitBy(d.ByInstances, Sampled.StoreCalls),
+		PeerBytes: fitBy(d.ByInstances, Sampled.BytesPerS), PeerStore: fitBy(atLeast(d.ByInstances, fullWatch), Sampled.StoreCalls),
 		GateCPU: fitBy(gates, cpu), GateRSS: fitBy(gates, rss), GateBytes: fitBy(gates, Sampled.BytesPerS),
 		AccountRSS: fitBy(d.ByAccounts, rss),
 		LoadCPU:    fitBy(load, cpu), LoadBytes: fitBy(load, Sampled.BytesPerS),
 	}
 }
 
+// fullWatch is the number of instances from which on each of the four failure domains
+// has as many watchers of the store as it ever gets.
+const fullWatch = 8
+
+// atLeast returns the samples from a size on.
+func atLeast(samples map[float64]Sampled, size float64) map[float64]Sampled {
+	kept := map[float64]Sampled{}
+	for one, sampled := range samples {
+		if one >= size {
+			kept[one] = sampled
+		}
+	}
+	return kept
+}
+
 // scaled returns the samples with their sizes multiplied.
 func scaled(samples map[float64]Sampled, factor float64) map[float64]Sampled {
 	all := make(map[float64]Sampled, len(samples))
