--- /dev/null
+++ b/bench/slots/config.go
@@ -0,0 +1,35 @@
+package slots
+
+import (
+	"time"
+
+	"pomelofork/core/model"
+)
+
+// Account is the load of one client account.
+type Account struct {
+	ID model.AccountID
+	// Share is the account's weight in front of the slots.
+	Share int
+	// Rate is the number of statements a second that arrive.
+	Rate float64
+	// Cost is the mean slot time of a statement.
+	Cost time.Duration
+	// Writes is the part of statements that only the primary's slots can serve.
+	Writes float64
+	// Excess marks an account that sends more than its rate.
+	Excess bool
+}
+
+// Config is one load in front of the part of one gateway.
+type Config struct {
+	Seed uint64
+	// Servers is the number of backend servers, each with Slots slots.
+	Servers int
+	Slots   int
+	// Duration is the time during which statements arrive.
+	Duration time.Duration
+	// Timeout is the time allowed for each statement.
+	Timeout  time.Duration
+	Accounts []Account
+}
