Send each ticket to the server that was picked for it; report the server that ran a batch

Cause: the queue looks at tickets beyond the one that it hands out, and the gateway kept the pick of the last look. Ruled out: a mismatch of server names between the group and the configuration (the events name the same ones). The pick is now made for the ticket that was handed out.

--- a/cmd/pomelofork/main.go
+++ b/cmd/pomelofork/main.go
@@ -12,6 +12,7 @@
 // that starts with POMELOFORK_, for example POMELOFORK_CALLER_LISTEN.
 type commandLine struct {
 	Serve   serveCommand   `cmd:"" help:"Run one instance until SIGTERM."`
+	Report  reportCommand  `cmd:"" help:"Report on a running or recorded fleet."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- a/core/conf/config.go
+++ b/core/conf/config.go
@@ -76,3 +76,13 @@
 	}
 	return all[index], true
 }
+
+// Draining reports whether an operator has taken a backend server out of use.
+func (c *Config) Draining(id model.ServerID) bool {
+	for _, service := range c.services {
+		if server, ok := service.Server(id); ok {
+			return server.Draining()
+		}
+	}
+	return false
+}
--- a/io/caller/setting.go
+++ b/io/caller/setting.go
@@ -17,10 +17,8 @@
 )
 
 const (
-	settingPrefix = "pomelofork."
-	// parameterServedBy names the backend server that ran the last batch.
-	parameterServedBy = settingPrefix + "served_by"
-	parameterToken    = settingPrefix + settingToken
+	settingPrefix  = "pomelofork."
+	parameterToken = settingPrefix + settingToken
 	// maxRequestID bounds the id of a request, in bytes.
 	maxRequestID = 200
 )
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -51,9 +51,22 @@
 		return wire.Result{}, &sinkError{err}
 	}
 	l.committed = l.committed || a.hold.committed
+	if err := sink.Message(a.servedBy()); err != nil {
+		return wire.Result{}, &sinkError{err}
+	}
 	return a.result(), nil
 }
 
+// servedBy names the backend server that ran the batch and its role, for example
+// "stock-1/replica". Operators and the load tool count reads by it.
+func (a *attempt) servedBy() *pgproto3.ParameterStatus {
+	role := "replica"
+	if a.pick.Primary {
+		role = "primary"
+	}
+	return &pgproto3.ParameterStatus{Name: parameterServedBy, Value: string(a.grant.server.id) + "/" + role}
+}
+
 // result returns the state of the lane after the batch. The point of a read is
 // where it was read.
 func (a *attempt) result() wire.Result {
--- a/io/gate/dispatch.go
+++ b/io/gate/dispatch.go
@@ -61,15 +61,16 @@
 
 // dispatchOne gives one slot to the ticket that is due, if any.
 func (g *Gate) dispatchOne(now time.Time, known term.Known) bool {
-	var pick route.Pick
 	item, ok := g.queue.Next(now, func(t *ticket) bool {
-		var fits bool
-		pick, fits = g.choose(now, known, t)
+		_, fits := g.choose(now, known, t)
 		return fits
 	})
 	if !ok {
 		return false
 	}
+	// The queue may look at more tickets after the one that it returns, so a pick kept
+	// from the look can be another ticket's.
+	pick, _ := g.choose(now, known, item.Value)
 	s := g.servers[pick.Server]
 	s.enter(now)
 	g.config.Check.Hold(!g.leavers.Expired(now, s.id), assert.InvariantLeavingServer, "new work for %s", s.id)
--- a/io/gate/fake_test.go
+++ b/io/gate/fake_test.go
@@ -243,6 +243,8 @@
 	rows   [][]string
 	tags   []string
 	codes  []string
+	// served are the reports of which server ran a batch.
+	served []string
 	others int
 }
 
@@ -259,6 +261,9 @@
 		a.tags = append(a.tags, string(m.CommandTag))
 	case *pgproto3.ErrorResponse:
 		a.codes = append(a.codes, m.Code)
+	case *pgproto3.ParameterStatus:
+		Expect(m.Name).To(Equal("pomelofork.served_by"))
+		a.served = append(a.served, m.Value)
 	default:
 		a.others++
 	}
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -31,6 +31,7 @@
 			got, _, err := do(ctx, b.gate, reads(result.Point.String()), query("SELECT value, version FROM items WHERE key = 'k'"))
 			Expect(err).NotTo(HaveOccurred())
 			Expect(got.rows).To(Equal([][]string{{"v", "1"}}))
+			Expect(got.served).To(HaveExactElements(HaveSuffix("/replica")))
 		}
 		states := b.sim.States()
 		Expect(states[1].Statements + states[2].Statements).To(BeNumerically(">=", 20))
--- a/io/gate/hold.go
+++ b/io/gate/hold.go
@@ -13,6 +13,7 @@
 // The parameters that a backend server reports and callers don't see.
 const (
 	parameterPoint    = "group.point"
+	parameterServedBy = "pomelofork.served_by"
 	parameterReadOnly = "default_transaction_read_only"
 )
 
--- a/io/node/line.go
+++ b/io/node/line.go
@@ -52,3 +52,12 @@
 	l.config, l.document = config, document
 	return true, nil
 }
+
+// decodeConfig returns the version of the text that the store holds.
+func decodeConfig(text string) (uint64, []byte, error) {
+	config, err := conf.Parse([]byte(text))
+	if err != nil {
+		return 0, nil, err
+	}
+	return config.Version(), []byte(text), nil
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -29,10 +29,10 @@
 	fleet   *peer.Fleet
 	sites   *sites
 	links   *links
+	leavers leavers
 	callers *caller.Server
 	lanes   *link.Server
 	admin   *http.Server
-	terms   terms
 
 	stopping atomic.Bool
 	done     chan struct{}
@@ -43,7 +43,6 @@
 func New(c Config) (*Node, error) {
 	n := &Node{config: c, line: &line{}, sites: newSites(), done: make(chan struct{})}
 	n.client = store.NewClient(store.ClientConfig{Address: c.Platform})
-	n.terms = terms{client: n.client}
 	n.check = assert.NewChecker(func(inv assert.Invariant, text string) {
 		event.Log(context.Background(), c.Logger, event.InvariantBroken, slog.Int("invariant", int(inv)), slog.String("text", text))
 	})
@@ -72,7 +71,7 @@
 
 // joinFleet connects this instance with its peers and the record of rights.
 func (n *Node) joinFleet() error {
-	store := platform{client: n.client}
+	store := platform{client: n.client, leavers: &n.leavers}
 	fleet, err := peer.NewFleet(peer.Config{
 		Self: peer.Member{
 			Instance: n.config.ID, FailureDomain: n.config.Domain,
--- a/io/node/platform.go
+++ b/io/node/platform.go
@@ -12,6 +12,8 @@
 // platform adapts the client of the platform to what the fleet needs of it.
 type platform struct {
 	client *store.Client
+	// leavers is told which backend servers the list says are leaving.
+	leavers *leavers
 }
 
 // Get returns the entry under key, and the zero entry when it is absent.
@@ -41,6 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.leavers.learn(all)
 	var listed []peer.Listed
 	for _, one := range all {
 		if one.Kind == store.KindEntry {
--- a/io/node/site.go
+++ b/io/node/site.go
@@ -40,13 +40,14 @@
 	s := &site{service: service, rank: rank, count: count}
 	s.watcher = group.NewWatcher(group.Config{
 		Service: id, Servers: groupServers(service), User: service.User(), Password: password,
-		Database: service.Database(), Terms: n.terms, Lead: lead, Rank: rank, Holder: n.config.ID,
+		Database: service.Database(), Store: n.client, Lead: lead, Rank: func() int { return rank },
 		Logger: n.config.Logger, Check: n.check, Now: n.now,
 	})
 	s.gate, err = gate.New(gate.Config{
 		Service: id, Servers: gateServers(service), Part: gate.Part{Rank: rank, Count: count},
 		Group: s.watcher, Share: n.share, User: service.User(), Password: password,
 		Database: service.Database(), Logger: n.config.Logger, Check: n.check, Now: n.now, Holds: holds,
+		Leaving: n.leaving,
 	})
 	if err != nil {
 		s.watcher.Close()
