--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -38,36 +38,45 @@
 	local pid
 	pid=$(cat "$RUN_DIR/$1.pid" 2>/dev/null) || return 1
 	# A process id can be given to another program; ours all live in bin/.
-	[[ "$(tr '\0' ' ' <"/proc/$pid/cmdline" 2>/dev/null)" == bin/* ]]
+	[[ "$(tr '\0' ' ' 2>/dev/null <"/proc/$pid/cmdline" || true)" == bin/* ]] 2>/dev/null
 }
 
-# end NAME [SIGNAL]: sends the signal (TERM) and waits for the process to go.
-end() {
-	local name=$1 signal=${2:-TERM} tries=0
-	if ! alive "$name"; then
-		rm -f "$RUN_DIR/$name.pid"
-		return 0
-	fi
-	kill -s "$signal" "$(cat "$RUN_DIR/$name.pid")"
-	while alive "$name"; do
+# gone NAME SECONDS: waits for a process to end; false when it still runs after that.
+gone() {
+	local left=$(($2 * 10))
+	while alive "$1"; do
+		[ "$left" -eq 0 ] && return 1
 		sleep 0.1
-		tries=$((tries + 1))
-		if [ "$tries" -eq 150 ]; then
-			say "$name doesn't stop, killing it"
-			kill -s KILL "$(cat "$RUN_DIR/$name.pid")"
-		fi
+		left=$((left - 1))
 	done
-	rm -f "$RUN_DIR/$name.pid"
+	rm -f "$RUN_DIR/$1.pid"
+}
+
+# signal NAME SIGNAL: sends a signal to a process that still runs.
+signal() {
+	if alive "$1"; then kill -s "$2" "$(cat "$RUN_DIR/$1.pid")"; fi
 }
 
-# end_all: stops everything that was started under $RUN_DIR, entries first.
+# end NAME [SIGNAL]: sends the signal (TERM) and waits for the process to go. A planned
+# stop may take the time that serve --drain-timeout allows.
+end() {
+	signal "$1" "${2:-TERM}"
+	if ! gone "$1" 40; then
+		say "$1 doesn't stop, killing it"
+		signal "$1" KILL
+		gone "$1" 5
+	fi
+}
+
+# end_all: stops everything that was started under $RUN_DIR. Nothing is handed over
+# when a whole fleet goes, so nobody waits for it.
 end_all() {
-	local pattern file
-	for pattern in 'entry-*' '*'; do
-		for file in "$RUN_DIR"/$pattern.pid; do
-			[ -e "$file" ] && end "$(basename "$file" .pid)"
-		done
+	local file names=()
+	for file in "$RUN_DIR"/*.pid; do
+		[ -e "$file" ] && names+=("$(basename "$file" .pid)")
 	done
+	for name in "${names[@]}"; do signal "$name" KILL; done
+	for name in "${names[@]}"; do gone "$name" 5 || say "$name doesn't end"; done
 	return 0
 }
 
