--- a/io/gate/fake_test.go
+++ b/io/gate/fake_test.go
@@ -240,9 +240,9 @@
 
 // answer collects what a sink got.
 type answer struct {
-	rows   [][]string
-	tags   []string
-	codes  []string
+	rows  [][]string
+	tags  []string
+	codes []string
 	// served are the reports of which server ran a batch.
 	served []string
 	others int
