--- a/cmd/pomelofork/serve.go
+++ b/cmd/pomelofork/serve.go
@@ -8,10 +8,13 @@
 	"net"
 	"os"
 	"os/signal"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/io/certs"
 	"pomelofork/io/node"
 )
 
@@ -27,6 +30,13 @@
 	FleetSecret   string `default:"" help:"Secret that instances show each other; better set by the environment."`
 	OperatorToken string `default:"" help:"SHA-256 of the operators' token in hexadecimal digits; empty refuses changes."`
 
+	CallerCert string `type:"existingfile" help:"Certificate chain for callers (PEM); read again when it changes."`
+	CallerKey  string `type:"existingfile" help:"Private key for callers (PEM)."`
+	RequireTLS bool   `help:"Refuse callers without TLS."`
+	FleetCert  string `type:"existingfile" help:"Certificate chain towards other instances (PEM)."`
+	FleetKey   string `type:"existingfile" help:"Private key towards other instances (PEM)."`
+	FleetCA    string `type:"existingfile" help:"Certificates that sign the instances' certificates (PEM)."`
+
 	ConfigFreshness time.Duration `default:"8s" help:"How long to serve without word that the configuration is current."`
 	UnreadyPause    time.Duration `default:"500ms" help:"Time between becoming unready and taking no more callers."`
 	DrainTimeout    time.Duration `default:"30s" help:"Bound for a planned stop."`
@@ -42,6 +52,15 @@
 			return fmt.Errorf("%s: want a duration above zero, got %s", name, value)
 		}
 	}
+	if (c.CallerCert == "") != (c.CallerKey == "") {
+		return errors.New("--caller-cert and --caller-key go together")
+	}
+	if c.RequireTLS && c.CallerCert == "" {
+		return errors.New("--require-tls needs --caller-cert and --caller-key")
+	}
+	if fleet := []string{c.FleetCert, c.FleetKey, c.FleetCA}; slices.Contains(fleet, "") && strings.Join(fleet, "") != "" {
+		return errors.New("--fleet-cert, --fleet-key and --fleet-ca go together")
+	}
 	if c.UnreadyPause < 0 {
 		return fmt.Errorf("--unready-pause: want a duration that is not negative, got %s", c.UnreadyPause)
 	}
@@ -74,7 +93,10 @@
 		ID: model.InstanceID(c.ID), Domain: model.Domain(c.FailureDomain), Platform: c.Platform,
 		FleetSecret: c.FleetSecret, OperatorTokenHash: c.OperatorToken,
 		ConfigFreshness: c.ConfigFreshness, UnreadyPause: c.UnreadyPause, DrainTimeout: c.DrainTimeout,
-		Logger: logger,
+		RequireTLS: c.RequireTLS, Logger: logger,
+	}
+	if err := c.certificates(&config); err != nil {
+		return config, err
 	}
 	var faults []error
 	for _, l := range []struct {
@@ -95,3 +117,22 @@
 	}
 	return config, errors.Join(faults...)
 }
+
+// certificates reads what TLS needs, if it is asked for.
+func (c *serveCommand) certificates(config *node.Config) error {
+	if c.CallerCert != "" {
+		source, err := certs.NewSource(certs.Config{CertFile: c.CallerCert, KeyFile: c.CallerKey, Now: time.Now})
+		if err != nil {
+			return err
+		}
+		config.CallerTLS = source.Server()
+	}
+	if c.FleetCert != "" {
+		source, err := certs.NewSource(certs.Config{CertFile: c.FleetCert, KeyFile: c.FleetKey, CAFile: c.FleetCA, Now: time.Now})
+		if err != nil {
+			return err
+		}
+		config.FleetTLS = source.Fleet()
+	}
+	return nil
+}
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -43,6 +43,9 @@
 
 // fatal sends a last error and ends the session.
 func (s *session) fatal(refusal *model.Refusal) error {
+	if s.lane != nil {
+		s.count(refusal.Reason())
+	}
 	s.dropLane()
 	s.backend.Send(refusalMessage(severityFatal, refusal))
 	if err := s.backend.Flush(); err != nil {
--- a/io/caller/local.go
+++ b/io/caller/local.go
@@ -138,6 +138,11 @@
 		return plainError("0A000", "not a statement of %s", settingPrefix)
 	}
 	backend := l.session.backend
+	if own.discard {
+		l.session.statements.clear()
+		backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(own.name + " ALL")})
+		return nil
+	}
 	if !own.show {
 		if fault := l.session.set(own.name, own.value); fault != nil {
 			return fault
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -12,6 +12,7 @@
 	"pomelofork/core/conf"
 	"pomelofork/core/model"
 	"pomelofork/core/sess"
+	"pomelofork/io/meter"
 	"pomelofork/io/wire"
 )
 
@@ -49,6 +50,7 @@
 
 	statements *prepared
 	batch      batch
+	unit       meter.Unit
 	lane       wire.Lane
 	release    func()
 	// broken says that the open transaction is lost and the caller must roll back.
@@ -247,10 +249,12 @@
 	s.kill()
 }
 
+// dropLane ends the unit of work. A transaction that is still open is rolled back.
 func (s *session) dropLane() {
 	if s.lane == nil {
 		return
 	}
+	s.count(0)
 	s.lane.Close()
 	s.release()
 	s.mu.Lock()
--- a/io/caller/setting.go
+++ b/io/caller/setting.go
@@ -19,6 +19,8 @@
 const (
 	settingPrefix  = "pomelofork."
 	parameterToken = settingPrefix + settingToken
+	// maxSettingText bounds a statement of ours, in bytes.
+	maxSettingText = 64 << 10
 	// maxRequestID bounds the id of a request, in bytes.
 	maxRequestID = 200
 )
@@ -26,21 +28,31 @@
 // The two kinds of statement that the entry answers itself, for example
 // SET pomelofork.route = 'stock-check' and SHOW pomelofork.token.
 var (
-	setPattern  = regexp.MustCompile(`(?is)^\s*SET\s+(?:SESSION\s+|LOCAL\s+)?"?pomelofork"?\s*\.\s*"?(\w+)"?\s*(?:=|\s+TO\s+)\s*('(?:[^']|'')*'|[^\s';]+)\s*;?\s*$`)
-	showPattern = regexp.MustCompile(`(?is)^\s*SHOW\s+"?pomelofork"?\s*\.\s*"?(\w+)"?\s*;?\s*$`)
+	setPattern = regexp.MustCompile(`(?is)^\s*SET\s+(?:SESSION\s+|LOCAL\s+)?"?pomelofork"?\s*\.\s*"?(\w+)"?\s*(?:=|\s+TO\s+)\s*('(?:[^']|'')*'|[^\s';]+)\s*;?\s*$`)
+	// discardPattern finds what poolers send before they give a session to another user.
+	// A session has no other state than the entry's, so no backend server need hear it.
+	discardPattern = regexp.MustCompile(`(?is)^\s*(DISCARD|DEALLOCATE)\s+ALL\s*;?\s*$`)
+	showPattern    = regexp.MustCompile(`(?is)^\s*SHOW\s+"?pomelofork"?\s*\.\s*"?(\w+)"?\s*;?\s*$`)
 )
 
 // setting is one statement that the entry answers itself.
 type setting struct {
-	name  string
-	value string
-	show  bool
+	name    string
+	value   string
+	show    bool
+	discard bool
 }
 
 // parseSetting reads a statement and reports whether the entry answers it.
 func parseSetting(text string) (setting, bool) {
+	if len(text) > maxSettingText {
+		return setting{}, false
+	}
+	if m := discardPattern.FindStringSubmatch(text); m != nil {
+		return setting{name: strings.ToUpper(m[1]), discard: true}, true
+	}
 	// Almost no statement is one of ours, and the patterns cost more than this.
-	if len(text) > 4096 || !strings.Contains(strings.ToLower(text), "pomelofork") {
+	if !strings.Contains(strings.ToLower(text), "pomelofork") {
 		return setting{}, false
 	}
 	if m := setPattern.FindStringSubmatch(text); m != nil {
--- a/io/caller/setting_test.go
+++ b/io/caller/setting_test.go
@@ -23,6 +23,7 @@
 		"set with a quote":      {"SET pomelofork.request_id = 'it''s'", setting{name: "request_id", value: "it's"}, true},
 		"set local":             {"SET LOCAL pomelofork.route='a'", setting{name: "route", value: "a"}, true},
 		"show":                  {"SHOW pomelofork.token", setting{name: "token", show: true}, true},
+		"discard all":           {"DISCARD ALL;", setting{name: "DISCARD", discard: true}, true},
 		"another setting":       {"SET search_path = 'pomelofork.x'", setting{}, false},
 		"our name inside data":  {"SELECT 'pomelofork.route'", setting{}, false},
 		"set and a statement":   {"SET pomelofork.route = 'a'; SELECT 'b'", setting{}, false},
--- a/io/caller/unit.go
+++ b/io/caller/unit.go
@@ -9,6 +9,7 @@
 	"pomelofork/core/assert"
 	"pomelofork/core/conf"
 	"pomelofork/core/model"
+	"pomelofork/io/meter"
 	"pomelofork/io/wire"
 )
 
@@ -35,9 +36,12 @@
 	defer s.setRunning(nil)
 	out := newSink(s.backend, steps)
 	result, err := s.send(ctx, steps, out)
+	s.noteServer(out.server)
 	if err != nil {
+		refusal := asRefusal(err)
+		s.count(refusal.Reason())
 		s.loseTransaction()
-		return s.refuse(asRefusal(err))
+		return s.refuse(refusal)
 	}
 	if err := out.finish(); err != nil {
 		return errClosed
@@ -95,6 +99,7 @@
 	if s.lane != nil {
 		return s.lane.Run(ctx, forward, out)
 	}
+	s.unit = meter.Unit{Account: s.account, Route: s.route, Service: s.service, Started: s.now()}
 	unit, refusal := s.newUnit(ctx)
 	if refusal != nil {
 		return wire.Result{}, refusal
@@ -131,7 +136,7 @@
 	if point, known := s.tokens.Point(route.Service()); known {
 		unit.Token = point.String()
 	}
-	s.access = route.Access()
+	s.access, s.unit.Access = route.Access(), route.Access()
 	return unit, nil
 }
 
--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"expvar"
 	"net/http"
 	"time"
 )
@@ -19,7 +18,7 @@
 		}
 		_, _ = w.Write([]byte("ready\n"))
 	})
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.Handle("GET /debug/vars", n.vars())
 	n.admin = &http.Server{Handler: mux, ReadHeaderTimeout: adminReadTimeout}
 	n.wait.Go(func() { _ = n.admin.Serve(n.config.Admin) })
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -15,6 +15,7 @@
 	"pomelofork/io/caller"
 	"pomelofork/io/event"
 	"pomelofork/io/link"
+	"pomelofork/io/meter"
 	"pomelofork/io/peer"
 	"pomelofork/io/store"
 	"pomelofork/io/wire"
@@ -25,6 +26,7 @@
 	config  Config
 	client  *store.Client
 	check   *assert.Checker
+	meter   *meter.Meter
 	line    *line
 	fleet   *peer.Fleet
 	sites   *sites
@@ -42,6 +44,7 @@
 // New starts an instance. It takes callers once it knows a configuration.
 func New(c Config) (*Node, error) {
 	n := &Node{config: c, line: &line{}, sites: newSites(), done: make(chan struct{})}
+	n.meter = meter.New(meter.Config{Instance: c.ID})
 	n.client = store.NewClient(store.ClientConfig{Address: c.Platform})
 	n.check = assert.NewChecker(func(inv assert.Invariant, text string) {
 		event.Log(context.Background(), c.Logger, event.InvariantBroken, slog.Int("invariant", int(inv)), slog.String("text", text))
@@ -58,10 +61,11 @@
 	})
 	n.callers = caller.NewServer(caller.Config{
 		Listener: c.Callers, TLS: c.CallerTLS, RequireTLS: c.RequireTLS, Directory: n,
-		Logger: c.Logger, Check: n.check, Now: n.now,
+		Logger: c.Logger, Meter: n.meter, Check: n.check, Now: n.now,
 	})
 	n.startAdmin()
 	n.wait.Go(n.reconcileLoop)
+	n.wait.Go(n.meterLoop)
 	event.Log(context.Background(), c.Logger, event.InstanceStarted, slog.String("instance", string(c.ID)))
 	return n, nil
 }
@@ -161,7 +165,7 @@
 
 // Ready reports whether the balancer may send callers here.
 func (n *Node) Ready() bool {
-	if n.stopping.Load() {
+	if n.stopping.Load() || !n.fleet.Ready() {
 		return false
 	}
 	config, refusal := n.Config(n.now())
