--- a/bench/pages/caplines.go
+++ b/bench/pages/caplines.go
@@ -20,7 +20,8 @@
 
 // Fits are the lines fitted to the samples of fleets.
 type Fits struct {
-	// PeerCPU, PeerRSS and PeerBytes grow with the number of instances.
+	// PeerCPU, PeerRSS and PeerBytes grow with the number of instances, each of which
+	// is gateway of one service.
 	PeerCPU, PeerRSS, PeerBytes, PeerStore slope.Line
 	// GateCPU, GateRSS and GateBytes grow with the gateways that an instance is.
 	GateCPU, GateRSS, GateBytes slope.Line
@@ -87,11 +88,11 @@
 	recordChanges := restartsPerDay * changesPerRestart / 86400.0
 	return []CostLine{
 		{
-			Name: "process at rest", How: "the program without peers or services: base of the line over instances",
-			CoreShare: max(0, f.PeerCPU.Base), Bytes: f.PeerRSS.Base,
+			Name: "process at rest", How: "the program without peers or gateways: base of the line over instances, less one gateway",
+			CoreShare: f.PeerCPU.Base - f.GateCPU.Slope, Bytes: f.PeerRSS.Base - f.GateRSS.Slope,
 		},
 		{
-			Name: "peers' heartbeats and spreading", How: "each instance to each other one; slope over instances",
+			Name: "peers' heartbeats and spreading", How: "each instance to each other one, twice a second; slope over instances",
 			CoreShare: f.PeerCPU.Slope * size.Nodes, Bytes: f.PeerRSS.Slope * size.Nodes, BytesPerS: f.PeerBytes.Slope * size.Nodes,
 		},
 		{
--- a/bench/pages/files.go
+++ b/bench/pages/files.go
@@ -46,9 +46,8 @@
 	return sum
 }
 
-// BytesPerS returns the traffic of one instance in both directions, halved, since
-// each byte is written by one end and read by the other.
-func (s Sampled) BytesPerS() float64 { return (s.ReadPerS + s.WrittenPerS) / 2 }
+// BytesPerS returns the traffic of one instance in both directions.
+func (s Sampled) BytesPerS() float64 { return s.ReadPerS + s.WrittenPerS }
 
 // readFile reads one JSON file.
 func readFile(path string, into any) error {
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -30,13 +30,16 @@
 
 part_instances() {
 	local n
-	with
-	for n in 4 8 16 24; do INSTANCES=$n idle "instances-$n"; done
+	# Half as many services as instances, so that each instance is one gateway.
+	for n in 8 16 24 32; do
+		with --services $((n / 2)) --first-port 8500
+		INSTANCES=$n idle "instances-$n"
+	done
 }
 
 part_services() {
 	local n
-	for n in 1 4 8; do with --services "$n" && idle "services-$n"; done
+	for n in 1 4 8 12; do with --services "$n" --first-port 8500 && idle "services-$n"; done
 }
 
 part_accounts() {
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -101,14 +101,17 @@
 	echo "${list#,}"
 }
 
+# control SERVICE-NUMBER: the address of a group's control interface.
+control() { echo "127.0.0.1:$((7600 + 10 * $1))"; }
+
 # fault SERVICE-NUMBER SERVER JSON: changes a fault of a backend server.
 fault() {
-	curl -sf -X POST "http://127.0.0.1:76${1}0/control/servers/$2" -d "$3" >/dev/null ||
+	curl -sf -X POST "http://$(control "$1")/control/servers/$2" -d "$3" >/dev/null ||
 		say "fault $3 at $2 was refused"
 }
 
 # primary_of SERVICE-NUMBER: the backend server that leads the newest term.
-primary_of() { bin/pomelo-load primary "127.0.0.1:76${1}0"; }
+primary_of() { bin/pomelo-load primary "$(control "$1")"; }
 
 # put_instances: fills the platform's list of instances.
 put_instances() {
@@ -156,7 +159,7 @@
 	local n service user password slots connections address
 	while read -r n service user password slots connections address; do
 		POMELO_GROUP_PASSWORD=$password start "group-$n" bin/pomelo-group --service "$service" \
-			--listen "$address" --control "127.0.0.1:76${n}0" --user "$user" \
+			--listen "$address" --control "$(control "$n")" --user "$user" \
 			--slots "$slots" --connections "$connections" --connect-cost "$CONNECT_COST" --statement-cost "$STATEMENT_COST"
 	done < <(layout services)
 }
