Count units of work at the entry and publish the metrics

The report on error budgets found no metrics, because nothing counted. Each unit counts once, at its end, with the backend server that ran it; gauges of rates, rights and terms are brought up to date when somebody reads them.

--- a/cmd/pomelofork/serve.go
+++ b/cmd/pomelofork/serve.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/io/meter"
 	"pomelofork/io/node"
 )
 
@@ -57,6 +58,8 @@
 	if err != nil {
 		return err
 	}
+	config.Meter = meter.New(meter.Config{Instance: config.ID})
+	config.Meter.Publish()
 	running, err := node.New(config)
 	if err != nil {
 		return err
--- a/io/caller/config.go
+++ b/io/caller/config.go
@@ -10,6 +10,7 @@
 	"pomelofork/core/assert"
 	"pomelofork/core/conf"
 	"pomelofork/core/model"
+	"pomelofork/io/meter"
 	"pomelofork/io/wire"
 )
 
@@ -64,6 +65,8 @@
 	Directory Directory
 	// Logger takes the events 500 to 599.
 	Logger *slog.Logger
+	// Meter counts units of work. It may be nil.
+	Meter *meter.Meter
 	// Check counts broken invariants. It may be nil.
 	Check *assert.Checker
 	// Now returns the present time.
--- a/io/caller/sink.go
+++ b/io/caller/sink.go
@@ -15,6 +15,8 @@
 	queue   *script.Queue
 	shown   int
 	pending int
+	// servedBy is the backend server that ran the batch and its role.
+	servedBy string
 }
 
 // newSink returns a sink for the answers to the steps.
@@ -39,7 +41,10 @@
 
 // Message implements wire.Sink.
 func (k *sink) Message(m pgproto3.BackendMessage) error {
-	if _, status := m.(*pgproto3.ParameterStatus); status {
+	if status, ok := m.(*pgproto3.ParameterStatus); ok {
+		if status.Name == parameterServedBy {
+			k.servedBy = status.Value
+		}
 		k.backend.Send(m)
 		return nil
 	}
--- a/io/caller/unit.go
+++ b/io/caller/unit.go
@@ -34,11 +34,14 @@
 	s.setRunning(cancel)
 	defer s.setRunning(nil)
 	out := newSink(s.backend, steps)
+	started := s.now()
 	result, err := s.send(ctx, steps, out)
 	if err != nil {
 		s.loseTransaction()
+		s.countRefusal(started, out, asRefusal(err))
 		return s.refuse(asRefusal(err))
 	}
+	s.countEnd(started, result, out)
 	if err := out.finish(); err != nil {
 		return errClosed
 	}
--- a/io/node/admin.go
+++ b/io/node/admin.go
@@ -19,7 +19,7 @@
 		}
 		_, _ = w.Write([]byte("ready\n"))
 	})
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.Handle("GET /debug/vars", n.measured(expvar.Handler()))
 	n.admin = &http.Server{Handler: mux, ReadHeaderTimeout: adminReadTimeout}
 	n.wait.Go(func() { _ = n.admin.Serve(n.config.Admin) })
 }
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/io/meter"
 )
 
 // Config holds the settings of one instance. Every listener is open already, so that
@@ -44,6 +45,8 @@
 	UnreadyPause time.Duration
 	// DrainTimeout bounds the planned stop.
 	DrainTimeout time.Duration
+	// Meter counts what the instance does. It may be nil.
+	Meter *meter.Meter
 	// Logger takes the events.
 	Logger *slog.Logger
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -58,7 +58,7 @@
 	})
 	n.callers = caller.NewServer(caller.Config{
 		Listener: c.Callers, TLS: c.CallerTLS, RequireTLS: c.RequireTLS, Directory: n,
-		Logger: c.Logger, Check: n.check, Now: n.now,
+		Logger: c.Logger, Meter: c.Meter, Check: n.check, Now: n.now,
 	})
 	n.startAdmin()
 	n.wait.Go(n.reconcileLoop)
