--- a/io/node/node.go
+++ b/io/node/node.go
@@ -65,7 +65,6 @@
 	})
 	n.startAdmin()
 	n.wait.Go(n.reconcileLoop)
-	n.wait.Go(n.meterLoop)
 	event.Log(context.Background(), c.Logger, event.InstanceStarted, slog.String("instance", string(c.ID)))
 	return n, nil
 }
