--- a/core/conf/document.go
+++ b/core/conf/document.go
@@ -15,13 +15,13 @@
 	// Preset names the one preset that is in force.
 	Preset string `json:"preset"`
 	// Presets are the declared presets by name.
-	Presets map[string]PresetEntry `json:"presets"`
+	Presets map[string]PresetEntry `json:"presets,omitempty"`
 	// Accounts are the client accounts.
-	Accounts []AccountEntry `json:"accounts"`
+	Accounts []AccountEntry `json:"accounts,omitempty"`
 	// Services are the database services.
-	Services []ServiceEntry `json:"services"`
+	Services []ServiceEntry `json:"services,omitempty"`
 	// Routes are the declared routes.
-	Routes []RouteEntry `json:"routes"`
+	Routes []RouteEntry `json:"routes,omitempty"`
 	// Changes are the latest accepted changes, oldest first. Operators leave it out.
 	Changes []ChangeEntry `json:"changes,omitempty"`
 }
--- a/core/conf/entry_account.go
+++ b/core/conf/entry_account.go
@@ -13,5 +13,5 @@
 	// Share is the account's weight where slots are scarce.
 	Share int `json:"share"`
 	// Keys are the account's keys, withdrawn ones included.
-	Keys []KeyEntry `json:"keys"`
+	Keys []KeyEntry `json:"keys,omitempty"`
 }
--- a/core/conf/entry_service.go
+++ b/core/conf/entry_service.go
@@ -17,5 +17,5 @@
 	// StatementTimeoutMs bounds each statement, in milliseconds.
 	StatementTimeoutMs int64 `json:"statement_timeout_ms"`
 	// Servers are the backend servers of the group.
-	Servers []ServerEntry `json:"servers"`
+	Servers []ServerEntry `json:"servers,omitempty"`
 }
--- a/core/conf/parse.go
+++ b/core/conf/parse.go
@@ -18,22 +18,14 @@
 	return build(document, bytes.Clone(text)), nil
 }
 
-// NewConfig checks a document and takes it over. The caller must not change it
-// afterwards.
+// NewConfig checks a document. It judges the stored form, so that what it takes can
+// be read back.
 func NewConfig(document *Document) (*Config, error) {
-	if err := document.check(); err != nil {
-		return nil, err
-	}
 	text, err := document.Encode()
 	if err != nil {
 		return nil, err
 	}
-	if len(text) > MaxSize {
-		faults := &FaultsError{}
-		faults.add("", "document has %d bytes, more than the store's %d", len(text), MaxSize)
-		return nil, faults
-	}
-	return build(document, text), nil
+	return Parse(text)
 }
 
 // decodeDocument reads a document by its form alone.
