Run two gateways against a group with faults in simulated time

The runs draw kills, freezes, cuts, pauses, crashes, outages of the store and planned changes, over messages that are slow, lost, doubled and reordered. They check that no acknowledged write is lost, that one server leads each term, that confirmed and fresh reads are so, and that a healed group works. Eight machines with one guard off are each found.

Now the promise decides first. Ruled out: the count of the majority itself.

--- a/core/term/attempt.go
+++ b/core/term/attempt.go
@@ -29,7 +29,7 @@
 		return
 	}
 	next := m.column.After(max(m.newest(), m.used))
-	if m.unsafe.reuseTerm && m.used > 0 {
+	if m.unsafe.reuseTerm && m.used > 0 && m.used >= m.newest() {
 		next = m.used
 	}
 	m.attempts++
--- a/core/term/machine.go
+++ b/core/term/machine.go
@@ -72,7 +72,8 @@
 // unsafe switches guards off, so that tests can show what each of them prevents.
 type unsafe struct {
 	ackAtPrimary   bool
-	ackAnyPromise  bool
+	ackAnyTerm     bool
+	ackReplaced    bool
 	promoteFirst   bool
 	promoteEarly   bool
 	acceptLate     bool
--- a/core/term/observe.go
+++ b/core/term/observe.go
@@ -121,7 +121,7 @@
 	for _, id := range m.order {
 		r := m.records[id]
 		at, ok := r.holds(t)
-		if m.unsafe.ackAnyPromise && r.known && r.status.Log.Term() == t {
+		if m.unsafe.ackAnyTerm {
 			at, ok = r.status.Log.Pos(), true
 		}
 		if ok {
@@ -165,9 +165,10 @@
 // Judge says what is known of a commit.
 func (m *Machine) Judge(p model.Point) Verdict {
 	switch {
-	case m.replaced(p.Term()):
+	case m.replaced(p.Term()) && !m.unsafe.ackReplaced:
 		return VerdictReplaced
-	case p.Term() == m.committed.Term() && p.Pos() <= m.committed.Pos():
+	case p.Term() == m.committed.Term() && p.Pos() <= m.committed.Pos(),
+		m.unsafe.ackReplaced && p.Term() < m.committed.Term() && p.Pos() <= m.committed.Pos():
 		return VerdictCommitted
 	}
 	return VerdictWait
--- a/core/term/record.go
+++ b/core/term/record.go
@@ -27,16 +27,27 @@
 	fencedAt time.Time
 }
 
-// take replaces the status by a newer one.
+// take replaces the status by a later one.
 func (r *record) take(now, asked time.Time, s Status) {
 	r.promised = max(r.promised, s.Promised)
 	r.heard, r.failed, r.refusals, r.statements = now, false, 0, 0
-	if r.known && asked.Before(r.asked) {
+	if r.known && !r.precedes(asked, s) {
 		return
 	}
 	r.known, r.asked, r.status = true, asked, s
 }
 
+// precedes says that s is a later state of the server than the one recorded, as far
+// as can be told. Answers overtake each other, so the question's time alone doesn't
+// decide: a promise never falls back, and a server leads only after its promise.
+func (r *record) precedes(asked time.Time, s Status) bool {
+	have := r.status
+	if s.Promised != have.Promised {
+		return s.Promised > have.Promised
+	}
+	return !asked.Before(r.asked) || s.Primary && !have.Primary
+}
+
 // reachable says that the server answered lately.
 func (r *record) reachable(now time.Time, overdue time.Duration) bool {
 	return r.known && !r.failed && now.Sub(r.heard) <= overdue
