--- a/io/event/gate.go
+++ b/io/event/gate.go
@@ -1,6 +1,22 @@
 package event
 
+import "log/slog"
+
 // Events of area "gate": 400 to 499.
-const ()
+const (
+	GateConnectFailed ID = 400 + iota
+	LinkConnectFailed
+)
 
-var gateKinds = map[ID]Kind{}
+var gateKinds = map[ID]Kind{
+	GateConnectFailed: {
+		Level:  slog.LevelWarn,
+		Text:   "connection to a backend server failed",
+		Action: "look at the backend server and at pomelofork's credentials for it",
+	},
+	LinkConnectFailed: {
+		Level:  slog.LevelWarn,
+		Text:   "connection to another instance's gateway failed",
+		Action: "look at the instance, at the network, and at the fleet secret of both",
+	},
+}
