Keep each ticket's own pick while the queue looks for the one that is due

Under mixed load the gateway crashed or could have sent a statement to the server that was picked for another one. Cause: the queue asks whether several tickets fit before it decides, and the last answer overwrote the chosen ticket's pick. The virtual bench made the same mistake, which showed as more work done than its slots can do. Before: the new test with twelve sessions panics; after: it passes.

--- a/bench/slots/run.go
+++ b/bench/slots/run.go
@@ -125,15 +125,14 @@
 // give starts the next statement that finds a free slot, and reports whether there
 // was one.
 func (r *run) give(now time.Time) bool {
-	server := 0
 	item, ok := r.queue.Next(now, func(s *statement) bool {
-		var free bool
-		server, free = r.place(s)
+		_, free := r.place(s)
 		return free
 	})
 	if !ok {
 		return false
 	}
+	server, _ := r.place(item.Value)
 	r.busy[server]++
 	r.agenda.add(event{at: now.Add(item.Value.cost), kind: kindEnd, statement: item.Value, item: item, server: server})
 	return true
--- a/io/gate/dispatch.go
+++ b/io/gate/dispatch.go
@@ -61,15 +61,17 @@
 
 // dispatchOne gives one slot to the ticket that is due, if any.
 func (g *Gate) dispatchOne(now time.Time, known term.Known) bool {
-	var pick route.Pick
 	item, ok := g.queue.Next(now, func(t *ticket) bool {
+		// The queue also asks about tickets that it doesn't return, so each one
+		// keeps its own answer.
 		var fits bool
-		pick, fits = g.choose(now, known, t)
+		t.pick, fits = g.choose(now, known, t)
 		return fits
 	})
 	if !ok {
 		return false
 	}
+	pick := item.Value.pick
 	s := g.servers[pick.Server]
 	s.enter(now)
 	g.config.Check.Hold(!g.leavers.Expired(now, s.id), assert.InvariantLeavingServer, "new work for %s", s.id)
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -1,6 +1,9 @@
 package gate_test
 
 import (
+	"context"
+	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -171,3 +174,41 @@
 		Expect(got.tags).To(BeEmpty())
 	})
 })
+
+var _ = Describe("Gate under mixed load", func() {
+	It("gives every statement the server that was picked for it", func(ctx SpecContext) {
+		b := newBench(pgsim.Config{Slots: 1, Connections: 6, StatementCost: 500 * time.Microsecond, ApplyLag: 5 * time.Millisecond})
+		done := make(chan error)
+		const sessions = 12
+		for session := range sessions {
+			go func() { done <- converse(ctx, b, session) }()
+		}
+		for range sessions {
+			Expect(<-done).NotTo(HaveOccurred())
+		}
+	})
+})
+
+// converse writes and reads in turn as one session and looks for each write.
+func converse(ctx context.Context, b *bench, session int) error {
+	account, key := model.AccountID(strconv.Itoa(session)), "k"+strconv.Itoa(session)
+	for i := range 20 {
+		value := strconv.Itoa(i)
+		write := writes()
+		write.Account = account
+		_, result, err := do(ctx, b.gate, write, query("INSERT INTO items (key, value) VALUES ('"+key+"', '"+value+"')"))
+		if err != nil {
+			return err
+		}
+		read := reads(result.Point.String())
+		read.Account = account
+		got, _, err := do(ctx, b.gate, read, query("SELECT value, version FROM items WHERE key = '"+key+"'"))
+		if err != nil {
+			return err
+		}
+		if len(got.rows) != 1 || got.rows[0][0] != value {
+			return fmt.Errorf("session %d read %v after it wrote %s", session, got.rows, value)
+		}
+	}
+	return nil
+}
--- a/io/gate/ticket.go
+++ b/io/gate/ticket.go
@@ -14,6 +14,8 @@
 	pinned *server
 	// readOnly is the mode that the connection will be used in.
 	readOnly bool
+	// pick is the server for which the ticket last fitted.
+	pick route.Pick
 	// grants carries the one grant of the ticket.
 	grants chan grant
 }
