--- a/io/node/node.go
+++ b/io/node/node.go
@@ -15,6 +15,7 @@
 	"pomelofork/io/caller"
 	"pomelofork/io/event"
 	"pomelofork/io/link"
+	"pomelofork/io/meter"
 	"pomelofork/io/peer"
 	"pomelofork/io/store"
 	"pomelofork/io/wire"
@@ -25,14 +26,15 @@
 	config  Config
 	client  *store.Client
 	check   *assert.Checker
+	meter   *meter.Meter
 	line    *line
 	fleet   *peer.Fleet
 	sites   *sites
 	links   *links
+	leavers leavers
 	callers *caller.Server
 	lanes   *link.Server
 	admin   *http.Server
-	terms   terms
 
 	stopping atomic.Bool
 	done     chan struct{}
@@ -42,8 +44,8 @@
 // New starts an instance. It takes callers once it knows a configuration.
 func New(c Config) (*Node, error) {
 	n := &Node{config: c, line: &line{}, sites: newSites(), done: make(chan struct{})}
+	n.meter = meter.New(meter.Config{Instance: c.ID})
 	n.client = store.NewClient(store.ClientConfig{Address: c.Platform})
-	n.terms = terms{client: n.client}
 	n.check = assert.NewChecker(func(inv assert.Invariant, text string) {
 		event.Log(context.Background(), c.Logger, event.InvariantBroken, slog.Int("invariant", int(inv)), slog.String("text", text))
 	})
@@ -59,7 +61,7 @@
 	})
 	n.callers = caller.NewServer(caller.Config{
 		Listener: c.Callers, TLS: c.CallerTLS, RequireTLS: c.RequireTLS, Directory: n,
-		Logger: c.Logger, Check: n.check, Now: n.now,
+		Logger: c.Logger, Meter: n.meter, Check: n.check, Now: n.now,
 	})
 	n.startAdmin()
 	n.wait.Go(n.reconcileLoop)
@@ -72,7 +74,7 @@
 
 // joinFleet connects this instance with its peers and the record of rights.
 func (n *Node) joinFleet() error {
-	store := platform{client: n.client}
+	store := platform{client: n.client, leavers: &n.leavers}
 	fleet, err := peer.NewFleet(peer.Config{
 		Self: peer.Member{
 			Instance: n.config.ID, FailureDomain: n.config.Domain,
@@ -162,7 +164,7 @@
 
 // Ready reports whether the balancer may send callers here.
 func (n *Node) Ready() bool {
-	if n.stopping.Load() {
+	if n.stopping.Load() || !n.fleet.Ready() {
 		return false
 	}
 	config, refusal := n.Config(n.now())
