Ask few neighbours in a large fleet and learn of the rest by digests

A full mesh of 780 instances doesn't fit the bytes a node may use. Ages are counted up by a tenth for slow clocks, so evidence stays on the safe side over any number of steps.

--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,13 @@
+package member_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestMember(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "member")
+}
--- a/core/member/roll.go
+++ b/core/member/roll.go
@@ -34,6 +34,7 @@
 	wanted  time.Time
 	// counted saves counting again while nothing was heard.
 	counted versionCount
+	near    neighbourhood
 }
 
 // versionCount is the result of counting the members' versions.
@@ -62,7 +63,7 @@
 // Heard notes any message of an instance.
 func (r *Roll) Heard(now time.Time, id model.InstanceID, incarnation uint64) {
 	s := r.seen[id]
-	if incarnation < s.incarnation {
+	if incarnation < s.incarnation || incarnation == s.incarnation && !now.After(s.heard) {
 		return
 	}
 	if incarnation > s.incarnation {
@@ -72,6 +73,20 @@
 	r.seen[id] = s
 }
 
+// SameVersion returns a bit for each member: set if the member was last seen with the
+// given configuration version, by evidence not older than age.
+func (r *Roll) SameVersion(now time.Time, members []lease.Member, version uint64, age time.Duration) []byte {
+	bits := make([]byte, (len(members)+7)/8)
+	for i, m := range members {
+		s, ok := r.seen[m.Instance]
+		same := ok && s.incarnation == m.Incarnation && s.version == version && now.Sub(s.asked) <= age
+		if same || m.Is(r.self) {
+			bits[i/8] |= 1 << (i % 8)
+		}
+	}
+	return bits
+}
+
 // Runs notes the configuration version in force at an instance, which was asked at
 // the given time.
 func (r *Roll) Runs(id model.InstanceID, incarnation, version uint64, asked time.Time) {
--- a/io/peer/beats.go
+++ b/io/peer/beats.go
@@ -7,9 +7,17 @@
 	"time"
 
 	"pomelofork/core/lease"
+	"pomelofork/core/member"
 	"pomelofork/io/event"
 )
 
+// sameMargin is the divisor of the largest difference between the rates of two clocks.
+const sameMargin = 10
+
+// idleLink is the time without a call after which a link is closed. In a large fleet an
+// instance talks to few others all the time and to many now and then.
+const idleLink = 30 * time.Second
+
 // beats sends heartbeats.
 type beats struct {
 	fleet *Fleet
@@ -64,14 +72,18 @@
 	defer f.mu.Unlock()
 	var targets []Member
 	wanted := map[string]bool{}
-	for _, m := range f.keeper.Asked() {
-		if wanted[m.PeerAddress] || m.PeerAddress == f.self.PeerAddress {
-			continue
-		}
-		targets = append(targets, m)
+	members := f.keeper.Asked()
+	for _, m := range members {
 		wanted[m.PeerAddress] = true
 	}
-	f.links.keep(wanted)
+	f.links.keep(wanted, f.config.Now().Add(-idleLink))
+	delete(wanted, f.self.PeerAddress)
+	for _, m := range f.roll.Contacts(f.config.Now(), f.keeper.Epoch(), members) {
+		if wanted[m.PeerAddress] {
+			targets = append(targets, m)
+			delete(wanted, m.PeerAddress)
+		}
+	}
 	return targets
 }
 
@@ -112,9 +124,44 @@
 	f.keeper.Heard(now, lease.Answer{
 		Instance: answer.Instance, Incarnation: answer.Incarnation, Epoch: answer.Epoch, Asked: asked,
 	})
+	if answer.Digest != nil {
+		f.digested(now, asked, answer)
+	}
 	return answer.Epoch > f.keeper.Epoch()
 }
 
+// digested takes in what a peer has heard of the other members.
+func (f *Fleet) digested(now, asked time.Time, answer *Greeting) {
+	sameAsOf := asked.Add(-f.sameAge() - f.sameAge()/sameMargin)
+	f.keeper.HeardDigest(now, asked, *answer.Digest, func(i int, m Member, asOf time.Time) {
+		f.roll.Heard(asOf, m.Instance, m.Incarnation)
+		if i/8 < len(answer.Same) && answer.Same[i/8]>>(i%8)&1 == 1 {
+			f.roll.Runs(m.Instance, m.Incarnation, answer.Version, sameAsOf)
+		}
+	})
+}
+
+// sameAge is the age up to which a peer tells which members it saw with its own
+// configuration version.
+func (f *Fleet) sameAge() time.Duration { return f.config.Timing.Lease.Hold / 2 }
+
+// answer returns the answer to a heartbeat. In a large fleet it tells what was heard of
+// the others, if the asker can make use of it.
+func (f *Fleet) answer(ask *Greeting) Greeting {
+	g := f.greeting()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	members := f.keeper.Members()
+	if len(members) <= member.MeshLimit || ask.Epoch != g.Epoch || f.keeper.Epoch() != g.Epoch {
+		return g
+	}
+	now := f.config.Now()
+	digest := f.keeper.Digest(now)
+	g.Digest = &digest
+	g.Same = f.roll.SameVersion(now, members, g.Version, f.sameAge())
+	return g
+}
+
 // greeting returns what this instance says of itself.
 func (f *Fleet) greeting() Greeting {
 	version := f.config.ConfigVersion()
--- a/io/peer/default.go
+++ b/io/peer/default.go
@@ -10,7 +10,7 @@
 
 // The defaults of a fleet's durations.
 const (
-	defaultHeartbeat = 500 * time.Millisecond
+	defaultHeartbeat = 250 * time.Millisecond
 	defaultStorePoll = time.Second
 	defaultCall      = 400 * time.Millisecond
 	defaultStoreCall = 1500 * time.Millisecond
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -37,6 +37,7 @@
 	slots   chan struct{}
 
 	mu       sync.Mutex
+	used     time.Time
 	client   *rpc.Client
 	conn     net.Conn
 	dialing  chan struct{}
@@ -83,6 +84,7 @@
 func (l *link) connected(ctx context.Context) (*rpc.Client, error) {
 	for {
 		l.mu.Lock()
+		l.used = l.now()
 		switch {
 		case l.closed:
 			l.mu.Unlock()
@@ -177,6 +179,13 @@
 	_ = client.Close()
 }
 
+// idleSince reports whether no call was made since a time.
+func (l *link) idleSince(since time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.used.IsZero() && l.used.Before(since)
+}
+
 // close ends the link for good.
 func (l *link) close() {
 	l.mu.Lock()
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -34,12 +34,13 @@
 	return found
 }
 
-// keep closes the links to all addresses that are not wanted any more.
-func (l *links) keep(wanted map[string]bool) {
+// keep closes the links to all addresses that are not wanted any more, and those that
+// were not used since a time.
+func (l *links) keep(wanted map[string]bool, since time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for address, found := range l.byAddress {
-		if !wanted[address] {
+		if !wanted[address] || found.idleSince(since) {
 			found.close()
 			delete(l.byAddress, address)
 		}
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -19,6 +19,10 @@
 	Version uint64
 	// Joining describes the instance while it is no member.
 	Joining *lease.Member
+	// Digest and Same tell, in a large fleet, what the instance has heard of the
+	// others: their epochs, and which of them were last seen with Version.
+	Digest *lease.Digest
+	Same   []byte
 }
 
 // RecordAsk asks for the record of rights if it is newer than Epoch.
--- a/io/peer/rpc.go
+++ b/io/peer/rpc.go
@@ -8,7 +8,7 @@
 // Ping answers a heartbeat.
 func (s *service) Ping(ask *Greeting, answer *Greeting) error {
 	s.fleet.greeted(ask)
-	*answer = s.fleet.greeting()
+	*answer = s.fleet.answer(ask)
 	return nil
 }
 
