--- a/core/limit/node_test.go
+++ b/core/limit/node_test.go
@@ -130,8 +130,10 @@
 
 // beat sends heartbeats and considers a change of the members.
 func (n *node) beat() {
-	for _, m := range n.keeper.Asked() {
-		if slotOf(m) != n.slot {
+	asked := n.keeper.Asked()
+	for i, m := range asked {
+		// With digests about half of the others are asked at each heartbeat.
+		if slotOf(m) != n.slot && !(n.w.digests && len(asked) > 3 && n.w.rng.IntN(2) == i%2) {
 			n.ping(m)
 		}
 	}
@@ -150,7 +152,13 @@
 			other.roll.Join(other.local(), self)
 		}
 		record, _ := other.keeper.Record()
-		return func(*node) { n.answered(other.self, asked, record, !other.keeper.Member() && !other.leaving) }
+		digest := n.w.digestOf(other)
+		return func(*node) {
+			n.answered(other.self, asked, record, !other.keeper.Member() && !other.leaving)
+			n.keeper.HeardDigest(n.local(), asked, digest, func(_ int, m lease.Member, asOf time.Time) {
+				n.roll.Heard(asOf, m.Instance, m.Incarnation)
+			})
+		}
 	})
 }
 
--- a/core/limit/run_test.go
+++ b/core/limit/run_test.go
@@ -15,6 +15,7 @@
 				seed:    rapid.Uint64().Draw(t, "seed"),
 				skew:    rapid.SampledFrom([]float64{0, maxSkew}).Draw(t, "skew"),
 				silence: silence,
+				digests: rapid.Bool().Draw(t, "digests"),
 			})
 			choose := func(lo, hi int) int { return rapid.IntRange(lo, hi).Draw(t, "choice") }
 			if broken := w.play(choose, rapid.IntRange(0, 12).Draw(t, "steps")); broken != "" {
@@ -34,6 +35,7 @@
 		"grants that count from their arrival": {slowScene, mutant{grantOnArrival: true}},
 		"a hand-over that fills the bucket":    {rollingScene, mutant{fullBucket: true}},
 		"a proposer without a majority":        {smallSideScene, mutant{anySideTakes: true}},
+		"digests without ages":                 {farSideScene, mutant{freshDigests: true}},
 		"a release without having owned":       {twoMovesScene, mutant{releaseBlindly: true}},
 	} {
 		It("are broken by "+name, func() {
--- a/core/limit/scene_test.go
+++ b/core/limit/scene_test.go
@@ -99,6 +99,14 @@
 	w.run(w.now + 20*time.Second)
 }
 
+// farSideScene cuts three of seven instances off the others and the store.
+func farSideScene(w *world) {
+	w.stalls = 0
+	w.run(20 * time.Second)
+	w.split(1<<0|1<<1|1<<2, 1, true)
+	w.run(w.now + 40*time.Second)
+}
+
 // twoMovesScene cuts each instance off in turn, and lets those leave at once that get
 // its rights, so that rights move on before their first holder has stopped.
 func twoMovesScene(w *world) {
@@ -130,7 +138,7 @@
 // breaks plays a scene with several seeds until an invariant is broken.
 func breaks(s scene, m mutant, seeds uint64) string {
 	for seed := range seeds {
-		c := worldConfig{seed: seed, silence: silence, mutant: m}
+		c := worldConfig{seed: seed, silence: silence, mutant: m, digests: m.freshDigests || seed%3 == 1}
 		if seed%2 == 1 {
 			c.skew = maxSkew
 		}
--- a/core/limit/world_test.go
+++ b/core/limit/world_test.go
@@ -26,6 +26,7 @@
 	lostOutstanding   bool // a hand-over forgets the open grants
 	fullBucket        bool // a hand-over fills the bucket
 	anySideTakes      bool // a proposer needs no majority
+	freshDigests      bool // evidence of others counts as if it were new
 	releaseBlindly    bool // a former holder confirms without having owned
 }
 
@@ -46,6 +47,7 @@
 	double  float64
 	delay   time.Duration
 	silence time.Duration
+	digests bool
 	// skew bounds how much the clocks run fast or slow.
 	skew float64
 	// stalls is the share of draws during which the holder is paused.
@@ -67,12 +69,14 @@
 	seed    uint64
 	skew    float64
 	silence time.Duration
+	// digests lets instances ask few others and learn of the rest by digests.
+	digests bool
 	mutant  mutant
 }
 
 func newWorld(c worldConfig) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(c.seed, 1)), mutant: c.mutant, skew: c.skew, silence: c.silence,
+		rng: rand.New(rand.NewPCG(c.seed, 1)), mutant: c.mutant, skew: c.skew, silence: c.silence, digests: c.digests,
 		timing: lease.DefaultTiming(), until: map[limit.GrantID]time.Duration{},
 		delay: 3 * time.Millisecond, stalls: 0.0005, bounds: map[string]*bound{},
 	}
@@ -199,6 +203,25 @@
 	}
 }
 
+// digestOf returns what an instance tells of the others.
+func (w *world) digestOf(n *node) lease.Digest {
+	if !w.digests {
+		return lease.Digest{}
+	}
+	d := n.keeper.Digest(n.local())
+	for i, ages := range d.Ages {
+		if w.mutant.freshDigests {
+			// Half a byte of ones stands for a member that isn't known.
+			for _, half := range []byte{0x0f, 0xf0} {
+				if ages&half != half {
+					d.Ages[i] &^= half
+				}
+			}
+		}
+	}
+	return d
+}
+
 // checkStep looks for another user of a right at the end of a step that succeeded.
 func (w *world) checkStep(by *node, right lease.Right) {
 	for slot, n := range w.slots {
