Divide an account's rate into four shares instead of three

More shares split a small burst further and are asked more often under overload. Four fits one share in each of four failure domains.

--- a/bench/quota/conserved.go
+++ b/bench/quota/conserved.go
@@ -10,7 +10,7 @@
 // tickPause is the pause between two looks at a wallet, as at an entry.
 const tickPause = 25 * time.Millisecond
 
-// conserved is core/limit: three mints at three instances, and a wallet at each.
+// conserved is core/limit: four mints at four instances, and a wallet at each.
 type conserved struct {
 	*environment
 	timing  lease.Timing
--- a/core/lease/right.go
+++ b/core/lease/right.go
@@ -19,8 +19,9 @@
 
 // The number of rights of each kind that belong to one name.
 const (
-	// AccountShares is the number of minting shares of a client account.
-	AccountShares = 3
+	// AccountShares is the number of minting shares of a client account: one for each
+	// of four failure domains.
+	AccountShares = 4
 	// ServiceRanks is the number of gateways of a service.
 	ServiceRanks = 2
 )
--- a/core/limit/mint_test.go
+++ b/core/limit/mint_test.go
@@ -106,7 +106,7 @@
 		m.SetShare(start, limit.NewRate(limit.RateConfig{PerSecond: limit.Tokens(10), Burst: limit.Tokens(2)}))
 		answer := m.Draw(start, need(3))
 		Expect(answer.Amount).To(Equal(limit.Tokens(2)))
-		Expect(answer.EmptyFor).To(BeNumerically("~", 33*time.Millisecond, time.Millisecond))
+		Expect(answer.EmptyFor).To(BeNumerically("~", 25*time.Millisecond, time.Millisecond))
 	})
 
 	It("adds nothing for a clock that went back", func() {
--- a/core/limit/wallet_test.go
+++ b/core/limit/wallet_test.go
@@ -33,7 +33,7 @@
 		for seq := uint64(1); len(draws) > 0 && len(verdicts) == 0; seq++ {
 			Expect(draws).To(HaveLen(1))
 			asked[draws[0].Share] = true
-			verdicts = w.Answered(start, draws[0], grant(seq, 0.34, 100*time.Millisecond))
+			verdicts = w.Answered(start, draws[0], grant(seq, 1.02/limit.Shares, 100*time.Millisecond))
 			draws = w.Draws(start)
 		}
 		Expect(asked).To(HaveLen(limit.Shares))
