Let a unit wait while its service has no gateway for a moment

Cause: in the demo 137 statements were refused 'no instance serves this service' while an instance that stopped as planned handed its rights over (0.6 s) and came back (0.35 s). The entry tried six rounds within 120 ms and gave up. It now waits within the unit's time, for 5 s at the most, and a batch gets no more time than its service allows a statement.

--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -281,6 +282,18 @@
 		})
 	}
 
+	It("waits while its service has no gateway for a moment", func() {
+		var asked atomic.Int64
+		b.directory.gateways = []wire.Gateway{b.gateway}
+		b.gateway.refuse = func(wire.Unit) error {
+			if asked.Add(1) < 20 {
+				return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonNoGateway, Outcome: model.OutcomeNotRun})
+			}
+			return nil
+		}
+		Expect(ask(b.ann(nil), "SELECT 1")).To(Equal("SELECT 1"))
+	})
+
 	It("is lost with its transaction, and the session goes on after ROLLBACK", func() {
 		b.directory.gateways = []wire.Gateway{b.gateway}
 		conn := b.ann(nil)
--- a/io/caller/unit.go
+++ b/io/caller/unit.go
@@ -13,11 +13,13 @@
 	"pomelofork/io/wire"
 )
 
-// maxAttempts bounds how often a unit is offered to gateways.
-const maxAttempts = 6
-
-// attemptPause is the time between two rounds over the gateways of a service.
-const attemptPause = 20 * time.Millisecond
+const (
+	// attemptPause is the time between two rounds over the gateways of a service.
+	attemptPause = 10 * time.Millisecond
+	// gatewayPatience bounds how long a unit waits for a gateway. Within it a planned
+	// hand-over is done, and so is the take-over of a dead instance's rights as a rule.
+	gatewayPatience = 5 * time.Second
+)
 
 // runBatch answers one batch of the caller, whatever it holds.
 func (s *session) runBatch() error {
@@ -30,7 +32,7 @@
 		s.backend.Send(fault)
 		return s.ready()
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, s.timeout)
+	ctx, cancel := context.WithTimeout(s.ctx, s.batchTimeout())
 	defer cancel()
 	s.setRunning(cancel)
 	defer s.setRunning(nil)
@@ -158,27 +160,38 @@
 }
 
 // startUnit offers the unit to the gateways of its service until one has run it, it
-// surely can't be run again, or its time is over.
+// surely can't be run again, or waiting makes no sense any more. While rights move from
+// one instance to another, a service may have no usable gateway for a moment, and a unit
+// that waits for the next one spares its caller a refusal.
 func (s *session) startUnit(ctx context.Context, unit wire.Unit, forward wire.Batch, out *sink) (wire.Result, error) {
 	var last error = model.NewRefusal(model.RefusalConfig{Reason: model.ReasonNoGateway, Outcome: model.OutcomeNotRun, RetryAfter: retryPause})
-	for range maxAttempts {
+	patience := time.NewTimer(gatewayPatience)
+	defer patience.Stop()
+	for {
+		hope := true
 		for _, gateway := range s.server.load.order(s.server.config.Directory.Gateways(unit.Service)) {
 			result, err := s.attempt(ctx, gateway, unit, forward, out)
 			if err == nil {
 				return result, nil
 			}
 			last = err
-			if out.shown > 0 || !mayMove(unit, asRefusal(err)) {
+			refusal := asRefusal(err)
+			if out.shown > 0 || !mayMove(unit, refusal) {
 				return wire.Result{}, err
 			}
+			hope = hope && mayPass(refusal)
+		}
+		if !hope {
+			return wire.Result{}, last
 		}
 		select {
 		case <-ctx.Done():
 			return wire.Result{}, last
+		case <-patience.C:
+			return wire.Result{}, last
 		case <-time.After(attemptPause):
 		}
 	}
-	return wire.Result{}, last
 }
 
 // attempt runs the first batch of a unit at one gateway and keeps the lane.
@@ -216,3 +229,23 @@
 	}
 	return false
 }
+
+// mayPass says whether the cause of a refusal passes by itself while the unit waits. A
+// gateway without a primary has waited already and knows that it takes longer.
+func mayPass(refusal *model.Refusal) bool {
+	return refusal.Reason() != model.ReasonNoPrimary
+}
+
+// batchTimeout is the time for one batch: what the caller asked for, but not more than
+// the service allows a statement.
+func (s *session) batchTimeout() time.Duration {
+	config, refusal := s.server.config.Directory.Config(s.now())
+	if refusal != nil {
+		return s.timeout
+	}
+	service, ok := config.Service(s.service)
+	if !ok {
+		return s.timeout
+	}
+	return min(s.timeout, service.StatementTimeout())
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -40,7 +40,7 @@
 	failures &
 	local failing=$!
 	bin/pomelo-load run --config "$CONFIG" --entries "$(entries)" --seed "$SEED" \
-		--duration "${DURATION}s" --out "$RUN_DIR/result.json" || status=$?
+		--duration "${DURATION}s" --out "$RUN_DIR/result.json" --history "$RUN_DIR/history.json" >"$RUN_DIR/result.txt" || status=$?
 	wait "$failing"
 	return "$status"
 }
