Keep authority over a change of the members

Cause: evidence counted only when a peer or the store had named exactly the newest epoch. So each start or stop of one instance took every right of the fleet away, gateways and mints alike, until the next heartbeats: 'authority lost' at five of seven instances for 0.2 to 1.2 s in the log of the demo. Ruled out: slow hand-over itself (0.04 s in the same log). An answer that names an older epoch says just as well that nothing newer was known when it was asked; whoever takes over later needs one of those who gave it.

--- a/core/lease/evidence.go
+++ b/core/lease/evidence.go
@@ -73,8 +73,14 @@
 	return e.ended(m) || ok && k.incarnation == m.Incarnation && k.epoch >= epoch
 }
 
-// asOf returns the latest time as of which more than half of the members were at
-// exactly this epoch. Self counts as asked at now.
+// asOf returns the latest time as of which more than half of the members knew no epoch
+// newer than this one. Self counts as asked at now.
+//
+// An older epoch counts too. Whoever takes a right over at a newer epoch first sees more
+// than half of the same members know that epoch; one of them is among those that answered
+// here, and it learned the newer epoch after it was asked. If only answers at exactly this
+// epoch counted, each change of the members would stop every right of the fleet until the
+// next heartbeats.
 func (e evidence) asOf(members []Member, epoch uint64, self Member, now time.Time) (time.Time, bool) {
 	asked := make([]time.Time, 0, len(members))
 	for _, m := range members {
@@ -83,7 +89,7 @@
 			continue
 		}
 		k, ok := e.known[m.Instance]
-		if ok && !k.replaced && k.incarnation == m.Incarnation && k.epoch == epoch {
+		if ok && !k.replaced && k.incarnation == m.Incarnation && k.epoch <= epoch {
 			asked = append(asked, k.asked)
 		}
 	}
--- a/core/lease/use.go
+++ b/core/lease/use.go
@@ -16,7 +16,7 @@
 		return true
 	}
 	asOf, ok := k.evidence.asOf(l.record.Members, l.record.Epoch, k.self, now)
-	if k.storeEpoch == l.record.Epoch && k.storeAsked.After(asOf) {
+	if k.storeEpoch > 0 && k.storeEpoch <= l.record.Epoch && k.storeAsked.After(asOf) {
 		asOf, ok = k.storeAsked, true
 	}
 	if !ok {
