--- a/cmd/pomelo-load/main.go
+++ b/cmd/pomelo-load/main.go
@@ -27,6 +27,7 @@
 	Sample   sampleCommand   `cmd:"" help:"Measure what running processes use."`
 	Capacity capacityCommand `cmd:"" help:"Write the capacity page from measured results."`
 	Measures measuresCommand `cmd:"" help:"Write the page of measures from measured results."`
+	Parts    partsCommand    `cmd:"" help:"Compare single decisions with their baselines, without a fleet."`
 	Slopes   slopesCommand   `cmd:"" help:"Measure how single parts grow with the size of a fleet."`
 	Speed    speedCommand    `cmd:"" help:"Measure the path through an instance against a direct connection."`
 	Primary  primaryCommand  `cmd:"" help:"Print the backend server that leads a group of the stand-in."`
--- /dev/null
+++ b/cmd/pomelo-load/parts.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+
+	"pomelofork/bench/pages"
+	"pomelofork/bench/reads"
+	"pomelofork/bench/slots"
+)
+
+// partsCommand compares single decisions with their baselines, without a fleet.
+type partsCommand struct {
+	Out  string `required:"" help:"Directory for NAME.json and NAME.md."`
+	Seed uint64 `default:"1" help:"Seed of all random choices."`
+}
+
+// deployments are the names of the two deployments.
+var deployments = []string{"slamka", "levesque"}
+
+// Run writes the comparisons.
+func (c *partsCommand) Run() error {
+	if err := c.slots(); err != nil {
+		return err
+	}
+	return c.reads()
+}
+
+// write writes one comparison in both forms.
+func (c *partsCommand) write(name string, report any, table string) error {
+	if err := writeJSON(filepath.Join(c.Out, name+".json"), report); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(c.Out, name+".md"), []byte(table), 0o644)
+}
+
+// slots compares the queues in front of slots.
+func (c *partsCommand) slots() error {
+	report := pages.SlotsReport{}
+	for _, deployment := range deployments {
+		report[deployment] = map[string]map[string]slots.Result{}
+		for name, excessive := range map[string]bool{"calm": false, "one account at five times its rate": true} {
+			load, err := slots.Load(deployment, c.Seed, excessive)
+			if err != nil {
+				return err
+			}
+			report[deployment][name] = map[string]slots.Result{
+				"deficit round robin":     slots.Run(load, slots.Robin),
+				"first come first served": slots.Run(load, slots.Line),
+			}
+		}
+	}
+	return c.write("slots", report, report.Table())
+}
+
+// reads compares the choices of a server for reads.
+func (c *partsCommand) reads() error {
+	report := pages.ReadsReport{}
+	for _, deployment := range deployments {
+		load, err := reads.Load(deployment, c.Seed)
+		if err != nil {
+			return err
+		}
+		report[deployment] = map[string]reads.Result{
+			"tokens and ages": reads.Run(load, reads.Tokens),
+			"primary only":    reads.Run(load, reads.PrimaryOnly),
+			"round robin":     reads.Run(load, reads.RoundRobin),
+		}
+	}
+	return c.write("reads", report, report.Table())
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -39,9 +39,14 @@
 	say "fleet is ready; driving it for ${DURATION} s with seed $SEED"
 	failures &
 	local failing=$!
+	# The windows of an hour and of five minutes shrink to 18 s and 1.5 s.
+	bin/pomelofork report burn --instances "$(admins)" --every 1s --for "${DURATION}s" --scale 0.005 \
+		--output json --picture "$RUN_DIR/burn.png" >"$RUN_DIR/burn.json" 2>"$RUN_DIR/burn.log" &
+	local burning=$!
 	bin/pomelo-load run --config "$CONFIG" --entries "$(entries)" --seed "$SEED" \
 		--duration "${DURATION}s" --out "$RUN_DIR/result.json" || status=$?
 	wait "$failing"
+	wait "$burning" || say "the report on error budgets failed, see $RUN_DIR/burn.log"
 	return "$status"
 }
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -8,10 +8,8 @@
 PLATFORM=127.0.0.1:7400
 CONNECT_COST=${CONNECT_COST:-10ms}
 STATEMENT_COST=${STATEMENT_COST:-1ms}
-# The wait after the fleet is ready, in seconds. A fleet that starts from nothing moves
-# every right several times while its instances join, and a share of a rate gives
-# nothing until its former holder must have stopped.
-SETTLE=${SETTLE:-7}
+# The wait after the fleet is ready, in seconds, in which its buckets fill.
+SETTLE=${SETTLE:-2}
 # What instances show each other on links. A real fleet keeps it in the environment.
 export POMELOFORK_FLEET_SECRET=${POMELOFORK_FLEET_SECRET:-demo-fleet}
 
@@ -101,6 +99,13 @@
 	echo "${list#,}"
 }
 
+# admins: the administration addresses, joined by commas.
+admins() {
+	local k list=
+	for k in $(seq 0 $((INSTANCES - 1))); do list+=",127.0.0.1:$((7300 + k))"; done
+	echo "${list#,}"
+}
+
 # control SERVICE-NUMBER: the address of a group's control interface.
 control() { echo "127.0.0.1:$((7600 + 10 * $1))"; }
 
