--- a/bench/pages/capacity.go
+++ b/bench/pages/capacity.go
@@ -60,7 +60,7 @@
 
 // sampleTables writes the samples that the lines were fitted to.
 func (d CapacityData) sampleTables() string {
-	header := []string{"varied", "size", "core share", "resident memory", "bytes a second", "store calls a second, whole fleet"}
+	header := []string{"varied", "size", "core share", "resident memory", "bytes a second", "store calls a second, whole fleet", "machine load"}
 	var rows [][]string
 	for _, group := range []struct {
 		name    string
@@ -72,7 +72,7 @@
 		for _, size := range pointsOf(group.samples) {
 			s := group.samples[size]
 			rows = append(rows, []string{
-				group.name, number(size), percent(s.CoreShare), megabytes(s.RSSBytes), kilobytes(s.BytesPerS()), short(s.StoreCalls()),
+				group.name, number(size), percent(s.CoreShare), megabytes(s.RSSBytes), kilobytes(s.BytesPerS()), short(s.StoreCalls()), short(s.MachineLoad),
 			})
 		}
 	}
--- a/bench/pages/files.go
+++ b/bench/pages/files.go
@@ -22,6 +22,8 @@
 	ReadPerS       float64            `json:"mean_read_bytes_per_s"`
 	WrittenPerS    float64            `json:"mean_written_bytes_per_s"`
 	StoreCallsPerS map[string]float64 `json:"store_calls_per_s,omitempty"`
+	// MachineLoad is the load average of the machine at the end.
+	MachineLoad float64 `json:"machine_load"`
 }
 
 // NewSampled works out the means.
--- a/bench/pages/measures.go
+++ b/bench/pages/measures.go
@@ -121,7 +121,7 @@
 		"scenario", "held", "lost", "doubled", "stale", "too old", "mixed", "wrong answers", "overshoot", "not run but ran", "linearizable",
 	}
 	moreHeader = []string{
-		"scenario", "operations", "retries", "refused by rate", "without result", "connections lost", "read median", "read p99", "write median", "write p99", "store calls a second",
+		"scenario", "operations", "retries", "refused by rate", "without result", "connections lost", "read median", "read p99", "write median", "write p99", "store calls a second", "machine load",
 	}
 )
 
@@ -181,5 +181,6 @@
 	for _, count := range []int{c.Operations, c.Retries, c.RefusedByRate, c.Unanswered, c.ConnectionsLost} {
 		row = append(row, grouped(float64(count)))
 	}
-	return append(row, ms(r.ReadLatencyMS.Median), ms(r.ReadLatencyMS.P99), ms(r.WriteLatencyMS.Median), ms(r.WriteLatencyMS.P99), short(calls))
+	return append(row, ms(r.ReadLatencyMS.Median), ms(r.ReadLatencyMS.P99), ms(r.WriteLatencyMS.Median), ms(r.WriteLatencyMS.P99), short(calls),
+		fmt.Sprintf("%s on %d", short(r.MachineLoad), r.Processors))
 }
--- a/bench/tally/result.go
+++ b/bench/tally/result.go
@@ -42,6 +42,11 @@
 	// StoreCallsPerS are the calls on the platform's service a second, by kind.
 	StoreCallsPerS map[string]float64 `json:"store_calls_per_s,omitempty"`
 
+	// MachineLoad is the load average of the machine at the end of the run, and
+	// Processors the number of its processors.
+	MachineLoad float64 `json:"machine_load"`
+	Processors  int     `json:"processors"`
+
 	Refusals map[string]int  `json:"refusals_by_sqlstate"`
 	Findings []judge.Finding `json:"findings,omitempty"`
 }
--- a/cmd/pomelo-load/run.go
+++ b/cmd/pomelo-load/run.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"time"
 
 	"pomelofork/bench/judge"
 	"pomelofork/bench/load"
+	"pomelofork/bench/proc"
 	"pomelofork/bench/tally"
 )
 
@@ -88,7 +90,10 @@
 		return err
 	}
 	result := tally.Sum(history)
-	result.Seed = c.Seed
+	result.Seed, result.Processors = c.Seed, runtime.NumCPU()
+	if result.MachineLoad, err = proc.LoadAverage(); err != nil {
+		return err
+	}
 	if c.Platform != "" {
 		calls, err := callsSince(ctx, c.Platform, before, start)
 		if err != nil {
--- a/cmd/pomelo-load/sample.go
+++ b/cmd/pomelo-load/sample.go
@@ -57,6 +57,9 @@
 	}
 	elapsed := time.Since(start)
 	report = pages.NewSampled(proc.Between(before, after, elapsed), elapsed.Seconds())
+	if report.MachineLoad, err = proc.LoadAverage(); err != nil {
+		return report, err
+	}
 	report.StoreCallsPerS, err = callsSince(ctx, platform, callsBefore, start)
 	return report, err
 }
