--- /dev/null
+++ b/io/admin/commit.go
@@ -0,0 +1,89 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"pomelofork/core/conf"
+	"pomelofork/io/store"
+)
+
+// commit drives one attempt to its end.
+func (s *Server) commit(ctx context.Context, change conf.Change, operator string) (conf.Verdict, error) {
+	start := s.config.Now()
+	attempt, err := conf.NewAttempt(conf.AttemptConfig{Change: change, Operator: operator, Deadline: start.Add(s.config.Timeout)})
+	if err != nil {
+		return conf.Verdict{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.config.Timeout)
+	defer cancel()
+	for action := attempt.Start(start); ; {
+		switch step := action.(type) {
+		case conf.Read:
+			action = s.read(ctx, attempt)
+		case conf.Write:
+			action = s.write(ctx, attempt, step)
+		case conf.Pause:
+			action = s.pause(ctx, attempt, step)
+		case conf.Finish:
+			return step.Verdict(), nil
+		}
+	}
+}
+
+// load reads the stored configuration and its revision. Both are zero when there
+// is none.
+func (s *Server) load(ctx context.Context) (*conf.Config, uint64, error) {
+	item, err := s.config.Store.Get(ctx, ConfigKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	config, err := conf.Parse([]byte(item.Value))
+	return config, item.Revision, err
+}
+
+// read does what conf.Read asks for.
+func (s *Server) read(ctx context.Context, attempt *conf.Attempt) conf.Action {
+	stored, revision, err := s.load(ctx)
+	now := s.config.Now()
+	if faults := new(conf.FaultsError); errors.As(err, &faults) {
+		return attempt.OnFaulty(err)
+	}
+	if err != nil {
+		return attempt.OnReadFailed(now)
+	}
+	return attempt.OnRead(now, stored, revision)
+}
+
+// write does what conf.Write asks for.
+func (s *Server) write(ctx context.Context, attempt *conf.Attempt, step conf.Write) conf.Action {
+	_, err := s.config.Store.Swap(ctx, store.Swap{
+		Key: ConfigKey, ExpectedRevision: step.Revision(), Value: string(step.Config().Text()),
+	})
+	now := s.config.Now()
+	conflict := new(store.ConflictError)
+	switch {
+	case err == nil:
+		return attempt.OnWritten(step.Config())
+	case errors.As(err, &conflict):
+		return attempt.OnConflict(now)
+	case errors.Is(err, store.ErrUnavailable):
+		return attempt.OnUnavailable(now)
+	}
+	return attempt.OnUnknown(now)
+}
+
+// pause does what conf.Pause asks for.
+func (s *Server) pause(ctx context.Context, attempt *conf.Attempt, step conf.Pause) conf.Action {
+	timer := time.NewTimer(step.Until().Sub(s.config.Now()))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return attempt.Resume(s.config.Now())
+}
--- /dev/null
+++ b/io/event/event_test.go
@@ -0,0 +1,44 @@
+package event_test
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/io/event"
+)
+
+func TestEvent(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "event")
+}
+
+var _ = Describe("the catalogue", func() {
+	It("equals docs/EVENTS.md", func() {
+		page, err := os.ReadFile("../../docs/EVENTS.md")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(page)).To(Equal(event.Page()), "run: bin/pomelofork events > docs/EVENTS.md")
+	})
+
+	It("describes every event in its area", func() {
+		for id, kind := range event.Catalogue() {
+			Expect(kind.Text).NotTo(BeEmpty(), "event %d", id)
+			Expect(id).To(And(BeNumerically(">=", 100), BeNumerically("<", 700)))
+			if kind.Level >= slog.LevelWarn {
+				Expect(kind.Action).NotTo(BeEmpty(), "event %d", id)
+			}
+		}
+	})
+
+	It("is what log lines carry", func() {
+		var out bytes.Buffer
+		event.Log(context.Background(), slog.New(slog.NewTextHandler(&out, nil)), event.ChangeNotKnown, slog.String("change", "x"))
+		Expect(out.String()).To(ContainSubstring("level=WARN"))
+		Expect(out.String()).To(ContainSubstring("event=104 change=x"))
+	})
+})
