Follow the configuration by the core's version line; mount the API and commands

The instance judged versions by code of its own, which could not tell a second document under one version from the same one.

--- a/cmd/pomelofork/main.go
+++ b/cmd/pomelofork/main.go
@@ -12,6 +12,9 @@
 // that starts with POMELOFORK_, for example POMELOFORK_CALLER_LISTEN.
 type commandLine struct {
 	Serve   serveCommand   `cmd:"" help:"Run one instance until SIGTERM."`
+	Check   checkCommand   `cmd:"" help:"Judge a configuration file without sending it."`
+	Admin   adminCommand   `cmd:"" help:"Read and change the configuration of a running fleet."`
+	Events  eventsCommand  `cmd:"" help:"Print the catalogue of events."`
 	Report  reportCommand  `cmd:"" help:"Report on a running or recorded fleet."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
--- a/io/node/line.go
+++ b/io/node/line.go
@@ -3,54 +3,46 @@
 import (
 	"sync"
 
+	"pomelofork/core/assert"
 	"pomelofork/core/conf"
 )
 
-// line holds the configuration in force. A document that isn't newer is passed over,
-// so whoever brings one, the configuration never goes back.
+// line makes the line of versions that this instance follows safe for concurrent use.
 type line struct {
-	mu       sync.Mutex
-	config   *conf.Config
-	document []byte
+	mu   sync.Mutex
+	line *conf.Line
+}
+
+func newLine(check *assert.Checker) *line {
+	return &line{line: conf.NewLine(conf.LineConfig{Check: check})}
 }
 
 func (l *line) current() *conf.Config {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.config
+	return l.line.Current()
 }
 
 func (l *line) version() uint64 {
-	if config := l.current(); config != nil {
-		return config.Version()
-	}
-	return 0
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.line.Version()
 }
 
 // text returns the document of a version, if that is the one in force.
 func (l *line) text(version uint64) ([]byte, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.config == nil || l.config.Version() != version {
+	config := l.current()
+	if config == nil || config.Version() != version {
 		return nil, false
 	}
-	return l.document, true
+	return config.Text(), true
 }
 
-// offer puts a document in force if it is newer than the one that is, and reports
-// whether it did.
-func (l *line) offer(document []byte) (bool, error) {
-	config, err := conf.Parse(document)
-	if err != nil {
-		return false, err
-	}
+// offer puts a configuration in force if it is newer than the one that is.
+func (l *line) offer(config *conf.Config) conf.Offered {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.config != nil && config.Version() <= l.config.Version() {
-		return false, nil
-	}
-	l.config, l.document = config, document
-	return true, nil
+	return l.line.Offer(config)
 }
 
 // decodeConfig returns the version of the text that the store holds.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"pomelofork/core/assert"
+	"pomelofork/core/conf"
 	"pomelofork/core/limit"
 	"pomelofork/core/model"
+	"pomelofork/io/admin"
 	"pomelofork/io/caller"
 	"pomelofork/io/event"
 	"pomelofork/io/link"
@@ -43,12 +45,17 @@
 
 // New starts an instance. It takes callers once it knows a configuration.
 func New(c Config) (*Node, error) {
-	n := &Node{config: c, line: &line{}, sites: newSites(), done: make(chan struct{})}
+	operators, err := admin.ParseOperators(c.OperatorTokenHash)
+	if err != nil {
+		return nil, fmt.Errorf("operators' token: %w", err)
+	}
+	n := &Node{config: c, sites: newSites(), done: make(chan struct{})}
 	n.meter = meter.New(meter.Config{Instance: c.ID})
 	n.client = store.NewClient(store.ClientConfig{Address: c.Platform})
 	n.check = assert.NewChecker(func(inv assert.Invariant, text string) {
 		event.Log(context.Background(), c.Logger, event.InvariantBroken, slog.Int("invariant", int(inv)), slog.String("text", text))
 	})
+	n.line = newLine(n.check)
 	n.links = newLinks(func(address string) *link.Client {
 		return link.NewClient(link.ClientConfig{Address: address, Secret: c.FleetSecret, TLS: c.FleetTLS, Logger: c.Logger, Now: n.now})
 	})
@@ -63,7 +70,7 @@
 		Listener: c.Callers, TLS: c.CallerTLS, RequireTLS: c.RequireTLS, Directory: n,
 		Logger: c.Logger, Meter: n.meter, Check: n.check, Now: n.now,
 	})
-	n.startAdmin()
+	n.startAdmin(operators)
 	n.wait.Go(n.reconcileLoop)
 	event.Log(context.Background(), c.Logger, event.InstanceStarted, slog.String("instance", string(c.ID)))
 	return n, nil
@@ -123,18 +130,26 @@
 
 // onConfig takes a document from the store or from a peer.
 func (n *Node) onConfig(version uint64, document []byte) {
-	taken, err := n.line.offer(document)
+	config, err := conf.Parse(document)
 	if err != nil {
 		event.Log(context.Background(), n.config.Logger, event.ConfigUnreadable,
 			slog.Uint64("version", version), slog.String("error", err.Error()))
 		return
 	}
-	if !taken {
-		return
-	}
-	event.Log(context.Background(), n.config.Logger, event.ConfigInForce, slog.Uint64("version", version))
-	if n.callers != nil {
-		n.callers.Reload()
+	n.offer(config)
+}
+
+// offer puts a configuration in force if it is newer than the one that is.
+func (n *Node) offer(config *conf.Config) {
+	version := slog.Uint64("version", config.Version())
+	switch n.line.offer(config) {
+	case conf.OfferForked:
+		event.Log(context.Background(), n.config.Logger, event.ConfigForked, version)
+	case conf.OfferAccepted:
+		event.Log(context.Background(), n.config.Logger, event.ConfigInForce, version)
+		if n.callers != nil {
+			n.callers.Reload()
+		}
 	}
 }
 
