Send a change again under its identifier and version

A retried command read the current version anew, so a change that had taken effect was refused as another one. The message of a lost answer now names identifier and expected version, and both flags go together.

--- a/cmd/pomelofork/admin_key.go
+++ b/cmd/pomelofork/admin_key.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"os"
 
@@ -14,6 +15,9 @@
 // keyBytes is the size of a new key, in random bytes.
 const keyBytes = 32
 
+// errNewKey says why a new key can't be given by a change that is sent again.
+var errNewKey = errors.New("--change-id: a new key would be another change; give --sha256 of the key that was printed")
+
 // adminKeyCommand holds the commands on keys.
 type adminKeyCommand struct {
 	New      keyNewCommand      `cmd:"" help:"Make a key and print it with its hash; nothing is sent."`
@@ -58,15 +62,15 @@
 func (c *keyGiveCommand) Run(a *adminCommand) error {
 	hash := c.SHA256
 	if hash == "" {
+		if a.ChangeID != "" {
+			return errNewKey
+		}
 		key := newKey()
 		hash = conf.HashKey(key)
 		message := newKeyMessage{Key: key, ID: conf.IDOfKey(key), SHA256: hash}
-		if err := a.print(message, [][]string{{"KEY", key}, {"ID", string(message.ID)}}); err != nil {
+		if err := a.print(message, [][]string{{"KEY", key}, {"ID", string(message.ID)}, {"SHA256", hash}}); err != nil {
 			return err
 		}
-		if a.ChangeID != "" {
-			return fmt.Errorf("--change-id: a new key is another change; give --sha256 of the key that was printed")
-		}
 		if _, err := fmt.Fprintln(os.Stderr, "The key is not stored anywhere and is not shown again."); err != nil {
 			return err
 		}
--- a/cmd/pomelofork/admin_session.go
+++ b/cmd/pomelofork/admin_session.go
@@ -34,25 +34,26 @@
 // change makes a change to the newest version and prints the answer.
 func (a *adminCommand) change(change conf.Change) error {
 	ctx := context.Background()
-	document, err := a.client().Config(ctx)
-	switch {
-	case err == nil:
-		change.ExpectedVersion = document.Document.Version
-	case change.Replace == nil || !isNotFound(err):
-		return withStatus(err)
+	if a.ExpectedVersion == nil {
+		document, err := a.document(ctx)
+		if err != nil {
+			return err
+		}
+		change.ExpectedVersion = document.Version
 	}
 	return a.send(ctx, change)
 }
 
-// send sends a change under the identifier of the flags, or a new one.
+// send sends a change, a new one or again the one that the flags name, and prints the
+// answer. The error names what is needed to send it again.
 func (a *adminCommand) send(ctx context.Context, change conf.Change) error {
-	change.ID = a.ChangeID
-	if change.ID == "" {
-		change.ID = rand.Text()
+	change.ID = rand.Text()
+	if a.ExpectedVersion != nil {
+		change.ID, change.ExpectedVersion = a.ChangeID, *a.ExpectedVersion
 	}
 	accepted, err := a.client().Change(ctx, change)
 	if err != nil {
-		return withStatus(fmt.Errorf("change %s: %w", change.ID, err))
+		return withStatus(fmt.Errorf("--change-id %s --expected-version %d: %w", change.ID, change.ExpectedVersion, err))
 	}
 	if err := a.print(accepted, [][]string{{"CHANGE", "ANSWER", "VERSION"}, {accepted.ID, accepted.Answer, fmt.Sprint(accepted.Version)}}); err != nil {
 		return err
