--- a/core/term/machine.go
+++ b/core/term/machine.go
@@ -117,6 +117,9 @@
 // headStart is how long this instance leaves the field to gateways of lower rank.
 func (m *Machine) headStart() time.Duration { return time.Duration(m.rank) * m.timing.Rank }
 
+// Led returns the newest term that a server is known to have led.
+func (m *Machine) Led() model.Term { return m.lead.term }
+
 // newest returns the newest term that any server is known to have promised.
 func (m *Machine) newest() model.Term {
 	t := m.lead.term
--- /dev/null
+++ b/core/term/machine_test.go
@@ -0,0 +1,214 @@
+package term_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/core/model"
+	"pomelofork/core/term"
+)
+
+func TestTerm(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "term")
+}
+
+// zero is the present time at the start of each spec.
+var zero = time.Unix(1000, 0)
+
+// at returns a present time.
+func at(ms int) time.Time { return zero.Add(time.Duration(ms) * time.Millisecond) }
+
+// point returns a log point.
+func point(t, n uint64) model.Point { return model.NewPoint(model.Term(t), model.Position(n)) }
+
+// leading and following are statuses in term 1.
+func leading(n uint64) term.Status {
+	return term.Status{Primary: true, Promised: 1, Log: point(1, n), Applied: point(1, n)}
+}
+
+func following(n uint64) term.Status {
+	return term.Status{Promised: 1, Log: point(1, n), Applied: point(1, n)}
+}
+
+// ready returns a gateway's machine that knows three well servers and has terms.
+func ready(rank int) *term.Machine { return known(rank, term.Column{First: model.Term(2 + rank)}) }
+
+// known is the same with the given terms.
+func known(rank int, c term.Column) *term.Machine {
+	m := term.New(term.Config{Servers: []model.ServerID{"a", "b", "c"}, Detector: term.Witnesses, Timing: term.DefaultTiming, Now: zero})
+	m.SetRole(true, rank)
+	m.Reserved(zero, c)
+	m.Observe(at(1), "a", at(0), leading(5))
+	m.Observe(at(1), "b", at(0), following(5))
+	m.Observe(at(1), "c", at(0), following(5))
+	return m
+}
+
+// fences returns the fences among actions, by server.
+func fences(actions []term.Action) map[model.ServerID]term.Fence {
+	all := map[model.ServerID]term.Fence{}
+	for _, a := range actions {
+		if f, ok := a.(term.Fence); ok {
+			all[f.Server] = f
+		}
+	}
+	return all
+}
+
+var _ = Describe("Detector", func() {
+	well := term.Suspicion{Silence: 10 * time.Millisecond, Witnesses: 2}
+	silent := term.Suspicion{Silence: 250 * time.Millisecond, Witnesses: 2, Unheard: 200 * time.Millisecond}
+	for name, c := range map[string]struct {
+		detector  term.Detector
+		suspicion term.Suspicion
+		want      term.Cause
+	}{
+		"well":                                 {term.Witnesses, well, term.CauseNone},
+		"one refusal may be a restart":         {term.Witnesses, term.Suspicion{Refusals: 1}, term.CauseNone},
+		"two refusals":                         {term.Witnesses, term.Suspicion{Refusals: 2}, term.CauseRefused},
+		"silent and unheard":                   {term.Witnesses, silent, term.CauseSilent},
+		"silent but heard by a replica":        {term.Witnesses, term.Suspicion{Silence: time.Second, Witnesses: 2}, term.CauseNone},
+		"silent with nobody to ask":            {term.Witnesses, term.Suspicion{Silence: time.Second}, term.CauseNone},
+		"silent for long, though heard":        {term.Witnesses, term.Suspicion{Silence: 2 * time.Second, Witnesses: 2}, term.CauseCutOff},
+		"statements fail and half the time":    {term.Witnesses, term.Suspicion{Silence: 110 * time.Millisecond, Statements: 2, Witnesses: 1, Unheard: 80 * time.Millisecond}, term.CauseStatements},
+		"statements fail, yet it answers":      {term.Witnesses, term.Suspicion{Silence: 10 * time.Millisecond, Statements: 50, Witnesses: 2}, term.CauseNone},
+		"probes ignore refusals":               {term.Probes, term.Suspicion{Silence: 2 * time.Second, Refusals: 9}, term.CauseNone},
+		"probes: three missed":                 {term.Probes, term.Suspicion{Silence: 3 * time.Second}, term.CauseSilent},
+		"evidence: failing statements":         {term.Evidence, term.Suspicion{Silence: 500 * time.Millisecond, Statements: 3}, term.CauseStatements},
+		"evidence: silence alone takes longer": {term.Evidence, silent, term.CauseNone},
+	} {
+		It("judges: "+name, func() { Expect(c.detector.Failed(c.suspicion)).To(Equal(c.want)) })
+	}
+})
+
+var _ = Describe("Column", func() {
+	for name, c := range map[string]struct{ first, after, want model.Term }{
+		"first use":        {3, 1, 3},
+		"of a newer term":  {3, 7, 3 + term.ColumnStride},
+		"of its own term":  {3, 3, 3 + term.ColumnStride},
+		"far on":           {3, 5*term.ColumnStride + 9, 6*term.ColumnStride + 3},
+		"just below a own": {3, 2*term.ColumnStride + 2, 2*term.ColumnStride + 3},
+	} {
+		It("gives the next term: "+name, func() { Expect(term.Column{First: c.first}.After(c.after)).To(Equal(c.want)) })
+	}
+})
+
+var _ = Describe("Machine", func() {
+	It("fences a majority, promotes the highest and reports the parts of the gap", func() {
+		m := ready(0)
+		m.Fail(at(10), "a", term.FaultRefused)
+		began := fences(m.Fail(at(12), "a", term.FaultRefused))
+		Expect(began).To(HaveLen(3))
+		Expect(m.Known(at(12)).Primary()).To(BeEmpty())
+		Expect(m.Fenced(at(14), began["b"], at(12), term.Status{Promised: 2, Log: point(1, 7)}, nil, false)).NotTo(ContainElement(BeAssignableToTypeOf(term.Promote{})))
+		promote := term.Promote{Attempt: 1, Server: "b", Term: 2}
+		Expect(m.Fenced(at(15), began["c"], at(12), term.Status{Promised: 2, Log: point(1, 6)}, nil, false)).To(ContainElement(promote))
+		done := m.Promoted(at(18), promote, at(15), term.Status{Promised: 2, Primary: true, Log: point(2, 8)}, nil, false)
+		Expect(done).To(ContainElement(HaveField("Gap", term.Gap{
+			Detect: 11 * time.Millisecond, Fence: 3 * time.Millisecond, Promote: 3 * time.Millisecond,
+		})))
+		primary, _ := m.Known(at(18)).Primary()
+		Expect(primary).To(Equal(model.ServerID("b")))
+		Expect(m.Known(at(18)).Term()).To(Equal(model.Term(2)))
+	})
+
+	It("begins nothing without a majority, a term or the role", func() {
+		few := ready(0)
+		few.Fail(at(10), "b", term.FaultLost)
+		few.Fail(at(10), "a", term.FaultRefused)
+		Expect(fences(few.Fail(at(12), "a", term.FaultRefused))).To(BeEmpty())
+		none := known(0, term.Column{})
+		none.Fail(at(10), "a", term.FaultRefused)
+		Expect(none.Fail(at(12), "a", term.FaultRefused)).To(ContainElement(HaveField("Kind", term.ReportNoTerm)))
+		other := ready(0)
+		other.SetRole(false, 0)
+		other.Fail(at(10), "a", term.FaultRefused)
+		Expect(fences(other.Fail(at(12), "a", term.FaultRefused))).To(BeEmpty())
+	})
+
+	It("leaves the field to the gateway before it, for a while", func() {
+		m := ready(1)
+		m.Fail(at(10), "a", term.FaultRefused)
+		Expect(fences(m.Fail(at(12), "a", term.FaultRefused))).To(BeEmpty())
+		Expect(fences(m.Tick(at(40), 0))).To(BeEmpty())
+		Expect(fences(m.Tick(at(70), 0))).To(HaveLen(3))
+	})
+
+	It("waits longer while another gateway is at it", func() {
+		m := ready(1)
+		m.Fail(at(10), "a", term.FaultRefused)
+		m.Fail(at(12), "a", term.FaultRefused)
+		m.Observe(at(50), "b", at(49), term.Status{Promised: 2, Log: point(1, 5)})
+		m.Observe(at(50), "c", at(49), term.Status{Promised: 1, Log: point(1, 5)})
+		Expect(fences(m.Tick(at(70), 0))).To(BeEmpty())
+	})
+
+	It("forgets silence when its own process stood still", func() {
+		m := ready(0)
+		m.Tick(at(2), 0)
+		heard := term.Status{Promised: 1, Log: point(1, 5), PrimaryHeard: time.Second}
+		Expect(fences(m.Tick(at(5000), 0))).To(BeEmpty())
+		Expect(fences(m.Observe(at(5001), "b", at(5000), heard))).To(BeEmpty())
+		Expect(fences(m.Observe(at(5001), "c", at(5000), heard))).To(BeEmpty())
+	})
+
+	It("fences a primary that comes back believing it leads", func() {
+		m := ready(0)
+		m.Observe(at(10), "b", at(9), term.Status{Primary: true, Promised: 2, Log: point(2, 6)})
+		Expect(fences(m.Observe(at(20), "a", at(19), leading(9)))).To(HaveKeyWithValue(model.ServerID("a"), term.Fence{Server: "a", Term: 2}))
+		Expect(m.Judge(point(1, 9))).To(Equal(term.VerdictReplaced))
+	})
+
+	It("lets writes end before a planned change, and gives them a limit", func() {
+		m := ready(0)
+		m.Tick(at(2), 1)
+		m.Move(at(3))
+		view, _ := m.Known(at(3)).Server("a")
+		Expect(view.Leaving).To(BeTrue())
+		see := func(ms int) {
+			m.Observe(at(ms), "a", at(ms), leading(5))
+			m.Observe(at(ms), "b", at(ms), following(5))
+			m.Observe(at(ms), "c", at(ms), following(5))
+		}
+		for ms := 10; ms < 100; ms += 10 {
+			see(ms)
+			Expect(fences(m.Tick(at(ms), 1))).To(BeEmpty())
+		}
+		Expect(fences(m.Tick(at(105), 0))).To(And(HaveLen(2), Not(HaveKey(model.ServerID("a")))))
+	})
+
+	It("gives a leaving primary its work back when nobody could take over", func() {
+		m := ready(0)
+		m.Tick(at(2), 1)
+		m.Move(at(3))
+		m.Fail(at(10), "b", term.FaultLost)
+		m.Tick(at(11), 1)
+		view, _ := m.Known(at(11)).Server("a")
+		Expect(view.Leaving).To(BeFalse())
+	})
+
+	It("counts a commit only with positions of its own term", func() {
+		m := ready(0)
+		Expect(m.Judge(point(1, 5))).To(Equal(term.VerdictCommitted))
+		m.Observe(at(10), "a", at(9), leading(9))
+		Expect(m.Judge(point(1, 9))).To(Equal(term.VerdictWait))
+		m.Observe(at(11), "b", at(10), term.Status{Promised: 2, Log: point(1, 9)})
+		Expect(m.Judge(point(1, 9))).To(Equal(term.VerdictWait))
+		m.Observe(at(12), "c", at(11), following(9))
+		Expect(m.Judge(point(1, 9))).To(Equal(term.VerdictCommitted))
+	})
+
+	It("judges how fresh a replica is by when the primary was asked", func() {
+		m := ready(0)
+		m.Observe(at(20), "a", at(18), leading(8))
+		m.Observe(at(21), "b", at(20), following(7))
+		m.Observe(at(22), "c", at(21), following(8))
+		b, _ := m.Known(at(22)).Server("b")
+		c, _ := m.Known(at(22)).Server("c")
+		Expect([]time.Time{b.FreshAsOf, c.FreshAsOf}).To(Equal([]time.Time{at(0), at(18)}))
+	})
+})
--- a/core/term/timing.go
+++ b/core/term/timing.go
@@ -35,7 +35,7 @@
 	Attempt:    300 * time.Millisecond,
 	Retry:      50 * time.Millisecond,
 	Orphan:     200 * time.Millisecond,
-	Drain:      30 * time.Millisecond,
+	Drain:      15 * time.Millisecond,
 	DrainLimit: 500 * time.Millisecond,
 	Reserve:    time.Second,
 }
--- a/io/group/poller.go
+++ b/io/group/poller.go
@@ -86,6 +86,8 @@
 		select {
 		case c := <-p.commands:
 			p.execute(ctx, c)
+			// Another command often follows, and would have to end a new question.
+			p.pause(ctx, p.watcher.conf.Poll.Interval)
 			continue
 		default:
 		}
