Let an account that stays below its share save slot time for a while

Accounts within their rate waited like those that flood, because credit was forgotten whenever a queue ran empty.

--- a/core/fair/fair_test.go
+++ b/core/fair/fair_test.go
@@ -99,6 +99,40 @@
 		Expect(queue.Add(start, fair.Item[int]{Account: "b"})).To(BeNil())
 	})
 
+	It("serves an account that was silent at once, for as long as its savings last", func() {
+		queue := newRobin(nil)
+		busy := func() (served int) {
+			for {
+				for queue.Add(start, fair.Item[int]{Account: "busy"}) == nil {
+					continue
+				}
+				item, _ := queue.Next(start, anything)
+				if item.Account != "busy" {
+					queue.Charge(start, item, 2*time.Millisecond)
+					return served
+				}
+				queue.Charge(start, item, 2*time.Millisecond)
+				if served++; served == 500 {
+					return served
+				}
+			}
+		}
+		Expect(queue.Add(start, fair.Item[int]{Account: "silent"})).To(BeNil())
+		busy()
+		Expect(busy()).To(Equal(500))
+		for range 100 {
+			Expect(queue.Add(start, fair.Item[int]{Account: "silent"})).To(BeNil())
+		}
+		// Sixteen rounds of 5 ms are saved, that is 40 items of 2 ms. The round after
+		// them begins with the same account.
+		atOnce := 0
+		for busy() == 0 {
+			atOnce++
+		}
+		Expect(atOnce).To(BeNumerically(">=", 40))
+		Expect(atOnce).To(BeNumerically("<=", 43))
+	})
+
 	It("forgets an item that gave up", func() {
 		queue := newRobin(nil)
 		Expect(queue.Add(start, fair.Item[int]{Account: "a", Value: 7})).To(BeNil())
--- a/core/fair/robin.go
+++ b/core/fair/robin.go
@@ -66,17 +66,30 @@
 	return queue
 }
 
-// enter puts an account that has work again at the end of the ring. The rounds
-// it missed make good what it had overdrawn, and no more.
+// enter puts an account that has work again into the ring. The rounds it missed
+// make good what it had overdrawn, and what it didn't use is saved up to a bound.
+// An account with savings is the next to be served: it stayed below its share.
 func (r *Robin[T]) enter(queue *account[T]) {
 	missed := time.Duration(min(r.round-queue.round, maxMissedRounds))
-	if queue.credit < 0 {
-		queue.credit = min(0, queue.credit+missed*r.quantum(queue))
-	}
+	queue.credit = min(r.savings(queue), queue.credit+missed*r.quantum(queue))
 	queue.round = r.round
-	r.ring = append(r.ring, queue)
+	if queue.credit <= 0 {
+		r.ring = append(r.ring, queue)
+		return
+	}
+	r.ring = append(r.ring, nil)
+	copy(r.ring[r.cursor+1:], r.ring[r.cursor:])
+	r.ring[r.cursor] = queue
+}
+
+// savings bounds the credit that an account can save up.
+func (r *Robin[T]) savings(queue *account[T]) time.Duration {
+	return savedRounds * r.quantum(queue)
 }
 
+// savedRounds is the number of rounds whose slot time an account can save up.
+const savedRounds = 16
+
 // maxMissedRounds bounds the rounds counted for an account without work, so that
 // the product with its quantum stays far from overflow.
 const maxMissedRounds = 1 << 20
@@ -135,20 +148,19 @@
 	return first, firstAt, true
 }
 
-// pass refills the credit of every account that waits. An account can't save up
-// more than one round: what it couldn't use, others have used.
+// pass refills the credit of every account that waits.
 func (r *Robin[T]) pass(rounds int64) {
 	r.round += uint64(rounds)
 	for _, queue := range r.ring {
 		quantum := r.quantum(queue)
-		queue.credit = min(quantum, queue.credit+time.Duration(rounds)*quantum)
+		queue.credit = min(r.savings(queue), queue.credit+time.Duration(rounds)*quantum)
 		queue.round = r.round
 	}
 }
 
-// leave takes an account without work out of the ring. It keeps what it owes.
+// leave takes an account without work out of the ring. It keeps what it owes and
+// what it has saved.
 func (r *Robin[T]) leave(queue *account[T]) {
-	queue.credit = min(queue.credit, 0)
 	queue.round = r.round
 	for i, each := range r.ring {
 		if each == queue {
@@ -191,9 +203,6 @@
 	}
 	queue.running--
 	queue.credit += item.estimate - measured
-	if len(queue.items) == 0 {
-		queue.credit = min(queue.credit, 0)
-	}
 	queue.cost.add(measured)
 	r.forget(queue)
 }
