--- a/bench/pages/capacity.go
+++ b/bench/pages/capacity.go
@@ -19,6 +19,7 @@
 	Fits    Fits
 	Lines   []CostLine
 	Total   CostLine
+	Watcher CostLine
 	Entry   entryView
 	Samples string
 }
@@ -37,7 +38,7 @@
 	fits := d.fits()
 	lines := d.controlLines(fits, size)
 	view := capacityView{
-		Size: size, Budget: ControlBudget(), Data: d, Fits: fits, Lines: lines, Total: total(lines),
+		Size: size, Budget: ControlBudget(), Data: d, Fits: fits, Lines: lines, Total: total(lines, false), Watcher: total(lines, true),
 		Entry: entryView{
 			ConnectionBytes: d.Speed.Idle.BytesPerConnection * size.ConnectionsPerNode(),
 			CoresOnLoad:     fits.LoadCPU.Slope * size.StatementsPerNode(),
@@ -60,7 +61,7 @@
 
 // sampleTables writes the samples that the lines were fitted to.
 func (d CapacityData) sampleTables() string {
-	header := []string{"varied", "size", "core share", "resident memory", "bytes a second", "store calls a second, whole fleet"}
+	header := []string{"varied", "size", "core share", "resident memory", "bytes a second", "store calls a second, whole fleet", "machine load"}
 	var rows [][]string
 	for _, group := range []struct {
 		name    string
@@ -72,7 +73,7 @@
 		for _, size := range pointsOf(group.samples) {
 			s := group.samples[size]
 			rows = append(rows, []string{
-				group.name, number(size), percent(s.CoreShare), megabytes(s.RSSBytes), kilobytes(s.BytesPerS()), short(s.StoreCalls()),
+				group.name, number(size), percent(s.CoreShare), megabytes(s.RSSBytes), kilobytes(s.BytesPerS()), short(s.StoreCalls()), short(s.MachineLoad),
 			})
 		}
 	}
