--- a/io/peer/entry.go
+++ b/io/peer/entry.go
@@ -19,10 +19,14 @@
 
 	mu     sync.Mutex
 	purses map[model.AccountID]*purse
+	// active are the wallets that may hold grants or requests.
+	active map[*purse]bool
 }
 
 // newEntry returns an entry with empty wallets.
-func newEntry(f *Fleet) *entry { return &entry{fleet: f, purses: map[model.AccountID]*purse{}} }
+func newEntry(f *Fleet) *entry {
+	return &entry{fleet: f, purses: map[model.AccountID]*purse{}, active: map[*purse]bool{}}
+}
 
 // Take spends one token of the account. It returns nil, or a *model.Refusal at once.
 func (f *Fleet) Take(ctx context.Context, account model.AccountID) error {
@@ -88,6 +92,7 @@
 	}
 	draws := p.wallet.Draws(now)
 	p.mu.Unlock()
+	e.use(p)
 	e.send(p, draws)
 	return id, waiting, verdict
 }
@@ -159,26 +164,49 @@
 	e.send(p, more)
 }
 
-// tick looks after all wallets that hold grants or requests.
+// tick looks after all wallets that hold grants or requests, and forgets the others
+// until they are used again.
 func (e *entry) tick() {
-	for _, p := range e.all() {
+	for _, p := range e.inUse() {
 		p.mu.Lock()
 		var draws []limit.Draw
-		if p.wallet.Busy() {
+		busy := p.wallet.Busy()
+		if busy {
 			draws = p.wallet.Tick(e.fleet.config.Now())
 		}
 		p.mu.Unlock()
+		if !busy {
+			e.rest(p)
+		}
 		e.send(p, draws)
 	}
 }
 
-// all returns all wallets.
-func (e *entry) all() []*purse {
+// inUse returns the wallets that may hold grants or requests.
+func (e *entry) inUse() []*purse {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	used := make([]*purse, 0, len(e.active))
+	for p := range e.active {
+		used = append(used, p)
+	}
+	return used
+}
+
+// use puts a wallet on the list of those to look after.
+func (e *entry) use(p *purse) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.active[p] = true
+}
+
+// rest takes a wallet off the list, unless a request has come meanwhile.
+func (e *entry) rest(p *purse) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	all := make([]*purse, 0, len(e.purses))
-	for _, p := range e.purses {
-		all = append(all, p)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.wallet.Busy() {
+		delete(e.active, p)
 	}
-	return all
 }
--- a/io/peer/fleet.go
+++ b/io/peer/fleet.go
@@ -149,7 +149,7 @@
 func (f *Fleet) Ready() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.leaving && f.keeper.Settled() && f.keeper.Authority(f.config.Now())
+	return !f.leaving && f.keeper.Authority(f.config.Now())
 }
 
 // Confirmed returns the latest time as of which the store or more than half of the
