--- a/core/limit/wallet.go
+++ b/core/limit/wallet.go
@@ -30,6 +30,9 @@
 	noAnswerFor = 100 * time.Millisecond
 )
 
+// smallBurst is the burst up to which every share is asked for a part of each token.
+const smallBurst = 32 * Token
+
 // minAhead is the least amount that is worth drawing ahead.
 const minAhead = 2 * Token
 
@@ -85,6 +88,9 @@
 		return Verdict{ID: id, Granted: true}, true
 	}
 	next := &waiter{id: id, arrived: now}
+	if w.rate.burst < Token {
+		return w.refuse(next, 0), true
+	}
 	for i := range w.shares {
 		// A mint that said it is empty has been asked already, and would give
 		// the same answer now.
@@ -188,9 +194,31 @@
 	if !ok || w.stillWaiting(now, need) {
 		return nil
 	}
+	if need > 0 && w.rate.burst <= smallBurst {
+		return w.drawEvenly(now, need)
+	}
 	return []Draw{w.draw(now, share, need, ahead)}
 }
 
+// drawEvenly returns asks for equal parts to all shares that can be asked. A full share
+// lets accrue nothing while another has room; with a small burst that would cost a
+// large part of it, unless all shares are kept alike.
+func (w *Wallet) drawEvenly(now time.Time, need Micro) []Draw {
+	var open []int
+	for i := range w.shares {
+		if w.shares[i].open(now) {
+			open = append(open, i)
+		}
+	}
+	var draws []Draw
+	for n, share := range open {
+		part := need / Micro(len(open)-n)
+		need -= part
+		draws = append(draws, w.draw(now, share, part, 0))
+	}
+	return draws
+}
+
 // draw returns the ask to one share.
 func (w *Wallet) draw(now time.Time, share int, need, ahead Micro) Draw {
 	w.aheadFrom = now.Add(aheadPause)
--- a/core/limit/wallet_test.go
+++ b/core/limit/wallet_test.go
@@ -9,10 +9,13 @@
 	"pomelofork/core/limit"
 )
 
-// newWallet returns a wallet for thirty tokens a second and a burst of thirty.
-func newWallet() *limit.Wallet {
+// newWallet returns a wallet for thirty tokens a second and a burst of sixty.
+func newWallet() *limit.Wallet { return walletWith(60) }
+
+// walletWith returns a wallet for thirty tokens a second and a burst.
+func walletWith(burst float64) *limit.Wallet {
 	return limit.NewWallet(limit.WalletConfig{
-		Rate:     limit.NewRate(limit.RateConfig{PerSecond: limit.Tokens(30), Burst: limit.Tokens(30)}),
+		Rate:     limit.NewRate(limit.RateConfig{PerSecond: limit.Tokens(30), Burst: limit.Tokens(burst)}),
 		Validity: time.Second,
 	})
 }
@@ -40,6 +43,21 @@
 		Expect(verdicts).To(ConsistOf(limit.Verdict{ID: 1, Granted: true}))
 	})
 
+	It("draws a part from each share when the burst is small", func() {
+		w := walletWith(10)
+		w.Take(start, 1)
+		draws := w.Draws(start)
+		Expect(draws).To(HaveLen(limit.Shares))
+		var need limit.Micro
+		var verdicts []limit.Verdict
+		for _, d := range draws {
+			need += d.Ask.Need
+			verdicts = append(verdicts, w.Answered(start, d, limit.Answer{Amount: d.Ask.Need})...)
+		}
+		Expect(need).To(Equal(limit.Token))
+		Expect(verdicts).To(ConsistOf(limit.Verdict{ID: 1, Granted: true}))
+	})
+
 	It("refuses at once, and says when a token is there again", func() {
 		w := newWallet()
 		w.Take(start, 1)
@@ -86,14 +104,24 @@
 		Expect(w.Busy()).To(BeFalse())
 	})
 
-	It("never retries an account whose burst is below one token", func() {
+	It("refuses an account whose burst is below one token for good", func() {
 		w := limit.NewWallet(limit.WalletConfig{Rate: limit.Rate{}, Validity: time.Second})
+		verdict, done := w.Take(start, 1)
+		Expect(done).To(BeTrue())
+		Expect(verdict).To(Equal(limit.Verdict{ID: 1}))
+		Expect(w.Draws(start)).To(BeEmpty())
+	})
+
+	It("refuses when no share gives an answer", func() {
+		w := newWallet()
 		w.Take(start, 1)
 		var verdicts []limit.Verdict
 		for range limit.Shares {
 			verdicts = w.Failed(start, w.Draws(start)[0])
 		}
-		Expect(verdicts).To(ConsistOf(limit.Verdict{ID: 1}))
+		Expect(verdicts).To(HaveLen(1))
+		Expect(verdicts[0].Granted).To(BeFalse())
+		Expect(verdicts[0].RetryAfter).To(BeNumerically(">", 0))
 	})
 })
 
