--- a/cmd/pomelofork/serve.go
+++ b/cmd/pomelofork/serve.go
@@ -20,15 +20,16 @@
 
 // serveCommand runs one instance.
 type serveCommand struct {
-	ID            string `name:"id" required:"" help:"Name of this instance."`
-	FailureDomain string `required:"" help:"Failure domain of this instance."`
-	CallerListen  string `default:"127.0.0.1:7001" help:"Address for callers (PostgreSQL protocol)."`
-	LinkListen    string `default:"127.0.0.1:7101" help:"Address for lanes of other instances."`
-	PeerListen    string `default:"127.0.0.1:7201" help:"Address for calls of other instances (net/rpc)."`
-	AdminListen   string `default:"127.0.0.1:7301" help:"Address for operators and the balancer (HTTP)."`
-	Platform      string `default:"http://127.0.0.1:7400" help:"Base URL of the platform's key-value service."`
-	FleetSecret   string `default:"" help:"Secret that instances show each other; better set by the environment."`
-	OperatorToken string `default:"" help:"SHA-256 of the operators' token in hexadecimal digits; empty refuses changes."`
+	ID            string   `name:"id" required:"" help:"Name of this instance."`
+	FailureDomain string   `required:"" help:"Failure domain of this instance."`
+	CallerListen  string   `default:"127.0.0.1:7001" help:"Address for callers (PostgreSQL protocol)."`
+	LinkListen    string   `default:"127.0.0.1:7101" help:"Address for lanes of other instances."`
+	PeerListen    string   `default:"127.0.0.1:7201" help:"Address for calls of other instances (net/rpc)."`
+	AdminListen   string   `default:"127.0.0.1:7301" help:"Address for operators and the balancer (HTTP)."`
+	Platform      string   `default:"http://127.0.0.1:7400" help:"Base URL of the platform's key-value service."`
+	Seeds         []string `help:"Peer addresses of other instances, to start from while the platform's service is down."`
+	FleetSecret   string   `default:"" help:"Secret that instances show each other; better set by the environment."`
+	OperatorToken string   `default:"" help:"SHA-256 of the operators' token in hexadecimal digits; empty refuses changes."`
 
 	CallerCert string `type:"existingfile" help:"Certificate chain for callers (PEM); read again when it changes."`
 	CallerKey  string `type:"existingfile" help:"Private key for callers (PEM)."`
@@ -90,7 +91,7 @@
 // config opens the listeners.
 func (c *serveCommand) config(logger *slog.Logger) (node.Config, error) {
 	config := node.Config{
-		ID: model.InstanceID(c.ID), Domain: model.Domain(c.FailureDomain), Platform: c.Platform,
+		ID: model.InstanceID(c.ID), Domain: model.Domain(c.FailureDomain), Platform: c.Platform, Seeds: c.Seeds,
 		FleetSecret: c.FleetSecret, OperatorTokenHash: c.OperatorToken,
 		ConfigFreshness: c.ConfigFreshness, UnreadyPause: c.UnreadyPause, DrainTimeout: c.DrainTimeout,
 		RequireTLS: c.RequireTLS, Logger: logger,
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -136,6 +136,14 @@
 		Expect(ask(conn, "SELECT 2")).To(Equal("SELECT 2"))
 	})
 
+	It("waits for a token that is due in a moment, once", func() {
+		b.directory.take = model.NewRefusal(model.RefusalConfig{Reason: model.ReasonRateExceeded, RetryAfter: time.Millisecond})
+		conn := b.ann(nil)
+		_, err := conn.Exec(ctx, "SELECT 1", pgx.QueryExecModeSimpleProtocol)
+		Expect(pgError(err).Code).To(Equal("53400"))
+		Expect(b.directory.taken.Load()).To(Equal(int64(2)))
+	})
+
 	It("lets everyone use a route that is open to all, and no other", func() {
 		conn, err := b.connect("nobody", "", map[string]string{"route": "public"})
 		Expect(err).NotTo(HaveOccurred())
--- a/io/caller/unit.go
+++ b/io/caller/unit.go
@@ -19,6 +19,8 @@
 	// gatewayPatience bounds how long a unit waits for a gateway. Within it a planned
 	// hand-over is done, and so is the take-over of a dead instance's rights as a rule.
 	gatewayPatience = 5 * time.Second
+	// tokenPatience is the longest wait for the next token of the account's rate.
+	tokenPatience = 25 * time.Millisecond
 )
 
 // runBatch answers one batch of the caller, whatever it holds.
@@ -107,13 +109,33 @@
 		return wire.Result{}, refusal
 	}
 	if s.batch.executes() {
-		if err := s.server.config.Directory.Take(ctx, s.account); err != nil {
+		if err := s.draw(ctx); err != nil {
 			return wire.Result{}, err
 		}
 	}
 	return s.startUnit(ctx, unit, forward, out)
 }
 
+// draw spends one token of the account's rate. When the next token is due within
+// tokenPatience it waits for that one, once: a caller that came back would take longer.
+// An account far above its rate gets its refusal on the second look.
+func (s *session) draw(ctx context.Context) error {
+	err := s.server.config.Directory.Take(ctx, s.account)
+	if err == nil {
+		return nil
+	}
+	refusal := asRefusal(err)
+	if refusal.Reason() != model.ReasonRateExceeded || refusal.RetryAfter() <= 0 || refusal.RetryAfter() > tokenPatience {
+		return refusal
+	}
+	select {
+	case <-ctx.Done():
+		return refusal
+	case <-time.After(refusal.RetryAfter()):
+		return s.server.config.Directory.Take(ctx, s.account)
+	}
+}
+
 // newUnit describes the next unit of work by the configuration in force.
 func (s *session) newUnit(ctx context.Context) (wire.Unit, *model.Refusal) {
 	config, refusal := s.server.config.Directory.Config(s.now())
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/io/peer"
 )
 
 // Config holds the settings of one instance. Every listener is open already, so that
@@ -26,6 +27,9 @@
 	Admin net.Listener
 	// Platform is the base URL of the platform's key-value service.
 	Platform string
+	// Seeds are peer addresses of other instances, to start from while the platform's
+	// service is down.
+	Seeds []string
 	// FleetSecret is what instances show each other on links.
 	FleetSecret string
 	// OperatorTokenHash is the SHA-256 of the operators' token, in hexadecimal digits.
@@ -44,6 +48,8 @@
 	UnreadyPause time.Duration
 	// DrainTimeout bounds the planned stop.
 	DrainTimeout time.Duration
+	// Timing holds the durations of heartbeats and rights. Zero fields get defaults.
+	Timing peer.Timing
 	// Logger takes the events.
 	Logger *slog.Logger
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -87,7 +87,7 @@
 			Instance: n.config.ID, FailureDomain: n.config.Domain,
 			PeerAddress: n.config.Peers.Addr().String(), LinkAddress: n.config.Links.Addr().String(),
 		},
-		Listener: n.config.Peers, Store: store, Instances: store.instances,
+		Listener: n.config.Peers, Seeds: n.config.Seeds, Timing: n.config.Timing, Store: store, Instances: store.instances,
 		Limits: n.limits, Services: n.services,
 		ConfigVersion: n.line.version, ConfigDocument: n.line.text,
 		OnConfig: n.onConfig, DecodeConfig: decodeConfig,
--- a/io/peer/beats.go
+++ b/io/peer/beats.go
@@ -71,10 +71,27 @@
 		targets = append(targets, m)
 		wanted[m.PeerAddress] = true
 	}
+	if len(targets) == 0 {
+		targets = f.seeds(wanted)
+	}
 	f.links.keep(wanted)
 	return targets
 }
 
+// seeds returns the addresses to ask while no other member is known, as after a start
+// while the store is down. Who answers there is not known yet.
+func (f *Fleet) seeds(wanted map[string]bool) []Member {
+	var targets []Member
+	for _, address := range f.config.Seeds {
+		if wanted[address] || address == f.self.PeerAddress {
+			continue
+		}
+		targets = append(targets, Member{PeerAddress: address})
+		wanted[address] = true
+	}
+	return targets
+}
+
 // ping sends one heartbeat and takes the answer in.
 func (f *Fleet) ping(target Member) {
 	ctx, cancel := context.WithTimeout(f.ctx, f.config.Timing.Call)
@@ -99,7 +116,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.config.Now()
-	if answer.Instance != target.Instance {
+	if target.Instance != "" && answer.Instance != target.Instance {
 		// One process listens on an address. Another instance answers there, so
 		// the member's process has ended.
 		f.keeper.Ended(now, target)
--- a/io/peer/config.go
+++ b/io/peer/config.go
@@ -33,6 +33,9 @@
 	// Listener takes the peers' connections. Nil means to listen on
 	// Self.PeerAddress.
 	Listener net.Listener
+	// Seeds are addresses of peers to ask while no member is known, so that an instance
+	// can start while the store is down. They may be out of date.
+	Seeds []string
 	// Store is the platform's key-value service.
 	Store Store
 	// Instances returns the platform's list, which lags. Nil means there is none.
