--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -44,7 +44,7 @@
 		--output json --picture "$RUN_DIR/burn.png" >"$RUN_DIR/burn.json" 2>"$RUN_DIR/burn.log" &
 	local burning=$!
 	bin/pomelo-load run --config "$CONFIG" --entries "$(entries)" --seed "$SEED" \
-		--duration "${DURATION}s" --out "$RUN_DIR/result.json" --history "$RUN_DIR/history.json" >"$RUN_DIR/result.txt" || status=$?
+		--duration "${DURATION}s" --out "$RUN_DIR/result.json" --history "$RUN_DIR/history.json" || status=$?
 	wait "$failing"
 	wait "$burning" || say "the report on error budgets failed, see $RUN_DIR/burn.log"
 	return "$status"
