--- a/cmd/pomelo-load/parts.go
+++ b/cmd/pomelo-load/parts.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 
+	"pomelofork/bench/change"
 	"pomelofork/bench/pages"
+	"pomelofork/bench/quota"
 	"pomelofork/bench/reads"
 	"pomelofork/bench/slots"
 )
@@ -13,17 +16,38 @@
 type partsCommand struct {
 	Out  string `required:"" help:"Directory for NAME.json and NAME.md."`
 	Seed uint64 `default:"1" help:"Seed of all random choices."`
+
+	ChangeRuns int `default:"30" help:"Changes of primary for each way of detection and fault."`
+	PauseRuns  int `default:"10" help:"Disturbances of each length for each way of detection."`
 }
 
 // deployments are the names of the two deployments.
 var deployments = []string{"slamka", "levesque"}
 
 // Run writes the comparisons.
-func (c *partsCommand) Run() error {
+func (c *partsCommand) Run(ctx context.Context) error {
 	if err := c.slots(); err != nil {
 		return err
 	}
-	return c.reads()
+	if err := c.reads(); err != nil {
+		return err
+	}
+	rates := quota.Compare(c.Seed)
+	if err := c.write("rates", rates, pages.QuotaTable(rates)); err != nil {
+		return err
+	}
+	return c.changes(ctx)
+}
+
+// changes compares the ways to detect that a primary has failed, on real sockets.
+func (c *partsCommand) changes(ctx context.Context) error {
+	config := change.DefaultConfig()
+	config.Seed, config.Runs, config.PauseRuns = c.Seed, c.ChangeRuns, c.PauseRuns
+	result, err := change.Run(ctx, config)
+	if err != nil {
+		return err
+	}
+	return c.write("changes", result, pages.ChangeTable(result))
 }
 
 // write writes one comparison in both forms.
