--- a/cmd/pomelo-load/parts.go
+++ b/cmd/pomelo-load/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 
@@ -17,6 +18,8 @@
 	Out  string `required:"" help:"Directory for NAME.json and NAME.md."`
 	Seed uint64 `default:"1" help:"Seed of all random choices."`
 
+	Only []string `default:"slots,reads,rates,changes" enum:"slots,reads,rates,changes" help:"Comparisons to run."`
+
 	ChangeRuns int `default:"30" help:"Changes of primary for each way of detection and fault."`
 	PauseRuns  int `default:"10" help:"Disturbances of each length for each way of detection."`
 }
@@ -26,17 +29,27 @@
 
 // Run writes the comparisons.
 func (c *partsCommand) Run(ctx context.Context) error {
-	if err := c.slots(); err != nil {
-		return err
-	}
-	if err := c.reads(); err != nil {
-		return err
+	for _, name := range c.Only {
+		if err := c.compare(ctx, name); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
 	}
-	rates := quota.Compare(c.Seed)
-	if err := c.write("rates", rates, pages.QuotaTable(rates)); err != nil {
-		return err
+	return nil
+}
+
+// compare runs one comparison.
+func (c *partsCommand) compare(ctx context.Context, name string) error {
+	switch name {
+	case "slots":
+		return c.slots()
+	case "reads":
+		return c.reads()
+	case "rates":
+		report := quota.Compare(c.Seed)
+		return c.write("rates", report, pages.QuotaTable(report))
+	default:
+		return c.changes(ctx)
 	}
-	return c.changes(ctx)
 }
 
 // changes compares the ways to detect that a primary has failed, on real sockets.
