--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -84,6 +84,27 @@
 	})
 })
 
+var _ = Describe("Plan", func() {
+	for name, change := range map[string]func(*load.Plan){
+		"no time":          func(p *load.Plan) { p.Duration = 0 },
+		"no entry":         func(p *load.Plan) { p.Entries = nil },
+		"no account":       func(p *load.Plan) { p.Accounts = nil },
+		"no service":       func(p *load.Plan) { p.Services = nil },
+		"no attempt":       func(p *load.Plan) { p.Attempts = 0 },
+		"no deadline":      func(p *load.Plan) { p.Deadline = 0 },
+		"more than always": func(p *load.Plan) { p.Roam = 1.1 },
+		"less than never":  func(p *load.Plan) { p.Forgetful = -0.1 },
+		"an idle account":  func(p *load.Plan) { p.Accounts[0].Offered = 0 },
+	} {
+		It("is refused: "+name, func() {
+			plan, err := planFor("127.0.0.1:1")
+			Expect(err).NotTo(HaveOccurred())
+			change(&plan)
+			Expect(plan.Check()).To(HaveOccurred())
+		})
+	}
+})
+
 var _ = Describe("Run", func() {
 	It("finds nothing broken on a group that works", func() {
 		plan, err := planFor(group())
--- a/bench/load/plan.go
+++ b/bench/load/plan.go
@@ -90,6 +90,10 @@
 		return errors.New("plan: no accounts")
 	case p.Attempts < 1:
 		return errors.New("plan: attempts must be at least 1")
+	case p.Deadline <= 0:
+		return errors.New("plan: deadline must be positive")
+	case !isShare(p.Roam) || !isShare(p.Forgetful):
+		return errors.New("plan: roam and forgetful must lie between 0 and 1")
 	}
 	for _, account := range p.Accounts {
 		if account.Offered <= 0 || account.Sessions < 1 {
@@ -98,3 +102,6 @@
 	}
 	return nil
 }
+
+// isShare reports whether x is a part of one.
+func isShare(x float64) bool { return x >= 0 && x <= 1 }
--- a/cmd/pomelo-load/config_test.go
+++ b/cmd/pomelo-load/config_test.go
@@ -35,7 +35,7 @@
 			g := gomega.NewWithT(t)
 			command := runCommand{
 				Config:  filepath.Join("..", "..", "examples", name+".json"),
-				Entries: []string{"127.0.0.1:7000"}, Duration: 1, Share: 0.5, Attempts: 1, KeyPrefix: demoKeyPrefix, Mark: "m",
+				Entries: []string{"127.0.0.1:7000"}, Duration: 1, Deadline: 1, Share: 0.5, Attempts: 1, KeyPrefix: demoKeyPrefix, Mark: "m",
 			}
 			plan, err := command.plan()
 			g.Expect(err).NotTo(gomega.HaveOccurred())
