--- a/core/limit/wallet.go
+++ b/core/limit/wallet.go
@@ -131,12 +131,6 @@
 	w.trip = trip
 }
 
-// briefFor returns the validity of grants that are spent as soon as they arrive. A
-// short one frees the mint's burst without a report.
-func (w *Wallet) briefFor() time.Duration {
-	return min(max(briefTrips*w.trip, briefValidity), w.validity)
-}
-
 // Failed notes that a share gave no answer, and returns the verdicts that follow.
 func (w *Wallet) Failed(now time.Time, d Draw) []Verdict {
 	view := &w.shares[d.Share]
@@ -182,115 +176,5 @@
 	return Verdict{ID: q.id, RetryAfter: max(wait, time.Millisecond)}
 }
 
-// Draws returns what to send now.
-func (w *Wallet) Draws(now time.Time) []Draw {
-	w.stock.expire(now)
-	need := max(Micro(len(w.queue))*Token-w.stock.sum(), 0)
-	ahead := w.ahead(now)
-	if need == 0 && (w.stock.sum() >= ahead/2 || now.Before(w.aheadFrom)) {
-		return nil
-	}
-	share, ok := w.candidate(now)
-	if !ok || w.stillWaiting(now, need) {
-		return nil
-	}
-	if need > 0 && w.rate.burst <= smallBurst {
-		return w.drawEvenly(now, need)
-	}
-	return []Draw{w.draw(now, share, need, ahead)}
-}
-
-// drawEvenly returns asks for equal parts to all shares that can be asked. A full share
-// lets accrue nothing while another has room; with a small burst that would cost a
-// large part of it, unless all shares are kept alike.
-func (w *Wallet) drawEvenly(now time.Time, need Micro) []Draw {
-	var open []int
-	for i := range w.shares {
-		if w.shares[i].open(now) {
-			open = append(open, i)
-		}
-	}
-	var draws []Draw
-	for n, share := range open {
-		part := need / Micro(len(open)-n)
-		need -= part
-		draws = append(draws, w.draw(now, share, part, 0))
-	}
-	return draws
-}
-
-// draw returns the ask to one share.
-func (w *Wallet) draw(now time.Time, share int, need, ahead Micro) Draw {
-	w.aheadFrom = now.Add(aheadPause)
-	w.shares[share].inFlight = true
-	w.shares[share].sent = now
-	w.shares[share].reported = now
-	validity := w.validity
-	if ahead == 0 {
-		validity = w.briefFor()
-	}
-	return Draw{
-		Share: share,
-		Ask:   Ask{Need: need, Ahead: ahead, Validity: validity, Reports: w.stock.settle(share, false), Levels: w.saw.levels(now)},
-		Sent:  now,
-	}
-}
-
-// ahead returns how much the wallet would like to have for requests to come. With few
-// requests it is nothing: what lies in wallets is missing elsewhere.
-func (w *Wallet) ahead(now time.Time) Micro {
-	want := min(Tokens(w.use.rate(now)*aheadFor.Seconds()), w.rate.burst)
-	if want < minAhead {
-		return 0
-	}
-	return want
-}
-
-// candidate returns the share to ask next: among those that can be asked now the one
-// where most is expected, or else the one that was not asked for longer, so that the
-// shares stay alike. It returns false when there is none.
-func (w *Wallet) candidate(now time.Time) (int, bool) {
-	best, level := -1, Micro(0)
-	for i := range w.shares {
-		view := &w.shares[i]
-		if !view.open(now) {
-			continue
-		}
-		expected := view.expected(now, w.saw[i])
-		if best < 0 || expected > level || expected == level && view.sent.Before(w.shares[best].sent) {
-			best, level = i, expected
-		}
-	}
-	return best, best >= 0
-}
-
-// stillWaiting reports whether to wait for a missing answer before the next ask. When
-// requests wait, an answer that is late is not waited for.
-func (w *Wallet) stillWaiting(now time.Time, need Micro) bool {
-	return slices.ContainsFunc(w.shares[:], func(v shareView) bool {
-		return v.inFlight && (need == 0 || now.Sub(v.sent) < hedgeAfter)
-	})
-}
-
-// Tick returns reports of what was spent, and returns grants that are idle or about to
-// expire. The caller calls it every few tens of milliseconds while Busy.
-func (w *Wallet) Tick(now time.Time) []Draw {
-	w.stock.expire(now)
-	first, ok := w.stock.firstExpiry()
-	back := len(w.queue) == 0 && (now.Sub(w.lastTake) >= idleAfter || ok && first.Sub(now) < returnBefore)
-	var draws []Draw
-	for share := range w.shares {
-		view := &w.shares[share]
-		if !back && now.Sub(view.reported) < reportPause {
-			continue
-		}
-		view.reported = now
-		if reports := w.stock.settle(share, back); len(reports) > 0 {
-			draws = append(draws, Draw{Share: share, Ask: Ask{Reports: reports}, Sent: now, Quiet: true})
-		}
-	}
-	return append(draws, w.Draws(now)...)
-}
-
 // Busy reports whether the wallet has grants or waiting requests.
 func (w *Wallet) Busy() bool { return len(w.stock.grants) > 0 || len(w.queue) > 0 }
--- a/io/peer/entry.go
+++ b/io/peer/entry.go
@@ -28,37 +28,6 @@
 	return &entry{fleet: f, purses: map[model.AccountID]*purse{}, active: map[*purse]bool{}}
 }
 
-// Take spends one token of the account. It returns nil, or a *model.Refusal at once.
-func (f *Fleet) Take(ctx context.Context, account model.AccountID) error {
-	rate, ok := f.config.Limits(account)
-	if !ok {
-		return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonUnknownAccount})
-	}
-	p := f.entry.purse(account, rate)
-	id, waiting, verdict := f.entry.take(p, rate)
-	if waiting == nil {
-		return refusal(verdict)
-	}
-	select {
-	case verdict = <-waiting:
-		return refusal(verdict)
-	case <-ctx.Done():
-		p.cancel(id)
-		return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonDeadline, RetryAfter: tickPause})
-	case <-f.ctx.Done():
-		p.cancel(id)
-		return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonShuttingDown, RetryAfter: tickPause})
-	}
-}
-
-// refusal returns nil for a granted request.
-func refusal(v limit.Verdict) error {
-	if v.Granted {
-		return nil
-	}
-	return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonRateExceeded, RetryAfter: v.RetryAfter})
-}
-
 // purse returns the wallet of an account.
 func (e *entry) purse(account model.AccountID, rate limit.Rate) *purse {
 	e.mu.Lock()
@@ -77,26 +46,6 @@
 	return p
 }
 
-// take asks the wallet for a token. The channel is nil when the verdict is there.
-func (e *entry) take(p *purse, rate limit.Rate) (uint64, chan limit.Verdict, limit.Verdict) {
-	p.mu.Lock()
-	now := e.fleet.config.Now()
-	p.next++
-	id := p.next
-	p.wallet.SetRate(rate)
-	var waiting chan limit.Verdict
-	verdict, done := p.wallet.Take(now, id)
-	if !done {
-		waiting = make(chan limit.Verdict, 1)
-		p.waiting[id] = waiting
-	}
-	draws := p.wallet.Draws(now)
-	p.mu.Unlock()
-	e.use(p)
-	e.send(p, draws)
-	return id, waiting, verdict
-}
-
 // send carries out draws. A holder in this process is asked without a detour.
 func (e *entry) send(p *purse, draws []limit.Draw) {
 	for _, draw := range draws {
