--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The one door to every task. `make help` lists them.
 GO ?= go
 
-.PHONY: help build test lint ci demo demo-up demo-down measure capacity
+.PHONY: help build test soak lint ci demo demo-up demo-down measure capacity
 help: ## list the tasks
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
 
@@ -11,6 +11,15 @@
 test: ## run every test, with fixed seeds
 	$(GO) test -count=1 ./...
 
+# Every package whose tests draw random runs by rapid.
+RANDOM_RUNS = ./core/conf ./core/fair ./core/limit ./core/retry ./core/route ./core/term ./io/script
+SEED ?= 1
+STEPS ?= 1000
+
+soak: ## every randomised run from SEED, STEPS runs each; prints the first broken invariant
+	@echo "seed $(SEED), $(STEPS) runs of each kind"
+	$(GO) test -count=1 -timeout 0 $(RANDOM_RUNS) -args -rapid.seed=$(SEED) -rapid.checks=$(STEPS) -rapid.nofailfile
+
 lint: ## formatter, vet, staticcheck and revive
 	@un=$$(gofmt -l $$(git ls-files '*.go') 2>/dev/null); if [ -n "$$un" ]; then echo "not formatted: $$un"; exit 1; fi
 	$(GO) vet ./...
