--- a/core/retry/course.go
+++ b/core/retry/course.go
@@ -19,6 +19,9 @@
 	return verdict
 }
 
+// InDoubt reports whether some attempt may have taken effect.
+func (c *Course) InDoubt() bool { return c.doubt }
+
 // Correct returns the refusal with the outcome that is true for all attempts.
 func (c *Course) Correct(refusal *model.Refusal) *model.Refusal {
 	if !c.doubt || refusal.Outcome() == model.OutcomeUnknown {
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -9,6 +9,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"pomelofork/core/assert"
 	"pomelofork/core/conf"
 	"pomelofork/core/model"
 	"pomelofork/core/sess"
@@ -161,6 +162,7 @@
 	defer s.mu.Unlock()
 	inUnit := s.lane != nil || s.broken || len(s.batch.messages) > 0
 	if s.closing != nil && (!s.gentle || !inUnit) {
+		s.server.config.Check.Hold(!s.gentle || s.lane == nil, assert.InvariantPlannedStop, "account %s: unit of work cut", s.account)
 		return s.closing
 	}
 	s.idle, s.idleSince = !inUnit, s.now()
--- a/io/caller/unit.go
+++ b/io/caller/unit.go
@@ -34,6 +34,9 @@
 		s.backend.Send(fault)
 		return s.ready()
 	}
+	if refusal := s.checkOpen(); refusal != nil {
+		return s.fatal(refusal)
+	}
 	ctx, cancel := context.WithTimeout(s.ctx, s.batchTimeout())
 	defer cancel()
 	s.setRunning(cancel)
@@ -53,6 +56,19 @@
 	return s.finishBatch(result, out)
 }
 
+// checkOpen refuses to go on with an open transaction whose key was withdrawn. A new unit
+// of work is checked when it starts.
+func (s *session) checkOpen() *model.Refusal {
+	if s.lane == nil {
+		return nil
+	}
+	config, refusal := s.server.config.Directory.Config(s.now())
+	if refusal != nil {
+		return refusal
+	}
+	return s.checkKey(config)
+}
+
 // finishBatch takes over what the gateway said of the transaction and the log.
 func (s *session) finishBatch(result wire.Result, out *sink) error {
 	s.server.config.Check.Hold(out.complete(), assert.InvariantWholeAnswer, "account %s: %d answers missing", s.account, out.queue.Len())
@@ -161,6 +177,8 @@
 		unit.Token = point.String()
 	}
 	s.access, s.unit.Access = route.Access(), route.Access()
+	s.server.config.Check.Hold(route.OpenToAll() || (!s.anonymous && s.key != ""), assert.InvariantAccountKey,
+		"unit on route %s without the key of account %s", unit.Route, unit.Account)
 	return unit, nil
 }
 
--- a/io/gate/dispatch.go
+++ b/io/gate/dispatch.go
@@ -106,6 +106,7 @@
 			return nil
 		}
 		if c.Quiet() {
+			g.config.Check.Hold(c.clean(), assert.InvariantNoMixedTransactions, "connection to %s is not clean", s.id)
 			c.writes = !readOnly
 			if c.writes {
 				g.busy++
--- a/io/gate/lane.go
+++ b/io/gate/lane.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
+	"pomelofork/core/assert"
 	"pomelofork/core/model"
 	"pomelofork/core/retry"
 	"pomelofork/core/route"
@@ -67,6 +69,8 @@
 	ctx, cancel := context.WithTimeout(ctx, l.deadline.Sub(l.gate.config.Now()))
 	defer cancel()
 	for {
+		l.gate.config.Check.Hold(!l.course.InDoubt() || l.repeatable(), assert.InvariantAtMostOnce,
+			"account %s, route %s: another attempt while one may have run", l.unit.Account, l.unit.Route)
 		a := &attempt{lane: l, batch: batch}
 		result, err := a.run(ctx, sink)
 		if err == nil {
@@ -74,11 +78,26 @@
 		}
 		if final := l.next(ctx, a, err); final != nil {
 			l.end()
+			l.checkFinal(final)
 			return wire.Result{}, final
 		}
 	}
 }
 
+// repeatable reports whether a batch of the unit may run more than once, or is looked up
+// before it is sent again.
+func (l *lane) repeatable() bool {
+	return l.reads() || l.unit.Idempotent || l.unit.RequestID != ""
+}
+
+// checkFinal asserts that a refusal which says "not run" is true.
+func (l *lane) checkFinal(final error) {
+	var refusal *model.Refusal
+	notRun := errors.As(final, &refusal) && refusal.Outcome() == model.OutcomeNotRun
+	l.gate.config.Check.Hold(!notRun || !l.course.InDoubt(), assert.InvariantNotRunIsTrue,
+		"account %s, route %s: refused as not run while an attempt may have run", l.unit.Account, l.unit.Route)
+}
+
 // next returns nil when the batch is to be tried again, and otherwise the final
 // answer.
 func (l *lane) next(ctx context.Context, a *attempt, err error) error {
