Ask for statuses less often while all is well

At the size to design for, questions every 20 ms and after every change would take several times the budget for control. A server now holds an answer back for up to 100 ms, changes are fetched every 20 ms, and questions come fast only while somebody waits for a commit or a confirmation, while the primary is in doubt and just after a change. The first evidence against the primary makes every server be asked at once, so that the verdict doesn't wait.

A server can be declared as leaving by the platform's list as well.

--- a/core/term/attempt.go
+++ b/core/term/attempt.go
@@ -108,21 +108,14 @@
 		if !ok {
 			continue
 		}
-		if best == "" || better(s, m.attempt.promised[best]) {
+		have := m.attempt.promised[best]
+		if best == "" || have.Log.Less(s.Log) || have.Log == s.Log && m.records[best].leaving() && !m.records[id].leaving() {
 			best = id
 		}
 	}
 	return best
 }
 
-// better says that a server with status a should lead rather than one with b.
-func better(a, b Status) bool {
-	if a.Log != b.Log {
-		return b.Log.Less(a.Log)
-	}
-	return b.Leaving && !a.Leaving
-}
-
 // Promoted takes the answer to a Promote, as Fenced does for a Fence.
 func (m *Machine) Promoted(now time.Time, p Promote, asked time.Time, s Status, err error, newer bool) []Action {
 	if err == nil {
--- a/core/term/drain.go
+++ b/core/term/drain.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"pomelofork/core/model"
 )
 
 // drain is a planned change of primary that lets writes end first.
@@ -18,6 +20,16 @@
 	return m.flush()
 }
 
+// SetLeaving says whether a server is leaving by the platform's list or an operator's
+// word. What the server says of itself counts as well.
+func (m *Machine) SetLeaving(now time.Time, id model.ServerID, leaving bool) []Action {
+	if r, ok := m.records[id]; ok {
+		r.listed = leaving
+	}
+	m.drainLeaving(now)
+	return m.flush()
+}
+
 // drainLeaving begins a planned change when the primary is leaving.
 func (m *Machine) drainLeaving(now time.Time) {
 	if m.lead.server == "" || now.Before(m.retryAt) {
@@ -27,7 +39,7 @@
 		// Without anybody to take over, the primary must get work again.
 		m.drain = drain{}
 	}
-	if r := m.records[m.lead.server]; r.known && r.status.Leaving {
+	if r := m.records[m.lead.server]; r.known && r.leaving() {
 		m.startDrain(now)
 	}
 }
@@ -53,7 +65,7 @@
 			continue
 		}
 		n++
-		stays = stays || !r.status.Leaving
+		stays = stays || !r.leaving()
 	}
 	return n >= m.majority() && stays
 }
--- a/core/term/evidence.go
+++ b/core/term/evidence.go
@@ -29,6 +29,7 @@
 	if id == m.lead.server && !m.suspected {
 		m.suspected = true
 		m.do(Report{Kind: ReportSuspected, Server: id, Term: m.lead.term})
+		m.askAll()
 	}
 	if again {
 		m.do(Confirm{Server: id})
--- a/core/term/machine.go
+++ b/core/term/machine.go
@@ -33,6 +33,7 @@
 	used model.Term
 
 	suspected bool
+	doubted   bool
 	// alive is when the lead last answered.
 	alive time.Time
 	// trouble is the present cause for a new term and since when it holds.
--- a/core/term/machine_test.go
+++ b/core/term/machine_test.go
@@ -202,6 +202,23 @@
 		Expect(m.Judge(point(1, 9))).To(Equal(term.VerdictCommitted))
 	})
 
+	It("takes a late answer that shows a newer primary", func() {
+		m := ready(0)
+		m.Observe(at(30), "b", at(25), term.Status{Promised: 2, Log: point(1, 5)})
+		m.Observe(at(31), "b", at(20), term.Status{Promised: 2, Primary: true, Log: point(2, 6)})
+		Expect(m.Judge(point(1, 5))).To(Equal(term.VerdictReplaced))
+		primary, _ := m.Known(at(31)).Primary()
+		Expect(primary).To(Equal(model.ServerID("b")))
+	})
+
+	It("keeps a newer promise when an older answer comes late", func() {
+		m := ready(0)
+		m.Observe(at(30), "b", at(20), term.Status{Promised: 2, Log: point(1, 5)})
+		m.Observe(at(31), "b", at(25), following(5))
+		view, _ := m.Known(at(31)).Server("b")
+		Expect(view.Promised).To(Equal(model.Term(2)))
+	})
+
 	It("judges how fresh a replica is by when the primary was asked", func() {
 		m := ready(0)
 		m.Observe(at(20), "a", at(18), leading(8))
--- a/core/term/observe.go
+++ b/core/term/observe.go
@@ -25,7 +25,7 @@
 	r.take(now, asked, s)
 	m.follow(now)
 	if id == m.lead.server {
-		m.alive, m.suspected = now, false
+		m.alive, m.suspected, m.doubted = now, false, false
 	}
 	if s.Primary && m.lead == (lead{id, s.Promised}) {
 		m.marks.add(asked, s.Log)
@@ -70,7 +70,7 @@
 	m.marks.limit(m.confirmed)
 	m.lead = l
 	m.committed = model.Point{}
-	m.suspected, m.trouble, m.drain = false, CauseNone, drain{}
+	m.suspected, m.doubted, m.trouble, m.drain = false, false, CauseNone, drain{}
 	m.records[l.server].heard = now
 	m.do(Report{Kind: ReportPrimary, Server: l.server, Term: l.term})
 }
--- a/core/term/picture.go
+++ b/core/term/picture.go
@@ -24,7 +24,7 @@
 			Promised:  r.promised,
 			Primary:   r.status.Primary,
 			Reachable: r.reachable(now, m.timing.Overdue),
-			Leaving:   r.status.Leaving && !leading || leading && m.drain.on,
+			Leaving:   r.leaving() && !leading || leading && m.drain.on,
 			FreshAsOf: r.fresh,
 		}
 	}
--- a/core/term/record.go
+++ b/core/term/record.go
@@ -23,6 +23,8 @@
 	refusals   int
 	statements int
 	fresh      time.Time
+	// listed says that somebody else than the server says that it is leaving.
+	listed bool
 	// fencedAt is when the server was last told that it leads no more.
 	fencedAt time.Time
 }
@@ -48,6 +50,9 @@
 	return !asked.Before(r.asked) || s.Primary && !have.Primary
 }
 
+// leaving says that the server must get no new work.
+func (r *record) leaving() bool { return r.status.Leaving || r.listed }
+
 // reachable says that the server answered lately.
 func (r *record) reachable(now time.Time, overdue time.Duration) bool {
 	return r.known && !r.failed && now.Sub(r.heard) <= overdue
--- a/core/term/supervise.go
+++ b/core/term/supervise.go
@@ -16,10 +16,38 @@
 	m.drain.busy = busy
 	m.reserveAhead(now)
 	m.drainLeaving(now)
+	m.doubt(now)
 	m.supervise(now)
 	return m.flush()
 }
 
+// doubt asks everybody once the primary has been silent for a while.
+func (m *Machine) doubt(now time.Time) {
+	if m.lead.server != "" && m.Doubts(now) {
+		m.askAll()
+	}
+}
+
+// askAll asks everybody at once, one time for each silence of the primary.
+func (m *Machine) askAll() {
+	if m.doubted {
+		return
+	}
+	m.doubted = true
+	for _, id := range m.order {
+		m.do(Confirm{Server: id})
+	}
+}
+
+// Doubts says that the primary is silent for longer than usual, or that there is
+// none, so that statuses should come fast.
+func (m *Machine) Doubts(now time.Time) bool {
+	if now.Sub(m.alive) > m.timing.DoubtLimit {
+		return false
+	}
+	return m.suspected || m.lead.server == "" || m.attempt != nil || now.Sub(m.records[m.lead.server].heard) >= m.timing.Doubt
+}
+
 // excuse forgets all silence, as this process itself stood still and may have
 // answers waiting that it hasn't read.
 func (m *Machine) excuse(now time.Time) {
--- a/core/term/timing.go
+++ b/core/term/timing.go
@@ -7,6 +7,10 @@
 	// Overdue is the silence after which a server counts as unreachable. Statuses
 	// must come several times as often.
 	Overdue time.Duration
+	// Doubt is the silence of the primary after which everybody is asked at once, so
+	// that the evidence is fresh when it matters. It is longer than a usual answer takes.
+	// After DoubtLimit the questions become slow again.
+	Doubt, DoubtLimit time.Duration
 	// Pause is a gap between two ticks that shows that this process itself stood
 	// still. Silence during such a gap is no evidence against anybody.
 	Pause time.Duration
@@ -29,7 +33,9 @@
 
 // DefaultTiming suits a network with about 1 ms one way.
 var DefaultTiming = Timing{
-	Overdue:    120 * time.Millisecond,
+	Overdue:    250 * time.Millisecond,
+	Doubt:      130 * time.Millisecond,
+	DoubtLimit: 5 * time.Second,
 	Pause:      100 * time.Millisecond,
 	Rank:       50 * time.Millisecond,
 	Attempt:    300 * time.Millisecond,
--- a/io/group/config.go
+++ b/io/group/config.go
@@ -66,9 +66,9 @@
 	// age of what is known, since an answer counts from when it was asked.
 	Wait time.Duration
 	// Interval is the least time between two questions to one server, and Eager the
-	// same while somebody waits for the answer.
+	// same while somebody waits for an answer or the primary is in doubt.
 	Interval, Eager time.Duration
-	// Linger is how long questions stay short after somebody needed a fresh one.
+	// Linger is how long that lasts after somebody waited.
 	Linger time.Duration
 	// Answer is the time allowed for an answer beyond Wait.
 	Answer time.Duration
@@ -83,8 +83,8 @@
 
 // DefaultPoll suits a network with about 1 ms one way.
 var DefaultPoll = Poll{
-	Wait:           20 * time.Millisecond,
-	Interval:       2 * time.Millisecond,
+	Wait:           100 * time.Millisecond,
+	Interval:       20 * time.Millisecond,
 	Eager:          time.Millisecond,
 	Linger:         50 * time.Millisecond,
 	Answer:         time.Second,
--- a/io/group/group_test.go
+++ b/io/group/group_test.go
@@ -191,6 +191,16 @@
 		})
 	}
 
+	It("hands over from a primary that the platform lists as leaving", func() {
+		b := newBench()
+		w := b.watch(0, nil)
+		Eventually(func() model.ServerID { return primary(w) }, patience).Should(Equal(model.ServerID("g-0")))
+		w.SetLeaving("g-0", true)
+		Eventually(func() model.ServerID { return primary(w) }, patience).Should(BeElementOf(model.ServerID("g-1"), model.ServerID("g-2")))
+		view, _ := w.Known().Server("g-0")
+		Expect(view.Leaving).To(BeTrue())
+	})
+
 	It("gives each of two gateways terms of its own", func() {
 		b := newBench()
 		b.store.lose.Store(1)
--- a/io/group/wait.go
+++ b/io/group/wait.go
@@ -28,11 +28,21 @@
 	return fmt.Sprintf("primary of term %d was replaced, newest term %d", e.point.Term(), e.newer)
 }
 
-// waiting counts who waits for answers.
+// waiting counts who waits for answers, and until when they are remembered.
 type waiting struct {
-	commits, confirms int
-	// until is when questions may become long again.
-	until time.Time
+	commits, confirms             int
+	commitsLinger, confirmsLinger time.Time
+}
+
+// rouse lets questions be asked that wait only to bound the load. The caller holds
+// the lock.
+func (w *Watcher) rouse(interrupt bool) {
+	for _, p := range w.pollers {
+		signal(p.hurried)
+		if interrupt {
+			signal(p.interrupt)
+		}
+	}
 }
 
 // WaitCommitted returns nil once a majority holds the point durably at its own term
@@ -44,8 +54,14 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.eager() {
+		w.rouse(false)
+	}
 	w.waiting.commits++
-	defer func() { w.waiting.commits-- }()
+	defer func() {
+		w.waiting.commits--
+		w.waiting.commitsLinger = w.conf.Now().Add(w.conf.Poll.Linger)
+	}()
 	for {
 		switch w.machine.Judge(point) {
 		case term.VerdictCommitted:
@@ -68,23 +84,21 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	began := w.known.Term()
+	if !w.confirming() {
+		w.rouse(true)
+	}
 	w.waiting.confirms++
 	defer func() {
 		w.waiting.confirms--
-		w.waiting.until = w.conf.Now().Add(w.conf.Poll.Linger)
+		w.waiting.confirmsLinger = w.conf.Now().Add(w.conf.Poll.Linger)
 	}()
-	for first := true; ; first = false {
+	for {
 		if newest := w.known.Term(); newest != began {
 			return &ReplacedError{point: model.NewPoint(began, 0), newer: newest}
 		}
 		if w.known.Confirmed().After(asOf) {
 			return nil
 		}
-		if first && w.waiting.confirms == 1 && w.conf.Now().After(w.waiting.until) {
-			for _, p := range w.pollers {
-				signal(p.interrupt)
-			}
-		}
 		if err := w.await(ctx); err != nil {
 			return fmt.Errorf("primary not confirmed by a majority: %w", err)
 		}
@@ -107,11 +121,22 @@
 	}
 }
 
+// confirming says that statuses as of now are wanted. The caller holds the lock.
+func (w *Watcher) confirming() bool {
+	now := w.conf.Now()
+	return w.waiting.confirms > 0 || now.Before(w.waiting.confirmsLinger) || w.machine.Doubts(now)
+}
+
+// eager says that somebody waits for answers. The caller holds the lock.
+func (w *Watcher) eager() bool {
+	return w.waiting.commits > 0 || w.conf.Now().Before(w.waiting.commitsLinger) || w.confirming()
+}
+
 // wait is how long a server may hold back its next answer.
 func (w *Watcher) wait() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.waiting.confirms > 0 || w.conf.Now().Before(w.waiting.until) {
+	if w.confirming() {
 		return 0
 	}
 	return w.conf.Poll.Wait
@@ -121,7 +146,7 @@
 func (w *Watcher) interval() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.waiting.commits > 0 || w.waiting.confirms > 0 {
+	if w.eager() {
 		return w.conf.Poll.Eager
 	}
 	return w.conf.Poll.Interval
--- a/io/group/watcher.go
+++ b/io/group/watcher.go
@@ -98,6 +98,12 @@
 // report tells when it is done.
 func (w *Watcher) Move() { w.step(w.machine.Move) }
 
+// SetLeaving says whether a server is leaving by the platform's list or an operator's
+// word. It gets no new work then, and a primary hands over first.
+func (w *Watcher) SetLeaving(id model.ServerID, leaving bool) {
+	w.step(func(now time.Time) []term.Action { return w.machine.SetLeaving(now, id, leaving) })
+}
+
 // step passes one event to the machine, publishes the new picture and carries out
 // what the machine wants.
 func (w *Watcher) step(f func(now time.Time) []term.Action) {
@@ -109,9 +115,16 @@
 	w.perform(actions)
 }
 
-// publish tells the waiters about a new picture. The caller holds the lock.
+// publish tells the waiters about a new picture. When it would let servers be chosen
+// differently, more news is near, and commits may wait for it. The caller holds the
+// lock.
 func (w *Watcher) publish(now time.Time) {
+	last := w.known
 	w.known = w.machine.Known(now)
+	if differs(last, w.known) {
+		w.waiting.commitsLinger = now.Add(w.conf.Poll.Linger)
+		w.rouse(false)
+	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
