--- a/bench/change/config.go
+++ b/bench/change/config.go
@@ -10,8 +10,10 @@
 type Config struct {
 	// Runs is how many failovers each policy and fault gets.
 	Runs int
-	// PauseRuns is how many pauses of each length each policy gets.
+	// PauseRuns is how many disturbances of each kind and length each policy gets.
 	PauseRuns int
+	// Pauses are the lengths of the disturbances.
+	Pauses []time.Duration
 	// Seed gives the moments of the faults.
 	Seed uint64
 	// Parallel is how many groups run at once.
@@ -31,7 +33,7 @@
 // DefaultConfig compares the three detectors of core/term.
 func DefaultConfig() Config {
 	return Config{
-		Runs: 30, PauseRuns: 10, Seed: 1, Parallel: 4, ConnectCost: 10 * time.Millisecond,
+		Runs: 30, PauseRuns: 10, Pauses: pauses, Seed: 1, Parallel: 4, ConnectCost: 10 * time.Millisecond,
 		Policies: []Policy{
 			{Name: "probes", Detector: term.Probes},
 			{Name: "evidence", Detector: term.Evidence},
--- a/bench/change/run.go
+++ b/bench/change/run.go
@@ -25,7 +25,7 @@
 			result.Gaps = append(result.Gaps, g)
 		}
 		for _, kind := range []string{kindPause, kindLag} {
-			for _, length := range pauses {
+			for _, length := range c.Pauses {
 				d, err := runDisturbance(ctx, c, policy, kind, length)
 				if err != nil {
 					return result, err
--- /dev/null
+++ b/io/group/classify_test.go
@@ -0,0 +1,60 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"pomelofork/core/term"
+)
+
+func TestClassify(t *testing.T) {
+	for name, c := range map[string]struct {
+		err  error
+		want term.Fault
+	}{
+		"refused":           {fmt.Errorf("dial: %w", syscall.ECONNREFUSED), term.FaultRefused},
+		"no answer in time": {fmt.Errorf("wait: %w", context.DeadlineExceeded), term.FaultTimeout},
+		"ended":             {io.ErrUnexpectedEOF, term.FaultLost},
+		"too many":          {&pgconn.PgError{Code: "53300"}, term.FaultLogin},
+		"shutting down":     {&pgconn.PgError{Code: "57P01"}, term.FaultLost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := classify(c.err, term.FaultLost); got != c.want {
+				t.Errorf("got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+func TestReadStatusRefusesWhatIsMalformed(t *testing.T) {
+	row := func(values ...string) []*pgconn.Result {
+		var one [][]byte
+		for _, v := range values {
+			one = append(one, []byte(v))
+		}
+		return []*pgconn.Result{{Rows: [][][]byte{one}}}
+	}
+	for name, results := range map[string][]*pgconn.Result{
+		"nothing":      nil,
+		"no row":       {{}},
+		"too short":    row("a", "primary", "1"),
+		"not a number": row("a", "primary", "one", "1", "1", "1", "1", "0", "false"),
+		"negative":     row("a", "primary", "1", "1", "-1", "1", "1", "0", "false"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			if _, err := readStatus(results); err == nil {
+				t.Error("accepted")
+			}
+		})
+	}
+	s, err := readStatus(row("a", "replica", "2", "1", "9", "1", "8", "15", "true"))
+	if err != nil || s.Primary || s.Promised != 2 || s.Log.String() != "1/9" || s.Applied.String() != "1/8" || !s.Leaving {
+		t.Error(errors.Join(err, fmt.Errorf("read %+v", s)))
+	}
+}
