--- a/core/conf/race_test.go
+++ b/core/conf/race_test.go
@@ -11,34 +11,22 @@
 	"pgregory.net/rapid"
 
 	"pomelofork/core/conf"
+	"pomelofork/emul/seed"
 )
 
-// TestMain fixes the seed of the randomised runs. SOAK_SEED and SOAK_STEPS choose
-// others; the flags -rapid.seed and -rapid.checks go before both.
+// defaultRuns is how many random runs a test plays when nobody asks for more.
+const defaultRuns = 300
+
+// TestMain fixes the seed of the randomised runs.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{
-		"rapid.seed":   env("SOAK_SEED", "1"),
-		"rapid.checks": env("SOAK_STEPS", "300"),
-	} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			if err := f.Value.Set(value); err != nil {
-				fmt.Fprintln(os.Stderr, name, err)
-				os.Exit(2)
-			}
-		}
+	if err := seed.FixRuns(defaultRuns); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
 	}
 	os.Exit(m.Run())
 }
 
-// env returns a variable of the environment or what stands in for it.
-func env(name, otherwise string) string {
-	if value, ok := os.LookupEnv(name); ok {
-		return value
-	}
-	return otherwise
-}
-
 // TestRace lets operators race each other over a store that is out of service,
 // loses answers and takes writes late, and offers every version to instances in
 // any order.
--- a/core/term/random_test.go
+++ b/core/term/random_test.go
@@ -1,17 +1,15 @@
 package term
 
 import (
-	"flag"
 	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
-)
 
-// runSeed makes every run of the tests the same. -rapid.seed chooses another one.
-const runSeed = "20260913"
+	"pomelofork/emul/seed"
+)
 
 // simFault is one fault of a run.
 type simFault struct {
@@ -108,10 +106,8 @@
 }
 
 func TestRandomRuns(t *testing.T) {
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == f.DefValue {
-		if err := flag.Set("rapid.seed", runSeed); err != nil {
-			t.Fatal(err)
-		}
+	if err := seed.Fix(); err != nil {
+		t.Fatal(err)
 	}
 	acks, promoted := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
