--- a/io/caller/unit.go
+++ b/io/caller/unit.go
@@ -132,23 +132,27 @@
 	return s.startUnit(ctx, unit, forward, out)
 }
 
-// draw spends one token of the account's rate. When the next token is due within
-// tokenPatience it waits for that one, once: a caller that came back would take longer.
-// An account far above its rate gets its refusal on the second look.
+// draw spends one token of the account's rate. When the next token is due soon it looks
+// again, each time after at least twice the wait, for tokenPatience in sum: a caller that
+// came back would take longer. An account far above its rate gets its refusal then.
 func (s *session) draw(ctx context.Context) error {
-	err := s.server.config.Directory.Take(ctx, s.account)
-	if err == nil {
-		return nil
-	}
-	refusal := asRefusal(err)
-	if refusal.Reason() != model.ReasonRateExceeded || refusal.RetryAfter() <= 0 || refusal.RetryAfter() > tokenPatience {
-		return refusal
-	}
-	select {
-	case <-ctx.Done():
-		return refusal
-	case <-time.After(refusal.RetryAfter()):
-		return s.server.config.Directory.Take(ctx, s.account)
+	left, wait := tokenPatience, time.Duration(0)
+	for {
+		err := s.server.config.Directory.Take(ctx, s.account)
+		if err == nil {
+			return nil
+		}
+		refusal := asRefusal(err)
+		wait = max(2*wait, refusal.RetryAfter())
+		if refusal.Reason() != model.ReasonRateExceeded || wait <= 0 || wait > left {
+			return refusal
+		}
+		left -= wait
+		select {
+		case <-ctx.Done():
+			return refusal
+		case <-time.After(wait):
+		}
 	}
 }
 
