Stand-in group: look up single rows in a transaction that has written

Every read in such a transaction copied the whole data under the lock of the group, so units with a request id got slower with each entry. Now only the rows that the statement names are copied before the writes are laid over.

--- a/emul/pgsim/data.go
+++ b/emul/pgsim/data.go
@@ -1,9 +1,6 @@
 package pgsim
 
-import (
-	"maps"
-	"slices"
-)
+import "slices"
 
 // item is one row of the table items.
 type item struct {
@@ -32,14 +29,30 @@
 	return &data{items: map[string]item{}, ledger: map[string]int{}, outcomes: map[outcomeKey]outcome{}}
 }
 
-// with returns a copy in which the writes are applied. Reads inside a transaction
-// that has written use it.
-func (d *data) with(writes []write) *data {
-	c := &data{
-		items:    maps.Clone(d.items),
-		ledger:   maps.Clone(d.ledger),
-		order:    slices.Clone(d.order),
-		outcomes: maps.Clone(d.outcomes),
+// lookup names the rows that a statement reads.
+type lookup struct {
+	item    string
+	id      string
+	outcome outcomeKey
+	// ledger says that every id is read.
+	ledger bool
+}
+
+// with returns the looked-up rows with the writes applied. Reads inside a transaction
+// that has written use it; copying the rest would take longer with every entry.
+func (d *data) with(writes []write, l lookup) *data {
+	c := newData()
+	if one, ok := d.items[l.item]; ok {
+		c.items[l.item] = one
+	}
+	if n, ok := d.ledger[l.id]; ok {
+		c.ledger[l.id] = n
+	}
+	if one, ok := d.outcomes[l.outcome]; ok {
+		c.outcomes[l.outcome] = one
+	}
+	if l.ledger {
+		c.order = slices.Clone(d.order)
 	}
 	for _, w := range writes {
 		w.apply(c)
--- a/emul/pgsim/pgsim_test.go
+++ b/emul/pgsim/pgsim_test.go
@@ -83,6 +83,9 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(count(c)).To(Equal("1"))
 		Expect(count(other)).To(BeEmpty())
+		var id string
+		Expect(tx.QueryRow(ctx, "SELECT id FROM ledger").Scan(&id)).To(Succeed())
+		Expect(id).To(Equal("a"))
 		Expect(tx.Rollback(ctx)).To(Succeed())
 		Expect(count(c)).To(BeEmpty())
 		_, err = c.Exec(ctx, "BEGIN; INSERT INTO ledger (id) VALUES ('a'); COMMIT", pgx.QueryExecModeSimpleProtocol)
@@ -99,6 +102,12 @@
 		}
 		Expect(record()).To(Succeed())
 		Expect(code(record())).To(Equal("23505"))
+		answer := func(fingerprint string) string {
+			tag, err := c.Exec(ctx, "UPDATE request_outcomes SET answer = $4 WHERE account = $1 AND request_id = $2 AND fingerprint = $3", "a", "r", fingerprint, "done")
+			Expect(err).NotTo(HaveOccurred())
+			return tag.String()
+		}
+		Expect([]string{answer("other"), answer("f")}).To(Equal([]string{"UPDATE 0", "UPDATE 1"}))
 		_, err := c.Exec(ctx, "SET default_transaction_read_only = 'on'")
 		Expect(err).NotTo(HaveOccurred())
 		_, err = c.Exec(ctx, "INSERT INTO ledger (id) VALUES ('a')")
--- a/emul/pgsim/table.go
+++ b/emul/pgsim/table.go
@@ -7,10 +7,10 @@
 
 // view notes the applied point that a read saw and returns the data. The caller
 // holds the lock.
-func (c *call) view() *data {
+func (c *call) view(l lookup) *data {
 	s := c.session
 	s.seen = s.server.point(s.server.applied)
-	return s.open().view(s.server)
+	return s.open().view(s.server, l)
 }
 
 // write buffers a write. The caller holds the lock.
@@ -27,7 +27,7 @@
 }
 
 func (c *call) readItem() (result, error) {
-	one, ok := c.view().items[c.args[0]]
+	one, ok := c.view(lookup{item: c.args[0]}).items[c.args[0]]
 	if !ok {
 		return rows(), nil
 	}
@@ -35,7 +35,7 @@
 }
 
 func (c *call) readCount() (result, error) {
-	n, ok := c.view().ledger[c.args[0]]
+	n, ok := c.view(lookup{id: c.args[0]}).ledger[c.args[0]]
 	if !ok {
 		return rows(), nil
 	}
@@ -44,14 +44,15 @@
 
 func (c *call) readLedger() (result, error) {
 	var all [][]*string
-	for _, id := range c.view().order {
+	for _, id := range c.view(lookup{ledger: true}).order {
 		all = append(all, []*string{text(id)})
 	}
 	return rows(all...), nil
 }
 
 func (c *call) readOutcome() (result, error) {
-	one, ok := c.view().outcomes[outcomeKey{account: c.args[0], request: c.args[1]}]
+	key := outcomeKey{account: c.args[0], request: c.args[1]}
+	one, ok := c.view(lookup{outcome: key}).outcomes[key]
 	if !ok {
 		return rows(), nil
 	}
@@ -59,7 +60,7 @@
 }
 
 func (c *call) selectValue() (result, error) {
-	c.view()
+	c.view(lookup{})
 	return rows([]*string{text(c.args[0])}), nil
 }
 
@@ -68,7 +69,7 @@
 func (c *call) record() (result, error) {
 	s := c.session
 	key := outcomeKey{account: c.args[0], request: c.args[1]}
-	if _, there := s.open().view(s.server).outcomes[key]; there && s.server.primary {
+	if _, there := s.open().view(s.server, lookup{outcome: key}).outcomes[key]; there && s.server.primary {
 		return result{}, duplicate
 	}
 	return c.write("INSERT 0 1", outcomeWrite{key: key, fingerprint: c.args[2]})
@@ -78,7 +79,7 @@
 func (c *call) answer() (result, error) {
 	s := c.session
 	w := answerWrite{key: outcomeKey{account: c.args[1], request: c.args[2]}, fingerprint: c.args[3], answer: c.args[0]}
-	if have, ok := s.open().view(s.server).outcomes[w.key]; !ok || have.fingerprint != w.fingerprint {
+	if have, ok := s.open().view(s.server, lookup{outcome: w.key}).outcomes[w.key]; !ok || have.fingerprint != w.fingerprint {
 		return result{tag: "UPDATE 0"}, nil
 	}
 	return c.write("UPDATE 1", w)
--- a/emul/pgsim/tx.go
+++ b/emul/pgsim/tx.go
@@ -52,11 +52,11 @@
 }
 
 // view is the data as the transaction sees it. The caller holds the lock.
-func (t *transaction) view(s *server) *data {
+func (t *transaction) view(s *server, l lookup) *data {
 	if len(t.writes) == 0 {
 		return s.data
 	}
-	return s.data.with(t.writes)
+	return s.data.with(t.writes, l)
 }
 
 // finish commits the open transaction, or drops it when it has failed.
