--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -91,6 +91,7 @@
 	[ "$deployment" = levesque ] && CONNECT_COST=30ms
 	for scenario in $SCENARIOS; do measure "$deployment" "$scenario"; done
 done
+scripts/capacity.sh speed
 bin/pomelo-load parts --out out/parts
 bin/pomelo-load measures --runs out/measure --parts out/parts --speed out/capacity/speed.json \
 	--out docs/MEASURES.md --json docs/measures.json
