--- a/bench/tally/result.go
+++ b/bench/tally/result.go
@@ -16,7 +16,8 @@
 	// WriteGapMS sums up the worst gaps in writes of the services.
 	WriteGapMS Gaps `json:"write_gap_ms"`
 
-	// WorstAccount is the client account with the smallest goodput.
+	// WorstAccount is the client account with the smallest goodput, among those that
+	// kept to their rate.
 	WorstAccount        string  `json:"worst_account"`
 	WorstAccountGoodput float64 `json:"worst_account_goodput"`
 	WorstAccountP99MS   float64 `json:"worst_account_p99_ms"`
@@ -92,3 +93,13 @@
 	// Refusals compares its refusals by rate with an exact bucket.
 	Refusals judge.Refusals `json:"refusals"`
 }
+
+// overRatePart is the part of its attempts above rate and burst from which on a client
+// account counts as one that doesn't keep to its rate. Chance alone bunches up few.
+const overRatePart = 0.05
+
+// overRate reports whether the account sent more than its rate on the whole.
+func (a Account) overRate() bool {
+	above := a.Refusals.Attempts - a.Refusals.Conforming
+	return float64(above) > overRatePart*float64(a.Refusals.Attempts)
+}
--- a/bench/tally/tally.go
+++ b/bench/tally/tally.go
@@ -161,7 +161,8 @@
 	r.LatencyMS, r.WriteLatencyMS, r.ReadLatencyMS = all.latency(), writes.latency(), reads.latency()
 }
 
-// sumAccounts works out how each client account fared and which one fared worst.
+// sumAccounts works out how each client account fared, and which one fared worst of
+// those that kept to their rate.
 func (r *Result) sumAccounts(operations map[string]operation, refusals map[string]judge.Refusals) {
 	r.Accounts = map[string]Account{}
 	latencies := map[string]hist{}
@@ -189,6 +190,9 @@
 		wrongful += a.Refusals.Wrongful
 		conforming += a.Refusals.Conforming
 		r.Accounts[name] = a
+		if a.overRate() {
+			continue
+		}
 		if r.WorstAccount == "" || a.Goodput < r.WorstAccountGoodput {
 			r.WorstAccount, r.WorstAccountGoodput, r.WorstAccountP99MS = name, a.Goodput, a.P99MS
 		}
--- a/bench/tally/tally_test.go
+++ b/bench/tally/tally_test.go
@@ -1,6 +1,7 @@
 package tally_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -25,6 +26,28 @@
 	return o
 }
 
+func TestWorstAccountKeptToItsRate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var ops []judge.Op
+	for i := range 20 {
+		over := op(fmt.Sprintf("o%d", i), "over", judge.KindStatus, i)
+		if i > 1 {
+			over = refusedByRate(over)
+		}
+		ops = append(ops, over, op(fmt.Sprintf("i%d", i), "inside", judge.KindStatus, 100*i))
+	}
+	ops[5] = op("i2", "inside", judge.KindStatus, 200)
+	ops[5].Result, ops[5].SQLState = judge.ResultNotRun, "57P03"
+	result := tally.Sum(judge.History{
+		Ops:   ops,
+		Rates: map[string]judge.Rate{"over": {PerSecond: 10, Burst: 5}, "inside": {PerSecond: 100, Burst: 5}},
+		End:   2 * time.Second,
+	})
+	g.Expect(result.Accounts["over"].Goodput).To(gomega.BeNumerically("<", 0.5))
+	g.Expect(result.WorstAccount).To(gomega.Equal("inside"))
+	g.Expect(result.WorstAccountGoodput).To(gomega.Equal(0.95))
+}
+
 func TestSum(t *testing.T) {
 	g := gomega.NewWithT(t)
 	aged := op("r1", "a", judge.KindStock, 0)
