Say goodbye on a link before taking a unit that has arrived

A test of draining hung for ten minutes once. Cause: when a draining server found both the word to stop and a unit of work that had arrived, select chose by luck; the unit was then served although the server was on its way out, and the fake gateway of the test waits for nobody then. Ruled out: the client, whose read ends with the connection. The word to stop goes first now.

--- a/io/link/session.go
+++ b/io/link/session.go
@@ -56,6 +56,13 @@
 		draining = nil
 	}
 	select {
+	case <-draining:
+		// A select between this and a unit that has arrived would be a matter of luck.
+		s.goodbye(in)
+		return false
+	default:
+	}
+	select {
 	case next, ok := <-in.arrived:
 		if !ok {
 			return false
