Bring about what the gateway's guards hold back, with each guard off as well

A primary that was cut off and replaced takes a write and answers a read. With the waits for a majority, neither answer is passed on; without them, the specs see an acknowledged write lost and a stale read. The pool's counting is tried at random.

--- /dev/null
+++ b/core/pool/pool_test.go
@@ -0,0 +1,85 @@
+package pool_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pomelofork/core/pool"
+	"pomelofork/emul/seed"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// TestConnectionsAreCounted opens, takes, gives, drops and expires connections at
+// random, and expects that none is in two hands and that the limit holds.
+func TestConnectionsAreCounted(t *testing.T) {
+	if err := seed.Fix(); err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 4
+		p := pool.New[int](pool.Config{Limit: limit, Retry: time.Millisecond})
+		now, next := start, 0
+		var taken []int
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(*rapid.T) {
+				if p.MayOpen(now) {
+					p.Begin()
+				}
+			},
+			"opened": func(*rapid.T) {
+				if p.Opening() > 0 {
+					next++
+					p.Opened(now, next)
+				}
+			},
+			"failed": func(t *rapid.T) {
+				if p.Opening() == 0 {
+					return
+				}
+				if p.Failed(now); p.MayOpen(now) {
+					t.Fatal("no pause after a failure")
+				}
+			},
+			"take": func(t *rapid.T) {
+				odd := func(c int) bool { return c%2 == 1 }
+				idle := p.Idle()
+				c, ok := p.Take(odd)
+				if ok != (idle > 0) {
+					t.Fatalf("took a connection: %t, %d were idle", ok, idle)
+				}
+				if !ok {
+					return
+				}
+				if slices.Contains(taken, c) {
+					t.Fatalf("connection %d is in two hands", c)
+				}
+				taken = append(taken, c)
+			},
+			"give": func(*rapid.T) {
+				if len(taken) > 0 {
+					p.Give(now, taken[0])
+					taken = taken[1:]
+				}
+			},
+			"drop": func(*rapid.T) {
+				if len(taken) > 0 {
+					p.Drop()
+					taken = taken[1:]
+				}
+			},
+			"expire": func(t *rapid.T) {
+				now = now.Add(time.Millisecond)
+				p.Expire(now, rapid.IntRange(0, 2).Draw(t, "keep"))
+			},
+			"": func(t *rapid.T) {
+				if p.Open()+p.Opening() > limit || p.Taken() != len(taken) || p.Idle()+len(taken) != p.Open() {
+					t.Fatalf("open %d, opening %d, idle %d, taken %d, in hands %d", p.Open(), p.Opening(), p.Idle(), p.Taken(), len(taken))
+				}
+			},
+		})
+	})
+}
--- a/io/gate/fake_test.go
+++ b/io/gate/fake_test.go
@@ -30,6 +30,7 @@
 
 	mu      sync.Mutex
 	blind   bool
+	trusts  bool
 	known   term.Known
 	changed chan struct{}
 }
@@ -76,6 +77,19 @@
 	w.blind = on
 }
 
+// trust switches off the waits for a majority, for the tests of the guards.
+func (w *watcher) trust(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.trusts = on
+}
+
+func (w *watcher) trusting() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.trusts
+}
+
 // picture builds what a watcher would know.
 func picture(now time.Time, states []pgsim.State) term.Known {
 	config := term.KnownConfig{Confirmed: now, Servers: map[model.ServerID]term.ServerView{}}
@@ -161,7 +175,7 @@
 }
 
 func (w *watcher) until(ctx context.Context, holds func(term.Known) (bool, error)) error {
-	for {
+	for !w.trusting() {
 		changed := w.Changed()
 		ok, err := holds(w.Known())
 		if ok || err != nil {
@@ -173,6 +187,7 @@
 			return ctx.Err()
 		}
 	}
+	return nil
 }
 
 // bench is a gateway in front of a stand-in.
