--- /dev/null
+++ b/io/line/line_test.go
@@ -0,0 +1,112 @@
+package line_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/io/line"
+	"pomelofork/io/script"
+)
+
+func TestLine(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "line")
+}
+
+// pair returns a connection and the server's end of it.
+func pair() (*line.Conn, *pgproto3.Backend, net.Conn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	near, err := net.Dial("tcp", listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	far, err := listener.Accept()
+	Expect(err).NotTo(HaveOccurred())
+	conn := line.New(near)
+	DeferCleanup(func() {
+		conn.Close()
+		_ = far.Close()
+	})
+	return conn, pgproto3.NewBackend(far, far), far
+}
+
+// ignore takes every step.
+func ignore(script.Step) error { return nil }
+
+var _ = Describe("Conn", func() {
+	It("finishes an exchange that was broken off by its context", func(ctx SpecContext) {
+		conn, server, _ := pair()
+		Expect(conn.Add(&pgproto3.Query{String: "SELECT 1"})).To(Succeed())
+		short, cancel := context.WithCancel(ctx)
+		go func() {
+			_, _ = server.Receive()
+			cancel()
+		}()
+		var lost *line.LostError
+		Expect(errors.As(conn.Exchange(short, ignore), &lost)).To(BeTrue())
+		Expect(lost.Sent()).To(BeTrue())
+		Expect(lost).To(MatchError(context.Canceled))
+		Expect(conn.Quiet()).To(BeFalse(), "an answer is outstanding")
+		server.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		Expect(server.Flush()).To(Succeed())
+		Expect(conn.Rest(ctx, ignore)).To(Succeed())
+		Expect(conn.Quiet()).To(BeTrue())
+	})
+
+	It("knows that nothing was sent on a connection that it has closed", func(ctx SpecContext) {
+		conn, _, _ := pair()
+		conn.Close()
+		Expect(conn.Add(&pgproto3.Query{String: "SELECT 1"})).To(Succeed())
+		var lost *line.LostError
+		Expect(errors.As(conn.Exchange(ctx, ignore), &lost)).To(BeTrue())
+		Expect(lost.Sent()).To(BeFalse())
+	})
+
+	It("notices an idle connection that the server has closed or spoken on", func() {
+		closed, _, far := pair()
+		Expect(closed.Quiet()).To(BeTrue())
+		Expect(far.Close()).To(Succeed())
+		Eventually(closed.Quiet, 5*time.Second).Should(BeFalse())
+		spoken, server, _ := pair()
+		server.Send(&pgproto3.NoticeResponse{Message: "going down"})
+		Expect(server.Flush()).To(Succeed())
+		Eventually(spoken.Quiet, 5*time.Second).Should(BeFalse())
+	})
+
+	It("sends a batch that fills the buffers of both ends", func(ctx SpecContext) {
+		const queries, size = 64, 256 * 1024
+		conn, server, _ := pair()
+		for range queries {
+			Expect(conn.Add(&pgproto3.Query{String: text(size)})).To(Succeed())
+		}
+		go func() {
+			for range queries {
+				if _, err := server.Receive(); err != nil {
+					return
+				}
+				server.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(text(size))}})
+				server.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+				if server.Flush() != nil {
+					return
+				}
+			}
+		}()
+		Expect(conn.Exchange(ctx, ignore)).To(Succeed())
+	})
+})
+
+// text returns a text of a size in bytes.
+func text(size int) string {
+	raw := make([]byte, size)
+	for i := range raw {
+		raw[i] = 'x'
+	}
+	return string(raw)
+}
