Tell an account without holders from one above its rate; wire planned changes of primary

Looking again within 25 ms did not help, for holders settle up to a heartbeat apart. Such a refusal now has a cause of its own and the entry waits as it does for a gateway.

A listed or drained primary now hands over first, and waits for this gateway's own writes.

--- a/core/model/reason.go
+++ b/core/model/reason.go
@@ -24,6 +24,7 @@
 	ReasonBadMessage
 	ReasonTooLarge
 	ReasonMaintenance
+	ReasonNoHolder
 )
 
 // reasonInfo is what callers see of one reason.
@@ -52,6 +53,7 @@
 	ReasonBadMessage:       {"08P01", "malformed protocol message"},
 	ReasonTooLarge:         {"54000", "request too large"},
 	ReasonMaintenance:      {"57P03", "writes are refused by the preset in force"},
+	ReasonNoHolder:         {"57P03", "no instance gives out this client account's tokens at present"},
 }
 
 // SQLState returns the five-character code that goes with the reason.
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -145,6 +145,14 @@
 		Expect(b.directory.taken.Load()).To(Equal(int64(5)))
 	})
 
+	It("waits while nobody gives out the account's tokens", func() {
+		b.directory.take = model.NewRefusal(model.RefusalConfig{Reason: model.ReasonNoHolder, RetryAfter: time.Millisecond})
+		conn := b.ann(map[string]string{"timeout_ms": "100"})
+		_, err := conn.Exec(ctx, "SELECT 1", pgx.QueryExecModeSimpleProtocol)
+		Expect(pgError(err)).To(And(HaveField("Code", "57P03"), HaveField("Detail", "not run")))
+		Expect(b.directory.taken.Load()).To(BeNumerically(">", 5))
+	})
+
 	It("lets everyone use a route that is open to all, and no other", func() {
 		conn, err := b.connect("nobody", "", map[string]string{"route": "public"})
 		Expect(err).NotTo(HaveOccurred())
--- a/io/caller/unit.go
+++ b/io/caller/unit.go
@@ -134,17 +134,25 @@
 
 // draw spends one token of the account's rate. When the next token is due soon it looks
 // again, each time after at least twice the wait, for tokenPatience in sum: a caller that
-// came back would take longer. An account far above its rate gets its refusal then.
+// came back would take longer. An account far above its rate gets its refusal then. While
+// nobody gives out the account's tokens it waits as it does for a gateway.
 func (s *session) draw(ctx context.Context) error {
-	left, wait := tokenPatience, time.Duration(0)
+	left, wait := gatewayPatience, time.Duration(0)
 	for {
 		err := s.server.config.Directory.Take(ctx, s.account)
 		if err == nil {
 			return nil
 		}
 		refusal := asRefusal(err)
-		wait = max(2*wait, refusal.RetryAfter())
-		if refusal.Reason() != model.ReasonRateExceeded || wait <= 0 || wait > left {
+		switch refusal.Reason() {
+		case model.ReasonNoHolder:
+			wait = refusal.RetryAfter()
+		case model.ReasonRateExceeded:
+			left, wait = min(left, tokenPatience), max(2*wait, refusal.RetryAfter())
+		default:
+			return refusal
+		}
+		if wait <= 0 || wait > left {
 			return refusal
 		}
 		left -= wait
--- a/io/node/site.go
+++ b/io/node/site.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 	"reflect"
+	"sync/atomic"
 
 	"pomelofork/core/conf"
 	"pomelofork/core/model"
@@ -19,7 +20,10 @@
 	rank    int
 	count   int
 	watcher *group.Watcher
-	gate    *gate.Gate
+	// gate is set once, after the watcher that asks how busy it is.
+	gate atomic.Pointer[gate.Gate]
+	// told is what the watcher was told of leaving servers.
+	told map[model.ServerID]bool
 }
 
 // newSite opens the gateway of a service at the given rank.
@@ -37,13 +41,13 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{service: service, rank: rank, count: count}
+	s := &site{service: service, rank: rank, count: count, told: map[model.ServerID]bool{}}
 	s.watcher = group.NewWatcher(group.Config{
 		Service: id, Servers: groupServers(service), User: service.User(), Password: password,
-		Database: service.Database(), Store: n.client, Lead: lead, Rank: func() int { return rank },
+		Database: service.Database(), Store: n.client, Lead: lead, Rank: func() int { return rank }, Busy: s.busy,
 		Logger: n.config.Logger, Check: n.check, Now: n.now,
 	})
-	s.gate, err = gate.New(gate.Config{
+	opened, err := gate.New(gate.Config{
 		Service: id, Servers: gateServers(service), Part: gate.Part{Rank: rank, Count: count},
 		Group: s.watcher, Share: n.share, User: service.User(), Password: password,
 		Database: service.Database(), Logger: n.config.Logger, Check: n.check, Now: n.now, Holds: holds,
@@ -53,9 +57,29 @@
 		s.watcher.Close()
 		return nil, err
 	}
+	s.gate.Store(opened)
 	return s, nil
 }
 
+// busy returns how many units with writes are under way, for a planned change of primary.
+func (s *site) busy() int {
+	if g := s.gate.Load(); g != nil {
+		return g.Busy()
+	}
+	return 0
+}
+
+// heed tells the watcher which backend servers are leaving, so that a primary among them
+// hands over first.
+func (s *site) heed(leaving func(model.ServerID) bool) {
+	for _, server := range s.service.Servers() {
+		if now := leaving(server.ID()); now != s.told[server.ID()] {
+			s.told[server.ID()] = now
+			s.watcher.SetLeaving(server.ID(), now)
+		}
+	}
+}
+
 func groupServers(service conf.Service) []group.Server {
 	var servers []group.Server
 	for _, each := range service.Servers() {
@@ -84,10 +108,10 @@
 
 // end lets the running lanes finish until ctx ends, and closes the site.
 func (s *site) end(ctx context.Context, logger *slog.Logger) {
-	if err := s.gate.Drain(ctx); err != nil {
+	if err := s.gate.Load().Drain(ctx); err != nil {
 		logger.Debug("gateway closed with open lanes", slog.String("service", string(s.service.ID())))
 	}
-	s.gate.Close()
+	s.gate.Load().Close()
 	s.watcher.Close()
 }
 
--- a/io/node/sites.go
+++ b/io/node/sites.go
@@ -39,15 +39,16 @@
 	if !ok {
 		return nil, false
 	}
-	return one.gate, true
+	return one.gate.Load(), true
 }
 
-// idle reports whether nothing runs any more under a former rank of the service.
+// idle reports whether nothing runs any more under a former rank of the service. A site
+// that held every rank alone serves the lost one until it was built again.
 func (s *sites) idle(service model.ServiceID, rank int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	one, ok := s.open[service]
-	return s.ending[service] == 0 && (!ok || one.rank != rank)
+	return s.ending[service] == 0 && (!ok || (one.rank != rank && one.count > 1))
 }
 
 // reconcile opens and ends sites until they match the configuration and the rights.
@@ -75,6 +76,7 @@
 	}
 	if current := n.sites.get(service.ID()); current != nil {
 		if current.fits(service, rank, count) {
+			current.heed(n.leaving)
 			return true
 		}
 		n.endSite(service.ID())
--- a/io/peer/entry.go
+++ b/io/peer/entry.go
@@ -104,6 +104,7 @@
 	p.mu.Lock()
 	now := e.fleet.config.Now()
 	if err == nil && answer.Holder {
+		p.held = now
 		p.deliver(p.wallet.Answered(now, draw, answer.Answer))
 	} else {
 		p.deliver(p.wallet.Failed(now, draw))
--- a/io/peer/purse.go
+++ b/io/peer/purse.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"pomelofork/core/limit"
 	"pomelofork/core/model"
@@ -15,8 +16,33 @@
 	wallet  *limit.Wallet
 	waiting map[uint64]chan limit.Verdict
 	next    uint64
+	// held is when a holder of one of the account's shares last answered.
+	held time.Time
 }
 
+// refusal returns nil for a granted request. When no holder has answered for long, as
+// after the first start of a fleet, that isn't the account's doing: its requests may be
+// inside its rate, so it isn't told that it exceeded it.
+func (p *purse) refusal(now time.Time, v limit.Verdict) error {
+	if v.Granted {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.held) > holderSilence {
+		return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonNoHolder, RetryAfter: holderRetry})
+	}
+	return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonRateExceeded, RetryAfter: v.RetryAfter})
+}
+
+const (
+	// holderSilence is the time without a holder's answer after which a refusal is put
+	// down to the fleet and not to the account.
+	holderSilence = time.Second
+	// holderRetry is the time after which a request without a holder may come back.
+	holderRetry = 100 * time.Millisecond
+)
+
 // deliver passes verdicts to the requests that wait for them. The caller holds mu.
 func (p *purse) deliver(verdicts []limit.Verdict) {
 	for _, v := range verdicts {
--- a/io/peer/take.go
+++ b/io/peer/take.go
@@ -16,11 +16,11 @@
 	p := f.entry.purse(account, rate)
 	id, waiting, verdict := f.entry.take(p, rate)
 	if waiting == nil {
-		return refusal(verdict)
+		return p.refusal(f.config.Now(), verdict)
 	}
 	select {
 	case verdict = <-waiting:
-		return refusal(verdict)
+		return p.refusal(f.config.Now(), verdict)
 	case <-ctx.Done():
 		p.cancel(id)
 		return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonDeadline, RetryAfter: tickPause})
@@ -30,14 +30,6 @@
 	}
 }
 
-// refusal returns nil for a granted request.
-func refusal(v limit.Verdict) error {
-	if v.Granted {
-		return nil
-	}
-	return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonRateExceeded, RetryAfter: v.RetryAfter})
-}
-
 // take asks the wallet for a token. The channel is nil when the verdict is there.
 func (e *entry) take(p *purse, rate limit.Rate) (uint64, chan limit.Verdict, limit.Verdict) {
 	p.mu.Lock()
