--- a/bench/pages/capacity.go
+++ b/bench/pages/capacity.go
@@ -72,8 +72,12 @@
 	} {
 		for _, size := range pointsOf(group.samples) {
 			s := group.samples[size]
+			machineLoad := "not recorded"
+			if s.MachineLoad > 0 {
+				machineLoad = short(s.MachineLoad)
+			}
 			rows = append(rows, []string{
-				group.name, number(size), percent(s.CoreShare), megabytes(s.RSSBytes), kilobytes(s.BytesPerS()), short(s.StoreCalls()), short(s.MachineLoad),
+				group.name, number(size), percent(s.CoreShare), megabytes(s.RSSBytes), kilobytes(s.BytesPerS()), short(s.StoreCalls()), machineLoad,
 			})
 		}
 	}
