Ask the store whether something is newer instead of reading it each second

They now ask for the revision and read only what changed, and everything at each 60th look in case the store was set back.

--- a/io/node/platform.go
+++ b/io/node/platform.go
@@ -28,6 +28,13 @@
 	return peer.Entry{Value: item.Value, Revision: item.Revision}, nil
 }
 
+// Newer reports whether the entry under key has a newer revision. A watch that waits for
+// nothing answers that without sending the value when there is none.
+func (p platform) Newer(ctx context.Context, key string, revision uint64) (bool, error) {
+	_, changed, err := p.client.Watch(ctx, key, revision, 0)
+	return changed, err
+}
+
 // Swap replaces the entry under key if its revision is the expected one.
 func (p platform) Swap(ctx context.Context, key string, expected uint64, value string) (uint64, error) {
 	item, err := p.client.Swap(ctx, store.Swap{Key: key, ExpectedRevision: expected, Value: value})
--- a/io/peer/cost_test.go
+++ b/io/peer/cost_test.go
@@ -49,6 +49,8 @@
 	return Entry{Value: s.text, Revision: 1}, nil
 }
 
+func (fixedStore) Newer(context.Context, string, uint64) (bool, error) { return false, nil }
+
 func (s fixedStore) Swap(context.Context, string, uint64, string) (uint64, error) {
 	return 0, net.ErrClosed
 }
--- a/io/peer/fake_test.go
+++ b/io/peer/fake_test.go
@@ -29,6 +29,7 @@
 	down     bool
 	// loseAnswers makes swaps take effect and fail.
 	loseAnswers bool
+	looks       int
 	reads       int
 }
 
@@ -44,6 +45,16 @@
 	return s.entries[key], nil
 }
 
+func (s *fakeStore) Newer(_ context.Context, key string, revision uint64) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return false, errOutage
+	}
+	s.looks++
+	return s.entries[key].Revision > revision, nil
+}
+
 func (s *fakeStore) Swap(_ context.Context, key string, expected uint64, value string) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/peer/fleet_test.go
+++ b/io/peer/fleet_test.go
@@ -89,6 +89,21 @@
 		Eventually(func() bool { return allMembers(rest[:3]) && gatewaysServe(rest[:3]) }, "20s", "10ms").Should(BeTrue())
 	})
 
+	// Reading everything each second would be a megabyte a second for the configuration of
+	// a large fleet.
+	It("asks whether something is newer, and reads only then", func() {
+		store := newFakeStore()
+		nodes := startNodes(store, 3, generous)
+		Eventually(func() bool { return gatewaysServe(nodes) }, "20s", "20ms").Should(BeTrue())
+		var reads, looks int
+		store.set(func(s *fakeStore) { reads, looks = s.reads, s.looks })
+		Eventually(func() (since int) {
+			store.set(func(s *fakeStore) { since = s.looks - looks })
+			return since
+		}, "20s", "20ms").Should(BeNumerically(">", 30))
+		store.set(func(s *fakeStore) { Expect(s.reads - reads).To(BeNumerically("<", 10)) })
+	})
+
 	It("spreads a configuration version to all, and confirms it", func() {
 		nodes := startNodes(newFakeStore(), 5, generous)
 		before := time.Now()
--- a/io/peer/spread.go
+++ b/io/peer/spread.go
@@ -73,6 +73,15 @@
 	return nil
 }
 
+// unchanged notes that the store showed nothing newer to a question sent at asked.
+func (s *spread) unchanged(asked time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if asked.After(s.asked) {
+		s.asked = asked
+	}
+}
+
 // storeConfirmed returns when the store was last asked and showed nothing newer than
 // a version.
 func (s *spread) storeConfirmed(version uint64) time.Time {
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -15,6 +15,9 @@
 	// Get returns the entry under key, and the zero Entry when it is absent. An
 	// error means that the store gave no answer.
 	Get(ctx context.Context, key string) (Entry, error)
+	// Newer reports whether the entry under key has a newer revision than the given
+	// one, without its value.
+	Newer(ctx context.Context, key string, revision uint64) (bool, error)
 	// Swap replaces the entry if its revision is the expected one; zero means
 	// absent. After an error the change may or may not have taken effect: the
 	// fleet reads back in every case.
--- a/io/peer/syncer.go
+++ b/io/peer/syncer.go
@@ -27,6 +27,11 @@
 	notUntil time.Time
 	swaps    uint64
 	down     bool
+
+	// rights and config are what the latest whole read of each key showed.
+	rights, config latest
+	// looks is used by the goroutine that calls step only.
+	looks uint64
 }
 
 // newSyncer returns a syncer that has read nothing.
@@ -84,16 +89,74 @@
 		now.Sub(confirmed) > f.config.Timing.Lease.Hold
 }
 
-// read reads both keys.
+// read looks at both keys. Most looks only ask whether something is newer than what was
+// read before, because the whole configuration each second would be a megabyte a second.
+// Now and then everything is read, in case the store was set back to an older state.
 func (s *syncer) read() {
-	f := s.fleet
-	_, err := s.readRights()
-	if err == nil && f.config.DecodeConfig != nil {
-		err = s.readConfig()
+	s.looks++
+	if s.looks%fullReadEvery == 0 {
+		s.rights.set(seen{})
+		s.config.set(seen{})
+	}
+	err := s.lookAtRights()
+	if err == nil && s.fleet.config.DecodeConfig != nil {
+		err = s.lookAtConfig()
 	}
 	s.note(err)
 }
 
+// fullReadEvery is the number of looks of which one reads everything.
+const fullReadEvery = 60
+
+// lookAtRights reads the record of rights if it is newer than the one read before.
+func (s *syncer) lookAtRights() error {
+	f := s.fleet
+	before := s.rights.get()
+	if before.revision == 0 {
+		_, err := s.readRights()
+		return err
+	}
+	asked := f.config.Now()
+	newer, err := s.newer(keyRights, before.revision)
+	if err != nil {
+		return err
+	}
+	if newer {
+		_, err = s.readRights()
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keeper.StoreShowed(before.epoch, asked)
+	return nil
+}
+
+// lookAtConfig reads the configuration if it is newer than the one read before.
+func (s *syncer) lookAtConfig() error {
+	f := s.fleet
+	before := s.config.get()
+	if before.revision == 0 {
+		return s.readConfig()
+	}
+	asked := f.config.Now()
+	newer, err := s.newer(keyConfig, before.revision)
+	if err != nil {
+		return err
+	}
+	if newer {
+		return s.readConfig()
+	}
+	f.spread.unchanged(asked)
+	return nil
+}
+
+// newer asks the store whether a key has a newer revision.
+func (s *syncer) newer(key string, revision uint64) (bool, error) {
+	ctx, cancel := context.WithTimeout(s.fleet.ctx, s.fleet.config.Timing.StoreCall)
+	defer cancel()
+	return s.fleet.config.Store.Newer(ctx, key, revision)
+}
+
 // readRights reads the record of rights and learns it. It returns the entry.
 func (s *syncer) readRights() (Entry, error) {
 	f := s.fleet
@@ -110,6 +173,7 @@
 		return entry, err
 	}
 	f.learn(r)
+	s.rights.set(seen{revision: entry.Revision, epoch: r.Epoch})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.keeper.StoreShowed(r.Epoch, asked)
@@ -126,7 +190,11 @@
 	if err != nil || entry.Revision == 0 {
 		return err
 	}
-	return f.spread.stored(asked, entry.Value)
+	if err := f.spread.stored(asked, entry.Value); err != nil {
+		return err
+	}
+	s.config.set(seen{revision: entry.Revision})
+	return nil
 }
 
 // note logs when the store stops and starts to answer.
