Send the configuration packed between instances; measure fleets above 32 instances

The capacity page took the cost of heartbeats from fleets of 8 to 32, in which everybody asks everybody; above 32 members an instance asks few.

--- a/bench/pages/caplines.go
+++ b/bench/pages/caplines.go
@@ -84,6 +84,7 @@
 	change := size.ChangesPerS()
 	parse := d.Slopes.ConfigByAccounts.ParseUS.Slope*size.Accounts + d.Slopes.ConfigByServices.ParseUS.Slope*size.Databases
 	document := d.Slopes.ConfigByAccounts.Bytes.Slope*size.Accounts + d.Slopes.ConfigByServices.Bytes.Slope*size.Databases
+	packed := d.Slopes.ConfigByAccounts.Packed.Slope*size.Accounts + d.Slopes.ConfigByServices.Packed.Slope*size.Databases
 	heap := d.Slopes.ConfigByAccounts.Heap.Slope*size.Accounts + d.Slopes.ConfigByServices.Heap.Slope*size.Databases
 	shares := size.SharesPerNode()
 	lookUps := size.Accounts*d.Slopes.RightsByMembers.LookUpUS.At(size.Nodes) + d.Slopes.RightsByMembers.RosterUS.At(size.Nodes)
@@ -94,7 +95,7 @@
 			CoreShare: f.PeerCPU.Base - f.GateCPU.Slope, Bytes: f.PeerRSS.Base - f.GateRSS.Slope,
 		},
 		{
-			Name: "peers' heartbeats and spreading", How: "each instance to each other one, twice a second; slope over instances",
+			Name: "peers' heartbeats and spreading", How: "few neighbours four times a second, the rest by digests; slope over fleets above 32 instances",
 			CoreShare: f.PeerCPU.Slope * size.Nodes, Bytes: f.PeerRSS.Slope * size.Nodes, BytesPerS: f.PeerBytes.Slope * size.Nodes,
 		},
 		{
@@ -103,14 +104,14 @@
 			BytesPerS: f.GateBytes.Slope * size.GatewaysPerNode(),
 		},
 		{
-			Name: "configuration", How: "the whole document for each change, parsed and checked; slopes over accounts and services",
-			CoreShare: parse * microsecond * change, Bytes: document + heap, BytesPerS: document * change,
+			Name: "configuration", How: "the whole document, packed, for each change, parsed and checked; slopes over accounts and services",
+			CoreShare: parse * microsecond * change, Bytes: document + heap, BytesPerS: packed * change,
 		},
 		{
 			Name: "reading the store, on its watchers only", Watcher: true,
-			How:       "both keys each second, the whole document parsed; slopes over accounts and services",
-			CoreShare: parse * microsecond / readInterval,
-			BytesPerS: (document + d.Slopes.RightsByMembers.Bytes.At(size.Nodes)) / readInterval,
+			How:       "whether both keys are newer, each second, and everything at each 60th look; slopes over accounts and services",
+			CoreShare: parse * microsecond / fullReadInterval,
+			BytesPerS: 2*lookBytes/readInterval + (document+d.Slopes.RightsByMembers.Bytes.At(size.Nodes))/fullReadInterval,
 		},
 		{
 			Name: "record of rights", How: "fetched and worked out for each change of members; slopes over members",
@@ -132,8 +133,14 @@
 	changesPerRestart = 3
 )
 
-// readInterval is the time between two reads of the store by a watcher, in seconds.
-const readInterval = 1
+const (
+	// readInterval is the time between two looks at the store by a watcher, in seconds.
+	readInterval = 1
+	// fullReadInterval is the time between two looks that read everything, in seconds.
+	fullReadInterval = 60
+	// lookBytes bounds question and answer of a look that finds nothing newer.
+	lookBytes = 400
+)
 
 // total adds up the lines of a watcher of the store, or those of any other instance.
 func total(lines []CostLine, watcher bool) CostLine {
--- a/bench/pages/size.go
+++ b/bench/pages/size.go
@@ -1,5 +1,7 @@
 package pages
 
+import "pomelofork/core/limit"
+
 // Size is the fleet that the capacity page is worked out for.
 type Size struct {
 	// Nodes is the number of instances, Databases that of services.
@@ -27,7 +29,7 @@
 // The number of holders of each kind of right.
 const (
 	gatewaysPerService = 2
-	sharesPerAccount   = 3
+	sharesPerAccount   = limit.Shares
 )
 
 // ConnectionsPerNode returns the callers' connections of one instance.
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -34,10 +34,10 @@
 // ConfigAsk asks for the configuration document of a version.
 type ConfigAsk struct{ Version uint64 }
 
-// ConfigAnswer holds the document, if Found.
+// ConfigAnswer holds the document in the form of Pack, if Found.
 type ConfigAnswer struct {
-	Found    bool
-	Document []byte
+	Found  bool
+	Packed []byte
 }
 
 // DrawAsk asks a holder for tokens of one share of an account.
--- a/io/peer/rpc.go
+++ b/io/peer/rpc.go
@@ -21,7 +21,15 @@
 
 // Config answers with a configuration document.
 func (s *service) Config(ask *ConfigAsk, answer *ConfigAnswer) error {
-	answer.Document, answer.Found = s.fleet.config.ConfigDocument(ask.Version)
+	document, found := s.fleet.config.ConfigDocument(ask.Version)
+	if !found {
+		return nil
+	}
+	packed, err := s.fleet.spread.packer.pack(ask.Version, document)
+	if err != nil {
+		return err
+	}
+	answer.Packed, answer.Found = packed, true
 	return nil
 }
 
--- a/io/peer/spread.go
+++ b/io/peer/spread.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
+
+	"pomelofork/io/event"
 )
 
 // spread carries configuration documents from the store and from peers.
 type spread struct {
-	fleet *Fleet
+	fleet  *Fleet
+	packer packer
 
 	mu       sync.Mutex
 	fetching bool
@@ -33,9 +37,15 @@
 	if err := f.links.to(address).call(ctx, "Config", &ConfigAsk{Version: version}, &answer); err != nil {
 		return
 	}
-	if answer.Found && version > f.config.ConfigVersion() {
-		f.config.OnConfig(version, answer.Document)
+	if !answer.Found || version <= f.config.ConfigVersion() {
+		return
+	}
+	document, err := Unpack(answer.Packed)
+	if err != nil {
+		f.log(event.RightRecordBad, slog.String("peer", address), slog.String("error", err.Error()))
+		return
 	}
+	f.config.OnConfig(version, document)
 }
 
 // claim reports whether no document is being fetched, and notes that one is.
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -31,7 +31,8 @@
 part_instances() {
 	local n
 	# Half as many services as instances, so that each instance is one gateway.
-	for n in 8 16 24 32; do
+	# Above 32 members an instance asks few neighbours, as it would among 780.
+	for n in 36 56 76 96; do
 		with --services $((n / 2)) --first-port 8500
 		INSTANCES=$n idle "instances-$n"
 	done
