Refuse a Flush before Sync instead of leaving the caller to wait; one way to copy a message

Names: the switches that tests turn guards off with no longer shadow a package of the standard library.

--- a/core/term/attempt.go
+++ b/core/term/attempt.go
@@ -29,7 +29,7 @@
 		return
 	}
 	next := m.column.After(max(m.newest(), m.used))
-	if m.unsafe.reuseTerm && m.used > 0 && m.used >= m.newest() {
+	if m.off.reuseTerm && m.used > 0 && m.used >= m.newest() {
 		next = m.used
 	}
 	m.attempts++
@@ -68,7 +68,7 @@
 
 // current says that an answer belongs to the attempt that is under way.
 func (m *Machine) current(number uint64) bool {
-	return m.attempt != nil && (m.attempt.number == number || m.unsafe.acceptLate)
+	return m.attempt != nil && (m.attempt.number == number || m.off.acceptLate)
 }
 
 // fenced counts a promise and chooses the new primary once a majority has promised.
@@ -78,12 +78,12 @@
 		m.abandon(now)
 		return
 	}
-	if err != nil || (s.Promised != a.term && !m.unsafe.acceptLate) {
+	if err != nil || (s.Promised != a.term && !m.off.acceptLate) {
 		return
 	}
 	a.promised[id] = s
 	need := m.majority()
-	if m.unsafe.promoteEarly {
+	if m.off.promoteEarly {
 		need = 1
 	}
 	if len(a.promised) < need {
@@ -99,7 +99,7 @@
 // Each acknowledged write is on a majority, hence on one of them, and the highest
 // holds all that any of them holds of it. Among equals one that stays is better.
 func (m *Machine) choose(last model.ServerID) model.ServerID {
-	if m.unsafe.promoteFirst {
+	if m.off.promoteFirst {
 		return last
 	}
 	var best model.ServerID
--- a/core/term/machine.go
+++ b/core/term/machine.go
@@ -47,7 +47,7 @@
 	attempt  *attempt
 	out      []Action
 
-	unsafe unsafe
+	off guardsOff
 }
 
 // lead is a primary and its term.
@@ -70,8 +70,8 @@
 	Now time.Time
 }
 
-// unsafe switches guards off, so that tests can show what each of them prevents.
-type unsafe struct {
+// guardsOff switches guards off, so that tests can show what each of them prevents.
+type guardsOff struct {
 	ackAtPrimary   bool
 	ackAnyTerm     bool
 	ackReplaced    bool
--- a/core/term/observe.go
+++ b/core/term/observe.go
@@ -98,7 +98,7 @@
 	}
 	var asked []time.Time
 	for _, r := range m.records {
-		if r.known && (r.status.Promised <= m.lead.term || m.unsafe.confirmAnyTerm) {
+		if r.known && (r.status.Promised <= m.lead.term || m.off.confirmAnyTerm) {
 			asked = append(asked, r.asked)
 		}
 	}
@@ -121,7 +121,7 @@
 	for _, id := range m.order {
 		r := m.records[id]
 		at, ok := r.holds(t)
-		if m.unsafe.ackAnyTerm {
+		if m.off.ackAnyTerm {
 			at, ok = r.status.Log.Pos(), true
 		}
 		if ok {
@@ -129,7 +129,7 @@
 		}
 	}
 	need := m.majority()
-	if m.unsafe.ackAtPrimary {
+	if m.off.ackAtPrimary {
 		need = 1
 	}
 	if len(held) < need {
@@ -165,10 +165,10 @@
 // Judge says what is known of a commit.
 func (m *Machine) Judge(p model.Point) Verdict {
 	switch {
-	case m.replaced(p.Term()) && !m.unsafe.ackReplaced:
+	case m.replaced(p.Term()) && !m.off.ackReplaced:
 		return VerdictReplaced
 	case p.Term() == m.committed.Term() && p.Pos() <= m.committed.Pos(),
-		m.unsafe.ackReplaced && p.Term() < m.committed.Term() && p.Pos() <= m.committed.Pos():
+		m.off.ackReplaced && p.Term() < m.committed.Term() && p.Pos() <= m.committed.Pos():
 		return VerdictCommitted
 	}
 	return VerdictWait
--- a/core/term/random_test.go
+++ b/core/term/random_test.go
@@ -67,8 +67,8 @@
 }
 
 // simulate runs a group through faults and returns it.
-func simulate(seed uint64, wild bool, faults []simFault, u unsafe) *sim {
-	s := newSim(seed, wild, u)
+func simulate(seed uint64, wild bool, faults []simFault, off guardsOff) *sim {
+	s := newSim(seed, wild, off)
 	for _, f := range faults {
 		s.plan(f)
 	}
@@ -112,7 +112,7 @@
 	acks, promoted := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
-		s := simulate(seed, rapid.Bool().Draw(rt, "wild"), genFaults().Draw(rt, "faults"), unsafe{})
+		s := simulate(seed, rapid.Bool().Draw(rt, "wild"), genFaults().Draw(rt, "faults"), guardsOff{})
 		acks += len(s.acks)
 		promoted += s.reports[ReportPromoted]
 		if len(s.broken) > 0 {
@@ -130,7 +130,7 @@
 
 // mutant is a machine with one guard off.
 type mutant struct {
-	unsafe unsafe
+	off guardsOff
 	// breaks is a part of the violation that it must cause.
 	breaks string
 	// seed is the run that showed it first. The search begins there.
@@ -139,25 +139,25 @@
 
 func TestMutantsAreFound(t *testing.T) {
 	for name, m := range map[string]mutant{
-		"acknowledges what only the primary holds":      {unsafe{ackAtPrimary: true}, "lacks write", 14},
-		"acknowledges by places of another term":        {unsafe{ackAnyTerm: true}, "lacks", 59},
-		"acknowledges what a replaced primary wrote":    {unsafe{ackReplaced: true}, "was seen", 0},
-		"promotes the last one fenced, not the highest": {unsafe{promoteFirst: true}, "lacks write", 5},
-		"promotes after one promise":                    {unsafe{promoteEarly: true}, "lacks write", 2},
-		"takes answers of an earlier attempt":           {unsafe{acceptLate: true}, "lacks write", 298},
-		"uses a term again":                             {unsafe{reuseTerm: true}, "were promoted in term", 542},
-		"confirms a primary whatever has been promised": {unsafe{confirmAnyTerm: true}, "read at", 284},
+		"acknowledges what only the primary holds":      {guardsOff{ackAtPrimary: true}, "lacks write", 14},
+		"acknowledges by places of another term":        {guardsOff{ackAnyTerm: true}, "lacks", 59},
+		"acknowledges what a replaced primary wrote":    {guardsOff{ackReplaced: true}, "was seen", 0},
+		"promotes the last one fenced, not the highest": {guardsOff{promoteFirst: true}, "lacks write", 5},
+		"promotes after one promise":                    {guardsOff{promoteEarly: true}, "lacks write", 2},
+		"takes answers of an earlier attempt":           {guardsOff{acceptLate: true}, "lacks write", 298},
+		"uses a term again":                             {guardsOff{reuseTerm: true}, "were promoted in term", 542},
+		"confirms a primary whatever has been promised": {guardsOff{confirmAnyTerm: true}, "read at", 284},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for i := range uint64(mutantRuns) {
 				seed := (m.seed + i) % mutantRuns
-				s := simulate(seed, true, someFaults(seed), m.unsafe)
+				s := simulate(seed, true, someFaults(seed), m.off)
 				if len(s.broken) == 0 || !strings.Contains(s.broken[0], m.breaks) {
 					continue
 				}
 				t.Logf("found with seed %d: %s", seed, s.broken[0])
-				if sound := simulate(seed, true, someFaults(seed), unsafe{}); len(sound.broken) > 0 {
+				if sound := simulate(seed, true, someFaults(seed), guardsOff{}); len(sound.broken) > 0 {
 					t.Errorf("seed %d breaks the sound machine too: %s", seed, sound.broken[0])
 				}
 				return
--- a/core/term/sim_test.go
+++ b/core/term/sim_test.go
@@ -66,7 +66,7 @@
 	servers []*simServer
 	gates   []*simGate
 	wild    bool
-	unsafe  unsafe
+	off     guardsOff
 	// column is what the store holds, and outage says that it doesn't answer.
 	column  model.Term
 	outage  bool
@@ -78,9 +78,9 @@
 	reports map[ReportKind]int
 }
 
-func newSim(seed uint64, wild bool, u unsafe) *sim {
+func newSim(seed uint64, wild bool, off guardsOff) *sim {
 	s := &sim{
-		rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), wild: wild, unsafe: u, column: 2,
+		rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), wild: wild, off: off, column: 2,
 		leaders: map[model.Term]*simServer{}, reports: map[ReportKind]int{},
 	}
 	for i := range 3 {
--- a/core/term/simgate_test.go
+++ b/core/term/simgate_test.go
@@ -39,7 +39,7 @@
 	g.life++
 	g.machine = New(s.config())
 	g.told = 0
-	g.machine.unsafe = s.unsafe
+	g.machine.off = s.off
 	g.machine.SetRole(true, g.rank)
 	g.pending, g.reads, g.later, g.paused = map[int]model.Point{}, nil, nil, false
 	g.repeat(simTick, func() { g.act(g.machine.Tick(s.now, 0)) })
--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -1,10 +1,11 @@
 package caller
 
 import (
-	"bytes"
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"pomelofork/io/script"
 )
 
 // batch collects what a caller sends up to and with a Query or Sync.
@@ -19,37 +20,23 @@
 	b.bytes = 0
 }
 
-// add appends a copy of m. pgproto3 reuses the memory of a received message for the
-// next one, so a batch that kept the pointers would send the last Bind many times.
+// add appends a copy of m. What has no place in a batch, such as CopyData outside a
+// copy, is passed over, as PostgreSQL does.
 func (b *batch) add(m pgproto3.FrontendMessage) {
+	copied, err := script.Own(m)
+	if err != nil {
+		return
+	}
+	b.messages = append(b.messages, copied)
 	switch m := m.(type) {
 	case *pgproto3.Bind:
-		c := *m
-		c.Parameters = make([][]byte, len(m.Parameters))
-		for i, p := range m.Parameters {
-			c.Parameters[i] = bytes.Clone(p)
+		for _, p := range m.Parameters {
 			b.bytes += len(p)
 		}
-		b.messages = append(b.messages, &c)
 	case *pgproto3.Parse:
-		c := *m
 		b.bytes += len(m.Query)
-		b.messages = append(b.messages, &c)
-	case *pgproto3.Describe:
-		c := *m
-		b.messages = append(b.messages, &c)
-	case *pgproto3.Execute:
-		c := *m
-		b.messages = append(b.messages, &c)
-	case *pgproto3.Close:
-		c := *m
-		b.messages = append(b.messages, &c)
 	case *pgproto3.Query:
-		c := *m
 		b.bytes += len(m.String)
-		b.messages = append(b.messages, &c)
-	case *pgproto3.Sync:
-		b.messages = append(b.messages, &pgproto3.Sync{})
 	}
 }
 
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -51,9 +51,11 @@
 
 	statements *prepared
 	batch      batch
-	unit       meter.Unit
-	lane       wire.Lane
-	release    func()
+	// skipping says that messages are passed over up to the next Sync, after an error.
+	skipping bool
+	unit     meter.Unit
+	lane     wire.Lane
+	release  func()
 	// broken says that the open transaction is lost and the caller must roll back.
 	broken bool
 
@@ -100,9 +102,14 @@
 	if err != nil {
 		return err
 	}
+	if _, sync := m.(*pgproto3.Sync); s.skipping && !sync {
+		return nil
+	}
 	switch m := m.(type) {
 	case *pgproto3.Terminate:
 		return errClosed
+	case *pgproto3.Flush:
+		return s.flush()
 	case *pgproto3.Query:
 		return s.complete(m)
 	case *pgproto3.Sync:
@@ -119,8 +126,28 @@
 	}
 }
 
+// flush refuses a request for answers in the middle of a batch. A batch goes to a backend
+// server as a whole, and a caller that waits before its Sync would wait for ever.
+func (s *session) flush() error {
+	if len(s.batch.messages) == 0 {
+		return nil
+	}
+	s.batch.reset()
+	s.loseTransaction()
+	s.skipping = true
+	s.backend.Send(plainError("0A000", "Flush before Sync is not supported"))
+	if err := s.backend.Flush(); err != nil {
+		return errClosed
+	}
+	return nil
+}
+
 // complete runs the batch that m ends.
 func (s *session) complete(m pgproto3.FrontendMessage) error {
+	if s.skipping {
+		s.skipping = false
+		return s.ready()
+	}
 	s.batch.add(m)
 	defer s.batch.reset()
 	return s.runBatch()
--- a/io/script/own.go
+++ b/io/script/own.go
@@ -1,46 +1,29 @@
 package script
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// headerBytes is the length of a message's type and size.
-const headerBytes = 5
-
-// Own returns a copy of a message that shares no memory with the buffer the
-// message was read from. Readers reuse both messages and buffers.
+// Own returns a copy of a message that shares no memory with the buffer the message was
+// read from. Readers reuse both messages and buffers for the next message, so a batch
+// that kept the pointers would send its last Bind many times.
 func Own(m pgproto3.FrontendMessage) (pgproto3.FrontendMessage, error) {
-	raw, err := m.Encode(nil)
-	if err != nil {
-		return nil, fmt.Errorf("copy %T: %w", m, err)
-	}
-	fresh, err := blank(m)
-	if err != nil {
-		return nil, err
-	}
-	if err := fresh.Decode(raw[headerBytes:]); err != nil {
-		return nil, fmt.Errorf("copy %T: %w", m, err)
-	}
-	return fresh, nil
-}
-
-// blank returns an empty message of the same type.
-func blank(m pgproto3.FrontendMessage) (pgproto3.FrontendMessage, error) {
-	switch m.(type) {
+	switch m := m.(type) {
 	case *pgproto3.Query:
-		return &pgproto3.Query{}, nil
+		return own(m), nil
 	case *pgproto3.Parse:
-		return &pgproto3.Parse{}, nil
+		return own(m), nil
 	case *pgproto3.Bind:
-		return &pgproto3.Bind{}, nil
+		return ownBind(m), nil
 	case *pgproto3.Describe:
-		return &pgproto3.Describe{}, nil
+		return own(m), nil
 	case *pgproto3.Execute:
-		return &pgproto3.Execute{}, nil
+		return own(m), nil
 	case *pgproto3.Close:
-		return &pgproto3.Close{}, nil
+		return own(m), nil
 	case *pgproto3.Sync:
 		return &pgproto3.Sync{}, nil
 	case *pgproto3.Flush:
@@ -48,3 +31,21 @@
 	}
 	return nil, fmt.Errorf("a batch can't hold a %T", m)
 }
+
+// own copies a message whose parts are strings, numbers and slices that each reading
+// makes anew.
+func own[T any](m *T) *T {
+	c := *m
+	return &c
+}
+
+// ownBind copies the parameters as well, which lie in the reader's buffer. A null stays
+// a null.
+func ownBind(m *pgproto3.Bind) *pgproto3.Bind {
+	c := own(m)
+	c.Parameters = make([][]byte, len(m.Parameters))
+	for i, p := range m.Parameters {
+		c.Parameters[i] = bytes.Clone(p)
+	}
+	return c
+}
