Keep one account's open transactions from holding every connection

Cause: a connection is pinned while its transaction is open, and nothing bounded how many one account pins, so an account that opens transactions and waits shut everybody else out until their deadlines. Ruled out: the queue, which is fair but gives out slots only. An account now uses half of a gateway's connections to a server at the most.

--- a/io/gate/accounts_test.go
+++ b/io/gate/accounts_test.go
@@ -35,4 +35,26 @@
 		}
 		Expect(work.Wait()).To(Succeed())
 	})
+
+	// Open transactions of one account held every connection up to their deadline, and
+	// nobody else could even read at the primary.
+	It("leaves connections for others when one opens many transactions", func(ctx SpecContext) {
+		b := newBench(pgsim.Config{Slots: 2, Connections: 8})
+		for range 12 {
+			unit := writes()
+			unit.Account = "greedy"
+			unit.Remaining = time.Minute
+			l, err := b.gate.Open(ctx, unit)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(l.Close)
+			go func() { _, _ = l.Run(ctx, query("BEGIN"), &answer{}) }()
+		}
+		Eventually(func() int { return b.gate.Busy() }).Should(BeNumerically(">=", 3))
+		for range 20 {
+			unit := writes()
+			unit.Account = "modest"
+			_, _, err := do(ctx, b.gate, unit, query("INSERT INTO items (key, value) VALUES ('k', 'v')"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
 })
--- a/io/gate/admit.go
+++ b/io/gate/admit.go
@@ -10,7 +10,7 @@
 // admit waits for a slot, and for the first batch of a transaction also for a
 // connection.
 func (l *lane) admit(ctx context.Context) (grant, *model.Refusal) {
-	t := &ticket{ask: l.ask, pinned: l.server, readOnly: l.reads(), grants: make(chan grant, 1)}
+	t := &ticket{account: l.unit.Account, ask: l.ask, pinned: l.server, readOnly: l.reads(), grants: make(chan grant, 1)}
 	t.ask.Since = l.gate.config.Now()
 	if refusal := l.hopeless(t.ask.Since); refusal != nil {
 		return grant{}, refusal
--- a/io/gate/conn.go
+++ b/io/gate/conn.go
@@ -6,6 +6,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"pomelofork/core/model"
 	"pomelofork/io/line"
 	"pomelofork/io/script"
 )
@@ -28,6 +29,8 @@
 	// altered says that callers changed the state of the connection, so that it
 	// must not be given on.
 	altered bool
+	// account is the client account that uses the connection at present.
+	account model.AccountID
 	// writes says that the connection is in use by a unit that writes.
 	writes bool
 }
--- a/io/gate/dispatch.go
+++ b/io/gate/dispatch.go
@@ -77,7 +77,7 @@
 	g.config.Check.Hold(!g.leavers.Expired(now, s.id), assert.InvariantLeavingServer, "new work for %s", s.id)
 	granted := grant{item: item, pick: pick, server: s, at: now}
 	if item.Value.pinned == nil {
-		granted.conn = g.takeConn(s, item.Value.readOnly)
+		granted.conn = g.takeConn(s, item.Value)
 	}
 	item.Value.grants <- granted
 	return true
@@ -90,7 +90,7 @@
 	}
 	return g.policy.Choose(now, t.ask, known, func(id model.ServerID) route.Load {
 		s, ok := g.servers[id]
-		if !ok || g.leavers.Leaving(id) {
+		if !ok || g.leavers.Leaving(id) || s.used[t.account] >= s.most {
 			return route.Load{}
 		}
 		return s.load()
@@ -99,15 +99,16 @@
 
 // takeConn takes an idle connection, of the wanted mode when there is one. It
 // returns nil when the ones that were idle have all been closed by the server.
-func (g *Gate) takeConn(s *server, readOnly bool) *conn {
+func (g *Gate) takeConn(s *server, t *ticket) *conn {
 	for {
-		c, ok := s.pool.Take(func(c *conn) bool { return c.readOnly == readOnly })
+		c, ok := s.pool.Take(func(c *conn) bool { return c.readOnly == t.readOnly })
 		if !ok {
 			return nil
 		}
 		if c.Quiet() {
 			g.config.Check.Hold(c.clean(), assert.InvariantNoMixedTransactions, "connection to %s is not clean", s.id)
-			c.writes = !readOnly
+			s.lend(c, t.account)
+			c.writes = !t.readOnly
 			if c.writes {
 				g.busy++
 			}
@@ -131,6 +132,7 @@
 func (g *Gate) giveBack(s *server, c *conn, now time.Time) {
 	keep := c.clean() && g.config.Holds() && g.ctx.Err() == nil
 	g.mu.Lock()
+	s.takeBack(c)
 	if c.writes {
 		c.writes = false
 		g.busy--
--- a/io/gate/server.go
+++ b/io/gate/server.go
@@ -17,6 +17,11 @@
 	busy  int
 	last  time.Time
 	pool  *pool.Pool[*conn]
+	// used counts the connections that each client account uses, and most is how many
+	// one account may: half of them, so that open transactions of one account leave some
+	// to others, but always enough to fill the slots.
+	used map[model.AccountID]int
+	most int
 	// open asks the server's opener for one more connection.
 	open chan struct{}
 	// running are the attempts that the server works on.
@@ -29,6 +34,8 @@
 		id:    s.ID,
 		slots: slots,
 		pool:  pool.New[*conn](pool.Config{Limit: connections, Retry: connectRetry}),
+		used:  map[model.AccountID]int{},
+		most:  max(slots, connections/2, 1),
 		open:  make(chan struct{}, max(1, connections)),
 
 		running: map[*attempt]context.CancelCauseFunc{},
@@ -55,3 +62,16 @@
 	s.busy++
 	s.last = now
 }
+
+// lend counts a connection for the account that it goes to.
+func (s *server) lend(c *conn, account model.AccountID) {
+	c.account = account
+	s.used[account]++
+}
+
+// takeBack ends the count of a connection.
+func (s *server) takeBack(c *conn) {
+	if s.used[c.account]--; s.used[c.account] == 0 {
+		delete(s.used, c.account)
+	}
+}
--- a/io/gate/ticket.go
+++ b/io/gate/ticket.go
@@ -4,12 +4,14 @@
 	"time"
 
 	"pomelofork/core/fair"
+	"pomelofork/core/model"
 	"pomelofork/core/route"
 )
 
 // ticket is a statement that waits for a slot.
 type ticket struct {
-	ask route.Ask
+	account model.AccountID
+	ask     route.Ask
 	// pinned is the server of an open transaction, or nil.
 	pinned *server
 	// readOnly is the mode that the connection will be used in.
