--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -15,6 +15,7 @@
 
 	"pomelofork/core/conf"
 	"pomelofork/core/model"
+	"pomelofork/io/wire"
 )
 
 // pgError returns the error message that the caller got.
@@ -83,6 +84,21 @@
 		Expect(b.directory.taken.Load()).To(Equal(int64(3)))
 	})
 
+	// The name of a statement that was refused stayed taken, so that the caller could never
+	// prepare it.
+	It("frees the name of a statement that could not be prepared", func() {
+		conn := b.ann(nil)
+		b.gateway.refuse = func(wire.Unit) error {
+			return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonDeadline})
+		}
+		_, err := conn.Prepare(ctx, "s1", "SELECT 1")
+		Expect(pgError(err).Code).To(Equal("57014"))
+		b.gateway.refuse = nil
+		_, err = conn.Prepare(ctx, "s1", "SELECT 1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ask(conn, "s1")).To(Equal("SELECT 1"))
+	})
+
 	It("keeps one lane for a transaction and spends one token on it", func() {
 		conn := b.ann(nil)
 		tx, err := conn.Begin(ctx)
--- a/io/caller/sink.go
+++ b/io/caller/sink.go
@@ -15,6 +15,8 @@
 	queue   *script.Queue
 	shown   int
 	pending int
+	// accepted counts the statements that were prepared, by their global names.
+	accepted map[string]int
 	// server is the report of who ran the batch, such as "stock-1/replica".
 	server string
 }
@@ -36,7 +38,7 @@
 		}
 		queue.Add(entry)
 	}
-	return &sink{backend: backend, queue: queue}
+	return &sink{backend: backend, queue: queue, accepted: map[string]int{}}
 }
 
 // Message implements wire.Sink.
@@ -59,6 +61,11 @@
 func (k *sink) finish() error { return k.show(k.queue.Rest()) }
 
 func (k *sink) show(next script.Step) error {
+	for _, entry := range next.Done {
+		if entry.Kind() == script.KindParse && entry.Show() {
+			k.accepted[entry.Name()]++
+		}
+	}
 	for _, m := range next.Show {
 		k.shown++
 		k.backend.Send(m)
--- a/io/caller/translate.go
+++ b/io/caller/translate.go
@@ -12,6 +12,9 @@
 	hidden bool
 	// local is the entry's own answer, or nil.
 	local pgproto3.BackendMessage
+	// prepares says that the caller prepares the statement of this name.
+	prepares bool
+	name     string
 }
 
 // translation rewrites one batch of the caller for the gateway.
@@ -76,6 +79,8 @@
 		return
 	}
 	t.send(m, false)
+	last := &t.steps[len(t.steps)-1]
+	last.prepares, last.name = true, m.Name
 }
 
 func (t *translation) send(m *pgproto3.Parse, hidden bool) {
@@ -108,3 +113,19 @@
 	t.statements.drop(m.Name)
 	t.steps = append(t.steps, step{local: &pgproto3.CloseComplete{}})
 }
+
+// forgetFailed drops the statements that the batch was to prepare and that no backend
+// server has accepted. As in PostgreSQL their names are free again.
+func forgetFailed(statements *prepared, steps []step, accepted map[string]int) {
+	for _, st := range steps {
+		if !st.prepares {
+			continue
+		}
+		global := st.message.(*pgproto3.Parse).Name
+		if accepted[global] == 0 {
+			statements.drop(st.name)
+			continue
+		}
+		accepted[global]--
+	}
+}
--- a/io/caller/unit.go
+++ b/io/caller/unit.go
@@ -13,16 +13,6 @@
 	"pomelofork/io/wire"
 )
 
-const (
-	// attemptPause is the time between two rounds over the gateways of a service.
-	attemptPause = 10 * time.Millisecond
-	// gatewayPatience bounds how long a unit waits for a gateway. Within it a planned
-	// hand-over is done, and so is the take-over of a dead instance's rights as a rule.
-	gatewayPatience = 5 * time.Second
-	// tokenPatience is the longest wait for the next token of the account's rate.
-	tokenPatience = 25 * time.Millisecond
-)
-
 // runBatch answers one batch of the caller, whatever it holds.
 func (s *session) runBatch() error {
 	if done, err := s.answerLocally(); done {
@@ -43,6 +33,7 @@
 	defer s.setRunning(nil)
 	out := newSink(s.backend, steps)
 	result, err := s.send(ctx, steps, out)
+	forgetFailed(s.statements, steps, out.accepted)
 	s.noteServer(out.server)
 	if err != nil {
 		refusal := asRefusal(err)
@@ -132,38 +123,6 @@
 	return s.startUnit(ctx, unit, forward, out)
 }
 
-// draw spends one token of the account's rate. When the next token is due soon it looks
-// again, each time after at least twice the wait, for tokenPatience in sum: a caller that
-// came back would take longer. An account far above its rate gets its refusal then. While
-// nobody gives out the account's tokens it waits as it does for a gateway.
-func (s *session) draw(ctx context.Context) error {
-	left, wait := gatewayPatience, time.Duration(0)
-	for {
-		err := s.server.config.Directory.Take(ctx, s.account)
-		if err == nil {
-			return nil
-		}
-		refusal := asRefusal(err)
-		switch refusal.Reason() {
-		case model.ReasonNoHolder:
-			wait = refusal.RetryAfter()
-		case model.ReasonRateExceeded:
-			left, wait = min(left, tokenPatience), max(2*wait, refusal.RetryAfter())
-		default:
-			return refusal
-		}
-		if wait <= 0 || wait > left {
-			return refusal
-		}
-		left -= wait
-		select {
-		case <-ctx.Done():
-			return refusal
-		case <-time.After(wait):
-		}
-	}
-}
-
 // newUnit describes the next unit of work by the configuration in force.
 func (s *session) newUnit(ctx context.Context) (wire.Unit, *model.Refusal) {
 	config, refusal := s.server.config.Directory.Config(s.now())
@@ -211,83 +170,6 @@
 	return route, nil
 }
 
-// startUnit offers the unit to the gateways of its service until one has run it, it
-// surely can't be run again, or waiting makes no sense any more. While rights move from
-// one instance to another, a service may have no usable gateway for a moment, and a unit
-// that waits for the next one spares its caller a refusal.
-func (s *session) startUnit(ctx context.Context, unit wire.Unit, forward wire.Batch, out *sink) (wire.Result, error) {
-	var last error = model.NewRefusal(model.RefusalConfig{Reason: model.ReasonNoGateway, Outcome: model.OutcomeNotRun, RetryAfter: retryPause})
-	patience := time.NewTimer(gatewayPatience)
-	defer patience.Stop()
-	for {
-		hope := true
-		for _, gateway := range s.server.load.order(s.server.config.Directory.Gateways(unit.Service)) {
-			result, err := s.attempt(ctx, gateway, unit, forward, out)
-			if err == nil {
-				return result, nil
-			}
-			last = err
-			refusal := asRefusal(err)
-			if out.shown > 0 || !mayMove(unit, refusal) {
-				return wire.Result{}, err
-			}
-			hope = hope && mayPass(refusal)
-		}
-		if !hope {
-			return wire.Result{}, last
-		}
-		select {
-		case <-ctx.Done():
-			return wire.Result{}, last
-		case <-patience.C:
-			return wire.Result{}, last
-		case <-time.After(attemptPause):
-		}
-	}
-}
-
-// attempt runs the first batch of a unit at one gateway and keeps the lane.
-func (s *session) attempt(ctx context.Context, gateway wire.Gateway, unit wire.Unit, forward wire.Batch, out *sink) (wire.Result, error) {
-	deadline, _ := ctx.Deadline()
-	unit.Remaining = deadline.Sub(s.now())
-	release := s.server.load.enter(gateway)
-	lane, err := gateway.Open(ctx, unit)
-	if err != nil {
-		release()
-		return wire.Result{}, err
-	}
-	result, err := lane.Run(ctx, forward, out)
-	if err != nil {
-		lane.Close()
-		release()
-		return wire.Result{}, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lane, s.release = lane, release
-	return result, nil
-}
-
-// mayMove says whether another gateway may try the unit. A read and an idempotent
-// request may run twice; a request with an id is looked up before it is repeated; any
-// other moves only when it surely didn't run and another gateway can do better.
-func mayMove(unit wire.Unit, refusal *model.Refusal) bool {
-	if refusal.Outcome() == model.OutcomeUnknown {
-		return unit.Idempotent || unit.RequestID != "" || unit.Access == model.AccessRead
-	}
-	switch refusal.Reason() {
-	case model.ReasonNoGateway, model.ReasonShuttingDown, model.ReasonLinkLost, model.ReasonNoPrimary:
-		return true
-	}
-	return false
-}
-
-// mayPass says whether the cause of a refusal passes by itself while the unit waits. A
-// gateway without a primary has waited already and knows that it takes longer.
-func mayPass(refusal *model.Refusal) bool {
-	return refusal.Reason() != model.ReasonNoPrimary
-}
-
 // batchTimeout is the time for one batch: what the caller asked for, but not more than
 // the service allows a statement.
 func (s *session) batchTimeout() time.Duration {
