--- a/bench/pages/caplines.go
+++ b/bench/pages/caplines.go
@@ -79,6 +79,11 @@
 // microsecond is a second's part.
 const microsecond = 1e-6
 
+// growth returns the slope of a line, or zero for a line that falls. No cost falls with the
+// size of the fleet, so a falling line is noise, and a projection of it would hide the cost
+// of other lines.
+func growth(line slope.Line) float64 { return max(0, line.Slope) }
+
 // controlLines works out the control budget of one instance at a size.
 func (d CapacityData) controlLines(f Fits, size Size) []CostLine {
 	change := size.ChangesPerS()
@@ -95,8 +100,8 @@
 			CoreShare: f.PeerCPU.Base - f.GateCPU.Slope, Bytes: f.PeerRSS.Base - f.GateRSS.Slope,
 		},
 		{
-			Name: "peers' heartbeats and spreading", How: "few neighbours four times a second, the rest by digests; slope over fleets above 32 instances",
-			CoreShare: f.PeerCPU.Slope * size.Nodes, Bytes: f.PeerRSS.Slope * size.Nodes, BytesPerS: f.PeerBytes.Slope * size.Nodes,
+			Name: "peers' heartbeats and spreading", How: "few neighbours four times a second, the rest by digests; slope over fleets above 32 instances, where a falling one counts as none",
+			CoreShare: growth(f.PeerCPU) * size.Nodes, Bytes: growth(f.PeerRSS) * size.Nodes, BytesPerS: growth(f.PeerBytes) * size.Nodes,
 		},
 		{
 			Name: "watching groups as their gateway", How: "status of each backend server; slope over gateways held",
