Look after one's own services only, and look less often

The loops that open gateways and fetch ranks asked for every rank of every service, 50 and 10 times a second: at 830 services some 58,000 questions under the fleet's lock each second. They now keep the ranks that belong here until the epoch or the configuration changes. The watcher of a group looked at the clock every 5 ms; 20 ms is enough for times of 150 ms and more.

--- a/io/group/config.go
+++ b/io/group/config.go
@@ -91,7 +91,7 @@
 	Connect:        time.Second,
 	Reconnect:      10 * time.Millisecond,
 	ReconnectLimit: 200 * time.Millisecond,
-	Tick:           5 * time.Millisecond,
+	Tick:           20 * time.Millisecond,
 }
 
 // withDefaults fills in what is absent.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -25,18 +25,20 @@
 
 // Node is one running instance.
 type Node struct {
-	config  Config
-	client  *store.Client
-	check   *assert.Checker
-	meter   *meter.Meter
-	line    *line
-	fleet   *peer.Fleet
-	sites   *sites
-	links   *links
-	leavers leavers
-	callers *caller.Server
-	lanes   *link.Server
-	admin   *http.Server
+	config Config
+	client *store.Client
+	check  *assert.Checker
+	meter  *meter.Meter
+	line   *line
+	fleet  *peer.Fleet
+	sites  *sites
+	// assigned belongs to the goroutine that reconciles.
+	assigned assigned
+	links    *links
+	leavers  leavers
+	callers  *caller.Server
+	lanes    *link.Server
+	admin    *http.Server
 
 	stopping atomic.Bool
 	done     chan struct{}
--- a/io/node/sites.go
+++ b/io/node/sites.go
@@ -58,7 +58,7 @@
 		return
 	}
 	wanted := map[model.ServiceID]bool{}
-	for _, service := range config.Services() {
+	for _, service := range n.assigned.services(config, n.fleet) {
 		wanted[service.ID()] = n.reconcileService(service)
 	}
 	for _, service := range n.sites.services() {
--- a/io/peer/fleet.go
+++ b/io/peer/fleet.go
@@ -113,6 +113,19 @@
 	return held[0], lease.ServiceRanks, true
 }
 
+// Assigned reports whether the newest known record gives this instance a rank of the
+// service, be it usable yet or not. The answer changes only with Epoch.
+func (f *Fleet) Assigned(service model.ServiceID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for rank := range lease.ServiceRanks {
+		if f.keeper.Assigned(lease.ServiceRank(service, rank)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Finishing reports whether work that was begun under a rank may go on although the
 // rank has moved away: its successor still waits.
 func (f *Fleet) Finishing(service model.ServiceID) bool {
--- a/io/peer/moves.go
+++ b/io/peer/moves.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"pomelofork/core/lease"
@@ -24,8 +25,16 @@
 	fleet *Fleet
 	wake  chan struct{}
 	tried map[lease.Right]time.Time
+
+	// ownRanks are those that belonged here at ranksAt. They belong to the goroutine that
+	// calls step.
+	ownRanks []lease.Right
+	ranksAt  standing
 }
 
+// standing names what decides who holds which right.
+type standing struct{ epoch, version uint64 }
+
 // newMoves returns nothing to move.
 func newMoves(f *Fleet) *moves {
 	return &moves{
@@ -116,11 +125,28 @@
 // fetchServices fetches the ranks that belong here and can't be used yet.
 func (m *moves) fetchServices() {
 	f := m.fleet
-	rights := f.serviceRights()
+	ranks := m.ranks()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.config.Now()
-	for _, right := range rights {
+	for _, right := range ranks {
 		m.wanted(now, right)
 	}
 }
+
+// ranks returns the ranks that the newest record gives to this instance. They are worked
+// out anew only when the epoch or the configuration has changed, because this is asked many
+// times a second and a large fleet has thousands of ranks. One goroutine calls it.
+func (m *moves) ranks() []lease.Right {
+	f := m.fleet
+	at := standing{epoch: f.Epoch(), version: f.config.ConfigVersion()}
+	if at == m.ranksAt {
+		return m.ownRanks
+	}
+	all := f.serviceRights()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.ranksAt = standing{epoch: f.keeper.Epoch(), version: at.version}
+	m.ownRanks = slices.DeleteFunc(all, func(right lease.Right) bool { return !f.keeper.Assigned(right) })
+	return m.ownRanks
+}
