Set whom a session belongs to under its lock

A reload could read the account while the login was still setting it, and a key that was withdrawn between the login's look and that moment kept an idle session open.

--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -227,7 +227,7 @@
 
 // reload ends the session when its key no longer stands in the configuration.
 func (s *session) reload() {
-	if s.account == "" || s.anonymous {
+	if !s.identified() || s.anonymous {
 		return
 	}
 	config, refusal := s.server.config.Directory.Config(s.now())
--- a/io/caller/startup.go
+++ b/io/caller/startup.go
@@ -43,7 +43,9 @@
 			slog.String("account", message.Parameters["user"]), slog.String("reason", refusal.Reason().String()))
 		return s.fatal(refusal)
 	}
-	if err := s.conn.SetDeadline(noDeadline); err != nil {
+	// A configuration that came while the key was judged has passed this session by.
+	s.reload()
+	if err := s.conn.SetWriteDeadline(noDeadline); err != nil {
 		return errClosed
 	}
 	return s.welcome()
@@ -159,7 +161,7 @@
 	account, known := config.Account(user)
 	route, _ := config.Route(s.route)
 	if payer, open := route.ChargedTo(); open && !known {
-		s.account, s.anonymous = payer, true
+		s.identify(payer, "", true)
 		return nil
 	}
 	secret, err := s.askPassword()
@@ -172,7 +174,7 @@
 	key, verdict := account.Verify(secret)
 	switch verdict {
 	case conf.KeyValid:
-		s.account, s.key = user, key
+		s.identify(user, key, false)
 		return nil
 	case conf.KeyWithdrawn:
 		return notRun(model.ReasonKeyWithdrawn, "account %q", user)
@@ -181,6 +183,21 @@
 	}
 }
 
+// identify sets whom the session belongs to, for good. From here on a new configuration
+// can end the session.
+func (s *session) identify(account model.AccountID, key conf.KeyID, anonymous bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.account, s.key, s.anonymous = account, key, anonymous
+}
+
+// identified reports whether identify has been called.
+func (s *session) identified() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.account != ""
+}
+
 func (s *session) askPassword() (string, error) {
 	s.backend.Send(&pgproto3.AuthenticationCleartextPassword{})
 	if err := s.backend.Flush(); err != nil {
@@ -202,10 +219,7 @@
 
 // welcome tells the caller what drivers want to know before the first statement.
 func (s *session) welcome() error {
-	s.pid = s.server.nextPID.Add(1)
-	secret := make([]byte, 4)
-	binary.BigEndian.PutUint32(secret, rand.Uint32())
-	s.secret = secret
+	secret := s.makeCancelKey()
 	s.backend.Send(&pgproto3.AuthenticationOk{})
 	for _, p := range [][2]string{
 		{"server_version", "16.0"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
@@ -216,3 +230,12 @@
 	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: secret})
 	return s.ready()
 }
+
+// makeCancelKey sets the pair by which the caller can ask to stop a statement.
+func (s *session) makeCancelKey() []byte {
+	secret := binary.BigEndian.AppendUint32(nil, rand.Uint32())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pid, s.secret = s.server.nextPID.Add(1), secret
+	return secret
+}
