Be ready only when every share of a rate can be used

Cause: /ready asked for gateways only. Shares of rates become usable up to some seconds later on a new fleet, and an account with one share of four is refused inside its rate. Ruled out: the wait for an account without any holder, which came too late, since one share answers before the others. The scripts wait no longer. An instance that can't join because the store is down is ready as well.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -193,6 +193,12 @@
 			return false
 		}
 	}
+	// Callers that come before the shares can be used are refused inside their rates.
+	for _, account := range config.Accounts() {
+		if !n.fleet.Mints(account.ID()) {
+			return false
+		}
+	}
 	return true
 }
 
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -34,6 +34,15 @@
 
 	BeforeAll(func() { f = newFleet(4) })
 
+	// Instances said that they were ready seconds before all shares of the accounts' rates
+	// could be used, and 7% of the first 20 s were refused inside the rates.
+	It("is ready only when every share of a rate can be used", func() {
+		for _, n := range f.nodes {
+			Expect(n.fleet.Mints("ann")).To(BeTrue())
+			Expect(n.fleet.Mints("bob")).To(BeTrue())
+		}
+	})
+
 	It("lets a session read its writes at every instance, with and without its token", func() {
 		for round := range 12 {
 			key, value := fmt.Sprint("ryw-", round%3), fmt.Sprint(round)
@@ -86,6 +95,7 @@
 		}, soon).Should(Succeed())
 		defer func() { _ = conn.Close(ctx) }()
 		Eventually(func() error { return set(conn, "late", "1") }, soon).Should(Succeed())
+		Eventually(late.Ready, soon).Should(BeTrue())
 		f.kv.SetFaults(memkv.Faults{})
 		f.waitReady()
 	})
--- a/io/peer/fleet.go
+++ b/io/peer/fleet.go
@@ -157,12 +157,31 @@
 	return f.keeper.Epoch()
 }
 
-// Ready reports whether this instance is a member and has authority, so that the
-// balancer may send callers here.
+// Ready reports whether this instance can serve callers: it has authority as a member, or
+// can't become a member because the store is down.
 func (f *Fleet) Ready() bool {
+	down := f.syncer.isDown()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.leaving && f.keeper.Authority(f.config.Now())
+	if f.leaving {
+		return false
+	}
+	return f.keeper.Authority(f.config.Now()) || (down && !f.keeper.Member())
+}
+
+// Mints reports whether this instance may use every share of the account's rate that the
+// newest record gives it. At the first start of a fleet that takes some seconds, in which
+// the account gets less than its rate.
+func (f *Fleet) Mints(account model.AccountID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.config.Now()
+	for share := range limit.Shares {
+		if f.keeper.Waiting(now, lease.AccountShare(account, share)) {
+			return false
+		}
+	}
+	return true
 }
 
 // Confirmed returns the latest time as of which the store or more than half of the
--- a/io/peer/syncer.go
+++ b/io/peer/syncer.go
@@ -210,3 +210,10 @@
 		s.fleet.log(event.RightStoreBack)
 	}
 }
+
+// isDown reports whether the store did not answer the last time it was asked.
+func (s *syncer) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -8,9 +8,9 @@
 PLATFORM=127.0.0.1:7400
 CONNECT_COST=${CONNECT_COST:-10ms}
 STATEMENT_COST=${STATEMENT_COST:-1ms}
-# The wait after the fleet is ready, in seconds. Shares of rates give nothing until their
-# former holders must have stopped, also in a fleet that starts from nothing.
-SETTLE=${SETTLE:-7}
+# The wait after the fleet is ready, in seconds. An instance is ready only when its shares
+# of the rates can be used, so none is needed.
+SETTLE=${SETTLE:-0}
 # What instances show each other on links. A real fleet keeps it in the environment.
 export POMELOFORK_FLEET_SECRET=${POMELOFORK_FLEET_SECRET:-demo-fleet}
 
