Look the configuration up once for the checks ahead of a batch

The open transaction's key and the batch's time were each judged by a look of their own, and each look asks the fleet under its lock how fresh the configuration is. Behaviour is the same.

--- a/io/caller/unit.go
+++ b/io/caller/unit.go
@@ -24,10 +24,11 @@
 		s.backend.Send(fault)
 		return s.ready()
 	}
-	if refusal := s.checkOpen(); refusal != nil {
+	config, refusal := s.server.config.Directory.Config(s.now())
+	if refusal := s.checkOpen(config, refusal); refusal != nil {
 		return s.fatal(refusal)
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, s.batchTimeout())
+	ctx, cancel := context.WithTimeout(s.ctx, s.batchTimeout(config))
 	defer cancel()
 	s.setRunning(cancel)
 	defer s.setRunning(nil)
@@ -49,11 +50,10 @@
 
 // checkOpen refuses to go on with an open transaction whose key was withdrawn. A new unit
 // of work is checked when it starts.
-func (s *session) checkOpen() *model.Refusal {
+func (s *session) checkOpen(config *conf.Config, refusal *model.Refusal) *model.Refusal {
 	if s.lane == nil {
 		return nil
 	}
-	config, refusal := s.server.config.Directory.Config(s.now())
 	if refusal != nil {
 		return refusal
 	}
@@ -171,10 +171,9 @@
 }
 
 // batchTimeout is the time for one batch: what the caller asked for, but not more than
-// the service allows a statement.
-func (s *session) batchTimeout() time.Duration {
-	config, refusal := s.server.config.Directory.Config(s.now())
-	if refusal != nil {
+// the service allows a statement. Without a configuration the unit is refused anyway.
+func (s *session) batchTimeout(config *conf.Config) time.Duration {
+	if config == nil {
 		return s.timeout
 	}
 	service, ok := config.Service(s.service)
