Do work per instance by what it holds, not by the size of the fleet

A profile of 100 instances with 333 services in one process showed: a goroutine and a timer for each service on every instance, each looking through all servers; the wanted rights worked out ten times a second; the order of all instances sorted for each free right and each question to the store; all maps of the state copied for each change. Each statement looked through the servers of all services.

Ruled out: the size of the fleet alone. 300 instances with one service took 0.5% of a core each.

Change: watch over a primary only where the right is held; work wanted rights and sources out again only after a change of what they depend on; copy only the part of the state that changes; keep servers by service; find an instance's place for a right without sorting. core/pace sets leases, repeats and the entry of a whole fleet by its size, and moves rights from an instance that holds far more than its share. What is read at the start is told in one line.

The stand-in of the store gave each item of a transaction its own revision; the platform gives all of them one.

--- a/core/rank/rank_test.go
+++ b/core/rank/rank_test.go
@@ -65,3 +65,22 @@
 		Expect(won).To(BeNumerically("~", tasks/2, tasks/20))
 	})
 })
+
+var _ = Describe("Place", func() {
+	It("is where Order puts the instance", func() {
+		all := members(12, 4)
+		for i, m := range rank.Order("task", "d2", all) {
+			before, ok := rank.Place("task", "d2", m, all, len(all))
+			Expect(ok).To(BeTrue())
+			Expect(before).To(Equal(i))
+		}
+	})
+
+	It("gives up at an instance that is too far behind", func() {
+		all := members(12, 4)
+		last := rank.Order("task", "", all)[11]
+		before, ok := rank.Place("task", "", last, all, 2)
+		Expect(ok).To(BeFalse())
+		Expect(before).To(Equal(3))
+	})
+})
--- a/emul/table/table.go
+++ b/emul/table/table.go
@@ -61,6 +61,7 @@
 func (t *Table) Set(key string, value []byte) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.revision++
 	t.put(store.Entry{Key: key, Value: value})
 	return t.revision
 }
@@ -69,6 +70,7 @@
 func (t *Table) Remove(key string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.revision++
 	t.remove(key)
 }
 
@@ -105,8 +107,8 @@
 	return t.revision
 }
 
+// put writes an item at the present revision.
 func (t *Table) put(e store.Entry) {
-	t.revision++
 	e.Revision = t.revision
 	t.items[e.Key] = e
 	t.changes = append(t.changes, e)
@@ -117,7 +119,6 @@
 	if _, ok := t.items[key]; !ok {
 		return
 	}
-	t.revision++
 	delete(t.items, key)
 	t.changes = append(t.changes, store.Entry{Key: key, Revision: t.revision, Removed: true})
 	t.wake()
@@ -140,6 +141,7 @@
 // end ends a lease with its items.
 func (t *Table) end(id store.LeaseID) {
 	delete(t.leases, id)
+	t.revision++
 	for key, e := range t.items {
 		if e.Lease == id {
 			t.remove(key)
@@ -159,7 +161,7 @@
 	return out
 }
 
-// commit makes a transaction.
+// commit makes a transaction. All that it changes has one revision.
 func (t *Table) commit(txn store.Txn) (uint64, error) {
 	for _, c := range txn.Expected {
 		if t.items[c.Key].Revision != c.Revision {
@@ -171,6 +173,7 @@
 			return 0, store.ErrNotFound
 		}
 	}
+	t.revision++
 	for _, p := range txn.Puts {
 		t.put(store.Entry{Key: p.Key, Value: p.Value, Lease: p.Lease})
 	}
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -96,8 +96,9 @@
 	e := a.session.entry
 	var candidates []place.Candidate
 	e.mu.Lock()
-	for id, server := range e.config.View.State().Servers {
-		if server.Service != a.route.Service || a.excluded[id] {
+	for _, server := range e.config.View.State().Services[a.route.Service] {
+		id := server.ID
+		if a.excluded[id] {
 			continue
 		}
 		if server.Draining && now.Sub(server.DrainingSince) > drainingPrimary {
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -42,8 +42,8 @@
 				Keys:     map[string]model.AccountID{"key": "acc"},
 				Accounts: map[model.AccountID]plan.Account{"acc": {ID: "acc"}},
 			}),
-			Servers: map[model.ServerID]plan.Server{
-				"p": {ID: "p", Service: "s", Primary: true, Slots: 2}, "r": {ID: "r", Service: "s", Slots: 2},
+			Services: map[model.ServiceID][]plan.Server{
+				"s": {{ID: "p", Service: "s", Primary: true, Slots: 2}, {ID: "r", Service: "s", Slots: 2}},
 			},
 		}}
 		conns = make(chan net.Conn)
@@ -182,7 +182,7 @@
 
 	It("gives up soon when no server can take a statement", func() {
 		w.mu.Lock()
-		w.state.Servers = nil
+		w.state.Services = nil
 		w.mu.Unlock()
 		c := connect("latest")
 		Expect(c.ask("READ x", stmt.KindRead).Code).To(Equal(stmt.CodeBusy))
--- a/io/lead/lead.go
+++ b/io/lead/lead.go
@@ -117,13 +117,7 @@
 
 // servers returns the servers of the service.
 func (l *Lead) servers() []plan.Server {
-	var out []plan.Server
-	for _, s := range l.config.View.State().Servers {
-		if s.Service == l.config.Service {
-			out = append(out, s)
-		}
-	}
-	return out
+	return l.config.View.State().Services[l.config.Service]
 }
 
 // round probes the primary and does what follows.
--- /dev/null
+++ b/io/proxy/memo.go
@@ -0,0 +1,21 @@
+package proxy
+
+import "sync"
+
+// memo keeps what was worked out from a part of the state until that part changes.
+type memo[T any] struct {
+	mu    sync.Mutex
+	valid bool
+	count uint64
+	value T
+}
+
+// get returns the kept value, or makes it for this count of the part's changes.
+func (m *memo[T]) get(count uint64, make func() T) T {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.valid || m.count != count {
+		m.value, m.count, m.valid = make(), count, true
+	}
+	return m.value
+}
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -74,6 +75,11 @@
 	cut map[reach]time.Time
 	// ending are the leases of ended instances that this one has ended.
 	ending map[uint64]bool
+	// seen are the changes that were followed.
+	seen view.Changes
+
+	wanted memo[[]right.Want]
+	source memo[[]view.Source]
 }
 
 // bucket is an account's bucket with the time since when its right is held.
@@ -97,10 +103,16 @@
 		Own: c.Own, Decoder: c.Decoder, Sources: n.sources, Log: c.Log,
 		Changed: func(s view.State) {
 			<-ready
-			n.changed(ctx, &s)
+			n.changed(&s)
+		},
+	})
+	n.keeper = right.NewKeeper(ctx, right.Config{
+		Table: c.Table, View: n.view, Self: c.Self, Wants: n.wants, Log: c.Log,
+		Changed: func(held []string) {
+			<-ready
+			n.follow(ctx, held)
 		},
 	})
-	n.keeper = right.NewKeeper(ctx, right.Config{Table: c.Table, View: n.view, Self: c.Self, Wants: n.wants, Log: c.Log})
 	n.entry = entry.New(entry.Config{
 		Domain: c.Self.Domain, Run: rand.Uint64() | 1, KeyLife: c.KeyLife, View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Log: c.Log,
 	})
@@ -136,6 +148,11 @@
 
 // wants returns the rights that somebody should hold.
 func (n *Node) wants(s *view.State) []right.Want {
+	return n.wanted.get(s.Changes.Servers, func() []right.Want { return wants(s) })
+}
+
+// wants works them out.
+func wants(s *view.State) []right.Want {
 	var out []right.Want
 	for g := range rateGroups {
 		out = append(out, right.Want{Name: fmt.Sprintf("rate-%d", g)})
@@ -150,13 +167,16 @@
 		}
 	}
 	for service, server := range first {
-		out = append(out, right.Want{Name: leadRight(service), Domain: server.Domain})
+		out = append(out, right.Want{Name: leadRight(service), Domain: server.Domain, Patient: true})
 	}
 	return out
 }
 
+// leadPart begins the names of rights to watch over a primary.
+const leadPart = "lead-"
+
 // leadRight names the right to watch over a service's primary.
-func leadRight(service model.ServiceID) string { return "lead-" + string(service) }
+func leadRight(service model.ServiceID) string { return leadPart + string(service) }
 
 // rateRight names the right to give out an account's tokens.
 func rateRight(account model.AccountID) string {
@@ -164,42 +184,68 @@
 }
 
 // changed follows a change of what is known through the store.
-func (n *Node) changed(ctx context.Context, s *view.State) {
+func (n *Node) changed(s *view.State) {
 	n.mu.Lock()
-	clear(n.order)
+	seen := n.seen
+	n.seen = s.Changes
+	if seen.Instances != s.Changes.Instances {
+		clear(n.order)
+	}
+	var closing []*pooler.Outlet
+	if seen.Servers != s.Changes.Servers {
+		closing = n.updateOutlets(s)
+	}
+	n.mu.Unlock()
+	for _, outlet := range closing {
+		outlet.Close()
+	}
+	n.keeper.Wake()
+}
+
+// updateOutlets tells the outlets of their servers' entries, and returns those whose
+// server is gone. The caller holds the lock.
+func (n *Node) updateOutlets(s *view.State) []*pooler.Outlet {
 	var closing []*pooler.Outlet
 	for id, outlet := range n.outlets {
 		server, ok := s.Servers[id]
 		if !ok || server.Address != outlet.Server().Address {
 			closing = append(closing, outlet)
 			delete(n.outlets, id)
+			delete(n.order, id)
 			continue
 		}
+		if server.Domain != outlet.Server().Domain {
+			delete(n.order, id)
+		}
 		outlet.Update(server)
 	}
-	services := map[model.ServiceID]bool{}
-	for _, server := range s.Servers {
-		services[server.Service] = true
+	return closing
+}
+
+// follow watches over the primaries that this instance has the right to, and no others.
+func (n *Node) follow(ctx context.Context, held []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	watched := map[model.ServiceID]bool{}
+	for _, name := range held {
+		if service, ok := strings.CutPrefix(name, leadPart); ok {
+			watched[model.ServiceID(service)] = true
+		}
 	}
-	for service := range services {
+	for service := range watched {
 		if _, ok := n.leads[service]; !ok {
 			n.leads[service] = n.startLead(ctx, service)
 		}
 	}
 	for service, stop := range n.leads {
-		if !services[service] {
+		if !watched[service] {
 			stop()
 			delete(n.leads, service)
 		}
 	}
-	n.mu.Unlock()
-	for _, outlet := range closing {
-		outlet.Close()
-	}
-	n.keeper.Wake()
 }
 
-// startLead watches over a service's primary whenever this instance has the right to.
+// startLead watches over a service's primary as long as this instance has the right to.
 func (n *Node) startLead(ctx context.Context, service model.ServiceID) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
 	name := leadRight(service)
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -12,6 +13,7 @@
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/emul/seed"
+	"pomelofork/emul/table"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
@@ -107,6 +109,33 @@
 	})
 })
 
+var _ = Describe("Watching over primaries", func() {
+	It("costs an instance nothing for services that others watch", func() {
+		n := &Node{leads: map[model.ServiceID]context.CancelFunc{}, config: Config{Log: slog.New(slog.DiscardHandler)}}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		n.view = view.New(ctx, view.Config{Sources: func(*view.State) []view.Source { return []view.Source{view.Direct{Table: table.New().Client()}} }, Changed: func(view.State) {}, Log: n.config.Log})
+		n.follow(ctx, []string{"rate-1", leadRight("a"), leadRight("b")})
+		Expect(n.leads).To(HaveLen(2))
+		n.follow(ctx, []string{leadRight("b")})
+		Expect(n.leads).To(HaveLen(1))
+		Expect(n.leads).To(HaveKey(model.ServiceID("b")))
+		n.follow(ctx, nil)
+		Expect(n.leads).To(BeEmpty())
+	})
+})
+
+var _ = Describe("What is worked out from a part of the state", func() {
+	It("is worked out again only after a change of that part", func() {
+		var m memo[int]
+		made := 0
+		next := func() int { made++; return made }
+		Expect(m.get(0, next)).To(Equal(1))
+		Expect(m.get(0, next)).To(Equal(1))
+		Expect(m.get(1, next)).To(Equal(2))
+	})
+})
+
 var _ = Describe("The rights that somebody should hold", func() {
 	It("have each primary watched from another failure domain", func() {
 		s := state(nil)
--- a/io/proxy/source.go
+++ b/io/proxy/source.go
@@ -38,6 +38,11 @@
 // and watchers elsewhere. They are needed as well when this instance's own entry has
 // lapsed, which is when the store turns it away.
 func (n *Node) sources(s *view.State) []view.Source {
+	return n.source.get(s.Changes.Instances, func() []view.Source { return n.rankSources(s) })
+}
+
+// rankSources works them out.
+func (n *Node) rankSources(s *view.State) []view.Source {
 	direct := view.Direct{Table: n.config.Table, Prefix: n.config.Prefix}
 	domains := map[model.Domain][]plan.Instance{}
 	for _, m := range s.Instances {
--- a/io/right/keeper.go
+++ b/io/right/keeper.go
@@ -4,10 +4,14 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/pace"
 	"pomelofork/core/plan"
 	"pomelofork/io/clock"
 	"pomelofork/io/store"
@@ -15,17 +19,6 @@
 )
 
 const (
-	// holderTime is the life of a holder's lease: after this time a silent holder's
-	// rights are free. Shorter, and an outage of the store that users hardly notice would
-	// stop every account; longer, and the accounts of a silent holder wait for longer.
-	holderTime = 3500 * time.Millisecond
-	// holderRenews is the pause between a holder's renewals: four may fail.
-	holderRenews = 600 * time.Millisecond
-	// memberTime and memberRenews are the same of an instance without a right, which
-	// nobody waits for. In a large fleet most instances are without, and their renewals
-	// would be most of the store's load.
-	memberTime   = 9 * time.Second
-	memberRenews = 2500 * time.Millisecond
 	// unusedFor is the time after which an instance without a right gives a holder's
 	// lease up: rights often come back while instances start or stop in turn.
 	unusedFor = 5 * time.Second
@@ -36,8 +29,12 @@
 	turn = 300 * time.Millisecond
 	// look is the pause between two looks for free rights.
 	look = 100 * time.Millisecond
-	// restAfter is the pause after a call that the store didn't answer.
+	// restAfter is the mean pause after a call that the store didn't answer, in a fleet
+	// that is small enough to repeat its calls at that pace.
 	restAfter = 400 * time.Millisecond
+	// shedEvery is the pause between two looks whether this instance holds far more
+	// than its share.
+	shedEvery = 2 * time.Second
 )
 
 // Want is a right that somebody should hold.
@@ -46,6 +43,10 @@
 	Name string
 	// Domain is the failure domain that it should be held in, or empty.
 	Domain model.Domain
+	// Patient says that users hardly notice when nobody holds the right for some
+	// seconds. In a large fleet it lies under a long lease, and it is moved from
+	// instances that hold far more than others.
+	Patient bool
 }
 
 // Config holds the parts of a keeper.
@@ -58,6 +59,9 @@
 	Self plan.Instance
 	// Wants returns the rights that somebody should hold.
 	Wants func(*view.State) []Want
+	// Changed is called after this instance has taken, received or lost rights, with
+	// the names of all that it holds.
+	Changed func(held []string)
 	// Log gets what is taken and lost.
 	Log *slog.Logger
 }
@@ -72,26 +76,50 @@
 	lease store.LeaseID
 	// holder says that the lease is a holder's.
 	holder bool
+	// terms are those of the lease.
+	terms pace.Lease
 	// used is when a holder's lease was last needed.
 	used time.Time
 	held map[string]held
-	// free is since when a right is seen free.
-	free    map[string]time.Time
+	// told says that the last change of held was passed on.
+	told    bool
 	leaving bool
-	// rest is until when the store isn't asked for free rights.
+	wake    chan struct{}
+
+	// What follows belongs to the keeper's own loop.
+
+	// free are the rights that are seen free.
+	free map[string]vacancy
+	// wants is the number of rights that somebody should hold.
+	wants int
+	// seen and seenLease say which state free was worked out from.
+	seen      view.Changes
+	seenLease store.LeaseID
+	// rest is until when the store isn't asked.
 	rest time.Time
-	wake chan struct{}
+	// granted is a lease that this instance isn't entered under yet.
+	granted granted
+	// starts is when this instance may enter itself.
+	starts time.Time
+	shed   time.Time
+}
+
+// vacancy is a right that nobody holds.
+type vacancy struct {
+	want  Want
+	since time.Time
 }
 
 // held is a right of this instance.
 type held struct {
 	revision uint64
 	since    time.Time
+	patient  bool
 }
 
 // NewKeeper starts to keep a lease until the context ends.
 func NewKeeper(ctx context.Context, c Config) *Keeper {
-	k := &Keeper{config: c, held: map[string]held{}, free: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+	k := &Keeper{config: c, held: map[string]held{}, free: map[string]vacancy{}, wake: make(chan struct{}, 1)}
 	go func() { k.keep(ctx) }()
 	return k
 }
@@ -155,6 +183,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.held, name)
+	k.told = false
 }
 
 // Leave hands the rights over to those that rank next, and ends the lease. The keeper
@@ -168,11 +197,12 @@
 	if lease == 0 {
 		return
 	}
-	k.handOver(ctx)
+	k.handOver(ctx, k.names())
 	k.mu.Lock()
 	clear(k.held)
-	k.until = time.Time{}
+	k.until, k.told = time.Time{}, false
 	k.mu.Unlock()
+	k.tell()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := k.config.Table.End(call, lease); err != nil {
@@ -186,47 +216,18 @@
 func (k *Keeper) keep(ctx context.Context) {
 	var renewed time.Time
 	for ctx.Err() == nil {
-		k.mu.Lock()
-		leaving, lease := k.leaving, k.lease
-		every := memberRenews
-		if k.holder {
-			every = holderRenews
-		}
 		now := clock.Now()
-		if len(k.held) > 0 {
-			k.used = now
-		}
-		needs := len(k.held) > 0 || now.Sub(k.used) < unusedFor
-		moves := lease != 0 && needs != k.holder
-		k.mu.Unlock()
-		if leaving {
+		if k.stopped() {
 			return
 		}
-		switch {
-		case now.Before(k.rest):
-		case lease == 0:
-			if k.grant(ctx, now) {
-				renewed = now
-			} else {
-				k.rest = clock.Now().Add(restAfter)
-			}
-		case moves:
-			if k.move(ctx, now, needs) {
-				renewed = now
-			} else {
-				k.rest = clock.Now().Add(restAfter)
-			}
-		case now.Sub(renewed) >= every:
-			if k.renew(ctx, now, lease) {
-				renewed = now
-			} else {
-				k.rest = clock.Now().Add(restAfter)
-				renewed = k.rest.Add(-every)
-			}
+		if !now.Before(k.rest) {
+			k.care(ctx, now, &renewed)
 		}
 		if now := clock.Now(); !now.Before(k.rest) {
 			k.take(ctx, now)
+			k.spread(ctx, now)
 		}
+		k.tell()
 		timer := time.NewTimer(look)
 		select {
 		case <-ctx.Done():
@@ -237,6 +238,87 @@
 	}
 }
 
+// stopped reports whether nothing is to be kept any more.
+func (k *Keeper) stopped() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.leaving
+}
+
+// care gets, changes or renews the lease when it is time to.
+func (k *Keeper) care(ctx context.Context, now time.Time, renewed *time.Time) {
+	size := len(k.config.View.State().Instances)
+	k.mu.Lock()
+	lease, terms, holder := k.lease, k.terms, k.holder
+	if k.prompt(size) {
+		k.used = now
+	}
+	needs := now.Sub(k.used) < unusedFor
+	k.mu.Unlock()
+	due := now.Sub(*renewed) >= terms.Renews
+	// Longer leases for a fleet that has grown can wait for the renewal.
+	outgrown := due && !needs && terms.Outgrown(size)
+	switch {
+	case lease == 0:
+		if k.enter(ctx, now) {
+			*renewed = now
+		}
+	case needs != holder || outgrown:
+		if k.answered(k.move(ctx, now, needs)) {
+			*renewed = now
+		}
+	case due:
+		if k.answered(k.renew(ctx, now, lease, terms)) {
+			*renewed = now
+		} else {
+			*renewed = k.rest.Add(-terms.Renews)
+		}
+	}
+}
+
+// prompt reports whether this instance holds a right whose holder must be missed soon. The
+// caller holds the lock.
+func (k *Keeper) prompt(size int) bool {
+	if size <= pace.PromptFleet {
+		return len(k.held) > 0
+	}
+	for _, h := range k.held {
+		if !h.patient {
+			return true
+		}
+	}
+	return false
+}
+
+// answered takes in whether the store has answered, and returns it. Without an answer the
+// store gets a rest, not the same from all instances: one that is busy with a fleet that
+// starts at once is kept busy by repeated calls.
+func (k *Keeper) answered(ok bool) bool {
+	if !ok {
+		mean := max(restAfter, pace.Repeat(len(k.config.View.State().Instances)))
+		k.rest = clock.Now().Add(mean/2 + rand.N(mean))
+	}
+	return ok
+}
+
+// tell passes on what this instance holds, if that has changed.
+func (k *Keeper) tell() {
+	k.mu.Lock()
+	told := k.told
+	k.told = true
+	k.mu.Unlock()
+	if !told && k.config.Changed != nil {
+		k.config.Changed(k.names())
+	}
+}
+
+// names returns the rights that this instance holds, by the last word.
+func (k *Keeper) names() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Collect(maps.Keys(k.held))
+}
+
 // Wake makes the keeper look for free rights now.
 func (k *Keeper) Wake() {
 	select {
--- a/io/right/keeper_test.go
+++ b/io/right/keeper_test.go
@@ -43,6 +43,11 @@
 
 // join starts an instance that wants the right "r".
 func join(t *table.Table, id model.InstanceID) *member {
+	return joinFor(t, id, []right.Want{{Name: "r"}})
+}
+
+// joinFor starts an instance that wants rights.
+func joinFor(t *table.Table, id model.InstanceID, wants []right.Want) *member {
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	client := t.Client()
@@ -53,7 +58,7 @@
 	})
 	return &member{client, right.NewKeeper(ctx, right.Config{
 		Table: client, View: v, Self: plan.Instance{ID: id, Weight: 1}, Log: log,
-		Wants: func(*view.State) []right.Want { return []right.Want{{Name: "r"}} },
+		Wants: func(*view.State) []right.Want { return wants },
 	}), cancel}
 }
 
--- a/io/right/lease.go
+++ b/io/right/lease.go
@@ -4,56 +4,93 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
+	"pomelofork/core/pace"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
 
-// grant gets a lease and enters this instance in the list. A former run of the same
-// instance is over, so its lease ends first.
-func (k *Keeper) grant(ctx context.Context, now time.Time) bool {
+// granted is a lease before anything is attached to it.
+type granted struct {
+	id    store.LeaseID
+	until time.Time
+	terms pace.Lease
+}
+
+// enter gets a lease and enters this instance in the list, when its turn has come. A
+// former run of the same instance is over, so its lease ends first.
+func (k *Keeper) enter(ctx context.Context, now time.Time) bool {
 	if _, ok := k.config.View.Fresh(); !ok {
-		return true
+		return false
+	}
+	state := k.config.View.State()
+	if k.starts.IsZero() {
+		// How many live, or lived until a moment ago, tells how many start with this one.
+		k.starts = now.Add(rand.N(pace.Spread(len(state.Instances)) + 1))
+	}
+	if now.Before(k.starts) {
+		return false
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if former, ok := k.config.View.State().Instances[k.config.Self.ID]; ok && former.Lease != 0 {
+	if former, ok := state.Instances[k.config.Self.ID]; ok && former.Lease != 0 && former.Lease != uint64(k.granted.id) {
 		if err := k.config.Table.End(call, store.LeaseID(former.Lease)); err != nil && !errors.Is(err, store.ErrNotFound) {
 			k.config.Log.LogAttrs(ctx, slog.LevelWarn, "former lease not ended", slog.String("error", err.Error()))
 		}
 	}
-	id, ttl, err := k.config.Table.Grant(call, memberTime)
-	if err != nil {
-		k.config.Log.LogAttrs(ctx, slog.LevelWarn, "no lease", slog.String("error", err.Error()))
+	if !k.answered(k.grant(call, now, len(state.Instances))) {
 		return false
 	}
 	value, err := view.InstanceValue(k.config.Self)
 	if err != nil {
 		k.config.Log.LogAttrs(ctx, slog.LevelError, "entry of this instance not encoded", slog.String("error", err.Error()))
-		return false
+		return k.answered(false)
 	}
-	if _, err := k.config.Table.Commit(call, store.Txn{Puts: []store.Put{{Key: k.config.View.InstanceKey(k.config.Self.ID), Value: value, Lease: id}}}); err != nil {
+	lease := k.granted
+	_, err = k.config.Table.Commit(call, store.Txn{Puts: []store.Put{{Key: k.config.View.InstanceKey(k.config.Self.ID), Value: value, Lease: lease.id}}})
+	if errors.Is(err, store.ErrNotFound) {
+		k.granted = granted{}
+	}
+	if err != nil {
 		k.config.Log.LogAttrs(ctx, slog.LevelWarn, "this instance not entered in the list", slog.String("error", err.Error()))
-		return false
+		return k.answered(false)
 	}
 	k.mu.Lock()
-	k.lease, k.until, k.holder = id, now.Add(ttl), false
+	k.lease, k.until, k.terms, k.holder = lease.id, lease.until, lease.terms, false
 	k.mu.Unlock()
-	k.config.Log.LogAttrs(ctx, slog.LevelInfo, "lease granted", slog.Uint64("lease", uint64(id)), slog.Duration("ttl", ttl))
+	k.granted = granted{}
+	k.config.Log.LogAttrs(ctx, slog.LevelInfo, "entered under a lease", slog.Uint64("lease", uint64(lease.id)), slog.Duration("life", lease.terms.Life))
+	return true
+}
+
+// grant gets a lease to enter under, unless there is one from an attempt before.
+func (k *Keeper) grant(ctx context.Context, now time.Time, size int) bool {
+	if k.granted.id != 0 && now.Before(k.granted.until) {
+		return true
+	}
+	terms := pace.Member(size)
+	id, life, err := k.config.Table.Grant(ctx, terms.Life)
+	if err != nil {
+		k.config.Log.LogAttrs(ctx, slog.LevelWarn, "no lease", slog.String("error", err.Error()))
+		return false
+	}
+	terms.Life = life
+	k.granted = granted{id, now.Add(life), terms}
 	return true
 }
 
 // move moves this instance's entry and rights under a new lease, a holder's or one of an
 // instance without a right.
 func (k *Keeper) move(ctx context.Context, now time.Time, holder bool) bool {
-	life := memberTime
+	terms := pace.Member(len(k.config.View.State().Instances))
 	if holder {
-		life = holderTime
+		terms = pace.Holder()
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	id, ttl, err := k.config.Table.Grant(call, life)
+	id, life, err := k.config.Table.Grant(call, terms.Life)
 	if err != nil {
 		k.config.Log.LogAttrs(ctx, slog.LevelWarn, "no other lease", slog.Bool("holder", holder), slog.String("error", err.Error()))
 		return false
@@ -82,19 +119,23 @@
 		return false
 	}
 	k.mu.Lock()
-	k.lease, k.until, k.holder, k.used = id, now.Add(ttl), holder, now
+	terms.Life = life
+	k.lease, k.until, k.terms, k.holder = id, now.Add(life), terms, holder
+	if holder {
+		k.used = now
+	}
 	for name, h := range k.held {
 		h.revision = revision
 		k.held[name] = h
 	}
 	k.mu.Unlock()
 	// The former lease has nothing left and ends by itself.
-	k.config.Log.LogAttrs(ctx, slog.LevelInfo, "moved under another lease", slog.Bool("holder", holder), slog.Uint64("lease", uint64(id)), slog.Duration("ttl", ttl))
+	k.config.Log.LogAttrs(ctx, slog.LevelInfo, "moved under another lease", slog.Bool("holder", holder), slog.Uint64("lease", uint64(id)), slog.Duration("life", life))
 	return true
 }
 
 // renew renews the lease. It returns false when there was no answer.
-func (k *Keeper) renew(ctx context.Context, now time.Time, lease store.LeaseID) bool {
+func (k *Keeper) renew(ctx context.Context, now time.Time, lease store.LeaseID, terms pace.Lease) bool {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := k.config.Table.Renew(call, lease)
@@ -102,14 +143,11 @@
 	defer k.mu.Unlock()
 	switch {
 	case err == nil:
-		k.until = now.Add(memberTime)
-		if k.holder {
-			k.until = now.Add(holderTime)
-		}
+		k.until = now.Add(terms.Life)
 		return true
 	case errors.Is(err, store.ErrNotFound):
 		k.config.Log.LogAttrs(ctx, slog.LevelWarn, "lease has ended, its rights are lost", slog.Uint64("lease", uint64(lease)))
-		k.lease, k.until = 0, time.Time{}
+		k.lease, k.until, k.told = 0, time.Time{}, false
 		clear(k.held)
 	default:
 		k.config.Log.LogAttrs(ctx, slog.LevelWarn, "lease not renewed", slog.Duration("left", k.until.Sub(now)), slog.String("error", err.Error()))
--- a/io/right/take.go
+++ b/io/right/take.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/pace"
 	"pomelofork/core/plan"
 	"pomelofork/core/rank"
-	"pomelofork/io/clock"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
@@ -28,48 +28,81 @@
 	if !live || state.Plan == nil {
 		return
 	}
-	all := state.Members()
-	var due []string
-	for _, want := range k.config.Wants(state) {
-		if right, ok := state.Rights[want.Name]; ok {
-			delete(k.free, want.Name)
-			k.adopt(ctx, now, want.Name, right, lease)
-			continue
-		}
-		since, ok := k.free[want.Name]
-		if !ok {
-			since = now
-			k.free[want.Name] = now
-		}
-		place := slices.IndexFunc(rank.Order(want.Name, want.Domain, all), func(m plan.Instance) bool { return m.ID == k.config.Self.ID })
-		if place < 0 {
-			place = len(all)
-		}
-		if now.Sub(since) >= time.Duration(place)*turn && !k.has(want.Name) {
-			due = append(due, want.Name)
-		}
+	k.compare(ctx, now, state, lease)
+	due := k.due(now, state)
+	if len(due) == 0 {
+		return
 	}
-	if len(due) > 0 && !k.isHolder() {
-		if !k.move(ctx, now, true) {
-			k.rest = clock.Now().Add(restAfter)
+	if !k.isHolder() && slices.ContainsFunc(due, func(v vacancy) bool { return !v.want.Patient || len(state.Instances) <= pace.PromptFleet }) {
+		if !k.answered(k.move(ctx, now, true)) {
 			return
 		}
 		k.mu.Lock()
 		lease = k.lease
 		k.mu.Unlock()
 	}
-	for batch := range slices.Chunk(due, maxEntries) {
-		// The rights are free for most of the time together, and a slow store takes as
-		// long for one as for all. Only after a conflict each is tried by itself.
-		if k.acquire(ctx, now, lease, batch...) || len(batch) == 1 {
+	// The rights are free for most of the time together, and a slow store takes as long
+	// for one as for all. Only after a conflict each is tried by itself.
+	if k.acquire(ctx, now, lease, due...) || len(due) == 1 {
+		return
+	}
+	for _, v := range due {
+		k.acquire(ctx, now, lease, v)
+	}
+}
+
+// compare takes in who holds the rights, if anything has changed since the last time.
+func (k *Keeper) compare(ctx context.Context, now time.Time, state *view.State, lease store.LeaseID) {
+	if k.seen == state.Changes && k.seenLease == lease {
+		return
+	}
+	k.seen, k.seenLease = state.Changes, lease
+	wants := k.config.Wants(state)
+	k.wants = len(wants)
+	former := k.free
+	k.free = map[string]vacancy{}
+	for _, want := range wants {
+		if right, ok := state.Rights[want.Name]; ok {
+			k.adopt(ctx, now, want, right, lease)
 			continue
 		}
-		for _, name := range batch {
-			k.acquire(ctx, now, lease, name)
+		v, ok := former[want.Name]
+		if !ok {
+			v.since = now
 		}
+		v.want = want
+		k.free[want.Name] = v
 	}
 }
 
+// due returns the free rights whose turn it is for this instance, as many as one
+// transaction takes. Those that rank before it have a turn each.
+func (k *Keeper) due(now time.Time, state *view.State) []vacancy {
+	if len(k.free) == 0 {
+		return nil
+	}
+	all := state.Members()
+	_, entered := state.Instances[k.config.Self.ID]
+	var due []vacancy
+	for name, v := range k.free {
+		turns := int(now.Sub(v.since) / turn)
+		if entered {
+			if _, ok := rank.Place(name, v.want.Domain, k.config.Self, all, turns); !ok {
+				continue
+			}
+		} else if turns < len(all) {
+			continue
+		}
+		if k.has(name) {
+			continue
+		}
+		if due = append(due, v); len(due) == maxEntries {
+			break
+		}
+	}
+	return due
+}
+
 // isHolder reports whether the lease is a holder's.
 func (k *Keeper) isHolder() bool {
 	k.mu.Lock()
@@ -87,14 +120,15 @@
 
 // adopt takes in who holds a right. One that a leaving holder handed over shows here, and
 // an acquisition whose answer was lost.
-func (k *Keeper) adopt(ctx context.Context, now time.Time, name string, right view.Right, lease store.LeaseID) {
+func (k *Keeper) adopt(ctx context.Context, now time.Time, want Want, right view.Right, lease store.LeaseID) {
+	name := want.Name
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	h, ok := k.held[name]
 	switch {
 	case right.Instance == k.config.Self.ID && right.Lease == lease:
 		if !ok {
-			h.since = now
+			h.since, h.patient, k.told = now, want.Patient, false
 			k.config.Log.LogAttrs(ctx, slog.LevelInfo, "right received", slog.String("right", name), slog.Uint64("revision", right.Revision))
 		}
 		if right.Revision > h.revision {
@@ -104,19 +138,22 @@
 	case ok && right.Revision > h.revision:
 		k.config.Log.LogAttrs(ctx, slog.LevelWarn, "right lost", slog.String("right", name), slog.String("holder", string(right.Instance)))
 		delete(k.held, name)
+		k.told = false
 	}
 }
 
 // acquire takes rights if all of them are still free. It returns false after a conflict.
-func (k *Keeper) acquire(ctx context.Context, now time.Time, lease store.LeaseID, names ...string) bool {
+func (k *Keeper) acquire(ctx context.Context, now time.Time, lease store.LeaseID, free ...vacancy) bool {
+	var names []string
 	txn := store.Txn{}
 	value, err := view.RightValue(k.config.Self.ID)
 	if err != nil {
 		k.config.Log.LogAttrs(ctx, slog.LevelError, "right not encoded", slog.String("error", err.Error()))
 		return true
 	}
-	for _, name := range names {
-		key := k.config.View.RightKey(name)
+	for _, v := range free {
+		names = append(names, v.want.Name)
+		key := k.config.View.RightKey(v.want.Name)
 		txn.Expected = append(txn.Expected, store.Condition{Key: key})
 		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value, Lease: lease})
 	}
@@ -125,27 +162,28 @@
 	revision, err := k.config.Table.Commit(call, txn)
 	if err != nil {
 		k.config.Log.LogAttrs(ctx, slog.LevelInfo, "rights not taken", slog.Any("rights", names), slog.String("error", err.Error()))
-		for _, name := range names {
+		for _, v := range free {
 			// The next attempt waits its turn anew.
-			k.free[name] = now
+			k.free[v.want.Name] = vacancy{v.want, now}
 		}
-		if !errors.Is(err, store.ErrConflict) {
-			k.rest = clock.Now().Add(restAfter)
-			return true
+		if errors.Is(err, store.ErrConflict) {
+			return false
 		}
-		return false
+		k.answered(false)
+		return true
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, name := range names {
-		k.held[name] = held{revision: revision, since: now}
+	for _, v := range free {
+		k.held[v.want.Name] = held{revision: revision, since: now, patient: v.want.Patient}
 	}
+	k.told = false
 	k.config.Log.LogAttrs(ctx, slog.LevelInfo, "rights taken", slog.Any("rights", names), slog.Uint64("revision", revision))
 	return true
 }
 
-// handOver gives the rights to the instances that rank next, under their leases.
-func (k *Keeper) handOver(ctx context.Context) {
+// handOver gives rights to the instances that rank next, under their leases.
+func (k *Keeper) handOver(ctx context.Context, names []string) {
 	state := k.config.View.State()
 	others := slices.DeleteFunc(state.Members(), func(m plan.Instance) bool { return m.ID == k.config.Self.ID || m.Lease == 0 })
 	if len(others) == 0 {
@@ -157,10 +195,11 @@
 	}
 	k.mu.Lock()
 	var txn store.Txn
-	for name, h := range k.held {
+	for _, name := range names {
+		h, ok := k.held[name]
 		next := rank.Order(name, domains[name], others)[0]
 		value, err := view.RightValue(next.ID)
-		if err != nil || len(txn.Puts) == maxEntries {
+		if !ok || err != nil || len(txn.Puts) == maxEntries {
 			continue
 		}
 		key := k.config.View.RightKey(name)
@@ -174,7 +213,7 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if _, err := k.config.Table.Commit(call, txn); err != nil {
-		k.config.Log.LogAttrs(ctx, slog.LevelWarn, "rights not handed over, they are free when the lease ends", slog.String("error", err.Error()))
+		k.config.Log.LogAttrs(ctx, slog.LevelWarn, "rights not handed over", slog.String("error", err.Error()))
 		return
 	}
 	k.config.Log.LogAttrs(ctx, slog.LevelInfo, "rights handed over", slog.Int("rights", len(txn.Puts)))
--- a/io/view/own.go
+++ b/io/view/own.go
@@ -48,7 +48,7 @@
 }
 
 // applyOwn takes an entry of our own in. It returns false for others.
-func (v *View) applyOwn(ctx context.Context, s *State, e store.Entry) bool {
+func (v *View) applyOwn(ctx context.Context, d *draft, e store.Entry) bool {
 	rest, ok := strings.CutPrefix(e.Key, v.config.Own)
 	if !ok {
 		return false
@@ -56,7 +56,7 @@
 	if name, ok := strings.CutPrefix(rest, instancePart); ok {
 		id := model.InstanceID(name)
 		if e.Removed {
-			delete(s.Instances, id)
+			d.dropInstance(id)
 			v.config.Log.LogAttrs(ctx, slog.LevelInfo, "instance gone", slog.String("instance", name))
 			return true
 		}
@@ -65,13 +65,17 @@
 			v.config.Log.LogAttrs(ctx, slog.LevelWarn, "entry of an instance not understood", slog.String("instance", name), slog.String("error", err.Error()))
 			return true
 		}
-		s.Instances[id] = plan.Instance{ID: id, Address: entry.Address, Domain: model.Domain(entry.Domain), Weight: entry.Weight, Lease: uint64(e.Lease)}
-		v.config.Log.LogAttrs(ctx, slog.LevelInfo, "instance lives", slog.String("instance", name), slog.Uint64("revision", e.Revision))
+		next := plan.Instance{ID: id, Address: entry.Address, Domain: model.Domain(entry.Domain), Weight: entry.Weight, Lease: uint64(e.Lease)}
+		if next == d.next.Instances[id] {
+			return true
+		}
+		d.setInstance(next)
+		v.logChange(ctx, d, "instance lives", slog.String("instance", name), slog.Uint64("revision", e.Revision))
 		return true
 	}
 	if name, ok := strings.CutPrefix(rest, rightPart); ok {
 		if e.Removed {
-			delete(s.Rights, name)
+			d.dropRight(name)
 			return true
 		}
 		var entry rightEntry
@@ -79,8 +83,12 @@
 			v.config.Log.LogAttrs(ctx, slog.LevelWarn, "entry of a right not understood", slog.String("right", name), slog.String("error", err.Error()))
 			return true
 		}
-		s.Rights[name] = Right{Instance: model.InstanceID(entry.Instance), Revision: e.Revision, Lease: e.Lease}
-		v.config.Log.LogAttrs(ctx, slog.LevelInfo, "right held", slog.String("right", name), slog.String("instance", entry.Instance), slog.Uint64("revision", e.Revision))
+		next := Right{Instance: model.InstanceID(entry.Instance), Revision: e.Revision, Lease: e.Lease}
+		if next == d.next.Rights[name] {
+			return true
+		}
+		d.setRight(name, next)
+		v.logChange(ctx, d, "right held", slog.String("right", name), slog.String("instance", entry.Instance), slog.Uint64("revision", e.Revision))
 	}
 	return true
 }
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,31 +46,6 @@
 	ServerKey(id model.ServerID) string
 }
 
-// Right is one right and who holds it.
-type Right struct {
-	// Instance is the holder.
-	Instance model.InstanceID
-	// Revision is that of the acquisition, which fences former holders off.
-	Revision uint64
-	// Lease is the holder's lease.
-	Lease store.LeaseID
-}
-
-// State is what is known at one time. It must not be changed.
-type State struct {
-	// Plan is the configuration in force, or nil.
-	Plan *plan.Plan
-	// Servers are the backend servers.
-	Servers map[model.ServerID]plan.Server
-	// Instances are the instances that live, this one included.
-	Instances map[model.InstanceID]plan.Instance
-	// Rights are the held rights by name.
-	Rights map[string]Right
-}
-
-// Members returns the instances that live.
-func (s *State) Members() []plan.Instance { return slices.Collect(maps.Values(s.Instances)) }
-
 // Config holds the parts of a view.
 type Config struct {
 	// Own is the prefix under which the instances keep their entries and rights.
@@ -103,7 +76,7 @@
 // New starts to watch.
 func New(ctx context.Context, c Config) *View {
 	v := &View{config: c, feed: newFeed()}
-	v.state.Store(&State{Servers: map[model.ServerID]plan.Server{}, Instances: map[model.InstanceID]plan.Instance{}, Rights: map[string]Right{}})
+	v.state.Store(&State{})
 	go func() { v.watch(ctx) }()
 	return v
 }
@@ -184,47 +157,58 @@
 	if len(news.Entries) == 0 && !news.All {
 		return
 	}
-	old := v.state.Load()
-	next := &State{Plan: old.Plan, Servers: maps.Clone(old.Servers), Instances: maps.Clone(old.Instances), Rights: maps.Clone(old.Rights)}
+	d := newDraft(v.state.Load())
 	now := clock.Now()
 	seen := map[string]bool{}
 	for _, e := range news.Entries {
 		seen[e.Key] = !e.Removed
-		v.apply(ctx, now, next, e)
+		v.apply(ctx, now, d, e)
 	}
 	if news.All {
-		v.dropMissing(ctx, now, next, seen)
+		v.dropMissing(ctx, now, d, seen)
+	}
+	if d.first {
+		v.config.Log.LogAttrs(ctx, slog.LevelInfo, "everything read", slog.Int("servers", len(d.next.Servers)), slog.Int("instances", len(d.next.Instances)),
+			slog.Int("rights", len(d.next.Rights)), slog.Uint64("revision", news.Revision))
+	}
+	v.state.Store(&d.next)
+	v.config.Changed(d.next)
+}
+
+// logChange logs a change of one entry. What is read at the start is told in one line:
+// in a large fleet it would be thousands.
+func (v *View) logChange(ctx context.Context, d *draft, what string, attrs ...slog.Attr) {
+	if !d.first {
+		v.config.Log.LogAttrs(ctx, slog.LevelInfo, what, attrs...)
 	}
-	v.state.Store(next)
-	v.config.Changed(*next)
 }
 
 // apply takes one entry in.
-func (v *View) apply(ctx context.Context, now time.Time, s *State, e store.Entry) {
-	if v.applyOwn(ctx, s, e) {
+func (v *View) apply(ctx context.Context, now time.Time, d *draft, e store.Entry) {
+	if v.applyOwn(ctx, d, e) {
 		return
 	}
 	if id, ok := v.config.Decoder.ServerID(e.Key); ok {
 		if e.Removed {
-			v.dropServer(ctx, now, s, id)
+			v.dropServer(ctx, now, d, id)
 			return
 		}
 		server, _, err := v.config.Decoder.Server(e)
 		if err != nil {
 			v.config.Log.LogAttrs(ctx, slog.LevelWarn, "entry of a server not understood", slog.String("server", string(id)), slog.String("error", err.Error()))
-			delete(s.Servers, id)
+			d.dropServer(id)
 			return
 		}
-		if held, ok := s.Servers[id]; ok && held.Draining {
+		if held, ok := d.next.Servers[id]; ok && held.Draining {
 			server.DrainingSince = held.DrainingSince
 		} else if server.Draining {
 			server.DrainingSince = now
 		}
-		if held, ok := s.Servers[id]; !ok || held.Draining != server.Draining || held.Primary != server.Primary || held.Address != server.Address {
-			v.config.Log.LogAttrs(ctx, slog.LevelInfo, "server changed", slog.String("server", string(id)), slog.String("service", string(server.Service)),
+		if held, ok := d.next.Servers[id]; !ok || held.Draining != server.Draining || held.Primary != server.Primary || held.Address != server.Address {
+			v.logChange(ctx, d, "server changed", slog.String("server", string(id)), slog.String("service", string(server.Service)),
 				slog.Bool("primary", server.Primary), slog.Bool("draining", server.Draining), slog.Uint64("revision", e.Revision))
 		}
-		s.Servers[id] = server
+		d.setServer(server)
 		return
 	}
 	if e.Removed {
@@ -235,15 +219,15 @@
 	case !ok:
 	case err != nil:
 		v.config.Log.LogAttrs(ctx, slog.LevelError, "configuration not understood, the former one stays", slog.Uint64("revision", e.Revision), slog.String("error", err.Error()))
-	case s.Plan == nil || next.Version() > s.Plan.Version():
+	case d.next.Plan == nil || next.Version() > d.next.Plan.Version():
 		v.config.Log.LogAttrs(ctx, slog.LevelInfo, "configuration in force", slog.Uint64("version", next.Version()), slog.Uint64("revision", e.Revision))
-		s.Plan = next
+		d.next.Plan = next
 	}
 }
 
 // dropServer takes the removal of a server's entry in.
-func (v *View) dropServer(ctx context.Context, now time.Time, s *State, id model.ServerID) {
-	server, ok := s.Servers[id]
+func (v *View) dropServer(ctx context.Context, now time.Time, d *draft, id model.ServerID) {
+	server, ok := d.next.Servers[id]
 	if !ok {
 		return
 	}
@@ -253,7 +237,7 @@
 		return
 	}
 	v.config.Log.LogAttrs(ctx, slog.LevelInfo, "server gone", slog.String("server", string(id)), slog.String("service", string(server.Service)))
-	delete(s.Servers, id)
+	d.dropServer(id)
 }
 
 // recheck drops a server whose entry has not come back.
@@ -264,29 +248,29 @@
 	if server, ok := old.Servers[id]; !ok || server.Revision != revision {
 		return
 	}
-	next := *old
-	next.Servers = maps.Clone(old.Servers)
-	delete(next.Servers, id)
+	d := newDraft(old)
+	d.dropServer(id)
 	v.config.Log.LogAttrs(ctx, slog.LevelInfo, "server gone, its entry did not come back", slog.String("server", string(id)))
-	v.state.Store(&next)
-	v.config.Changed(next)
+	v.state.Store(&d.next)
+	v.config.Changed(d.next)
 }
 
 // dropMissing removes what a full list doesn't hold.
-func (v *View) dropMissing(ctx context.Context, now time.Time, s *State, seen map[string]bool) {
-	for id := range s.Servers {
+func (v *View) dropMissing(ctx context.Context, now time.Time, d *draft, seen map[string]bool) {
+	listed := d.next
+	for id := range listed.Servers {
 		if !seen[v.config.Decoder.ServerKey(id)] {
-			v.dropServer(ctx, now, s, id)
+			v.dropServer(ctx, now, d, id)
 		}
 	}
-	for id := range s.Instances {
+	for id := range listed.Instances {
 		if !seen[v.InstanceKey(id)] {
-			delete(s.Instances, id)
+			d.dropInstance(id)
 		}
 	}
-	for name := range s.Rights {
+	for name := range listed.Rights {
 		if !seen[v.RightKey(name)] {
-			delete(s.Rights, name)
+			d.dropRight(name)
 		}
 	}
 }
