--- a/io/proxy/memo.go
+++ b/io/proxy/memo.go
@@ -10,12 +10,12 @@
 	value T
 }
 
-// get returns the kept value, or makes it for this count of the part's changes.
-func (m *memo[T]) get(count uint64, make func() T) T {
+// get returns the kept value, or works it out for this count of the part's changes.
+func (m *memo[T]) get(count uint64, work func() T) T {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.valid || m.count != count {
-		m.value, m.count, m.valid = make(), count, true
+		m.value, m.count, m.valid = work(), count, true
 	}
 	return m.value
 }
