--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -45,13 +45,6 @@
 	cutOffFor = time.Second
 	// tickEvery is the pause between two looks at what waits in the outlets.
 	tickEvery = 50 * time.Millisecond
-	// touchEvery is the pause between two looks whether this instance is out of touch
-	// alone, and staleAfter the age of the configuration that makes it ask: more than
-	// a watch of the store and a question to the watcher take together.
-	touchEvery = 400 * time.Millisecond
-	staleAfter = 2300 * time.Millisecond
-	// touchPeers is the number of peers that are asked.
-	touchPeers = 3
 )
 
 // Node is one instance.
