Share each account's rate among three mints in different failure domains

Cause: one instance gave out all of an account's rate. Ruled out: a shorter lease (an outage of the store would stop all accounts sooner); using the tolerance of the rate as a reserve (nothing would be left for delays on the way). Change: three mints each have a third of rate and burst, exact in sum; an entry asks the others when one is silent or has nothing.

--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -155,54 +155,6 @@
 	}()
 }
 
-// Draw implements entry.Fleet.
-func (n *Node) Draw(now time.Time, account model.AccountID, ahead int, patience time.Duration) (quota.Grant, bool) {
-	ask := relay.Draw{Account: account, Need: 1, Ahead: ahead, Patience: patience}
-	if grant, ok := n.drawHere(now, &ask); ok {
-		return grant, true
-	}
-	state := n.view.State()
-	holder, ok := state.Rights[rateRight(account)]
-	if !ok {
-		return quota.Grant{}, false
-	}
-	m, ok := state.Instances[holder.Instance]
-	if !ok || m.ID == n.config.Self.ID {
-		return quota.Grant{}, false
-	}
-	// A holder that is silent is no reason to hold the operation: elsewhere it may be
-	// served.
-	drawn, err := n.peer(m).Draw(now, &ask, max(patience, 0)+drawSlack)
-	if err != nil {
-		n.unreachable(m, err)
-		return quota.Grant{}, false
-	}
-	return quota.Grant{Tokens: drawn.Tokens, Delay: drawn.Delay, RetryAfter: drawn.RetryAfter}, drawn.Holds
-}
-
-// drawHere draws at this instance. It returns false when it has no right to give.
-func (n *Node) drawHere(now time.Time, ask *relay.Draw) (quota.Grant, bool) {
-	account := ask.Account
-	since, _, ok := n.keeper.Holds(now, rateRight(account))
-	p := n.view.State().Plan
-	if !ok || p == nil {
-		return quota.Grant{}, false
-	}
-	limits, ok := p.Account(account)
-	if !ok {
-		return quota.Grant{}, false
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	b, ok := n.buckets[account]
-	if !ok || !b.since.Equal(since) {
-		b = &bucket{quota: quota.NewBucket(since, limits.PerSecond, limits.Burst), since: since}
-		n.buckets[account] = b
-	}
-	b.quota.Set(now, limits.PerSecond, limits.Burst)
-	return b.quota.Draw(now, ask.Need, ask.Ahead, ask.Patience), true
-}
-
 // Look implements entry.Fleet.
 func (n *Node) Look(now time.Time, service model.ServiceID) (time.Time, model.Point, bool) {
 	state := n.view.State()
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -4,15 +4,15 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
@@ -28,14 +28,8 @@
 )
 
 const (
-	// rateGroups is the number of rights that the accounts' rates are spread over: a
-	// few more than the instances of a small fleet, and far fewer than accounts.
-	rateGroups = 8
 	// callSlack is the time that a peer's answer may take beyond the statement's own.
 	callSlack = 150 * time.Millisecond
-	// drawSlack is the time that the answer to a draw may take beyond the patience of
-	// the operation that waits for it: some tens of round trips.
-	drawSlack = 40 * time.Millisecond
 	// lookTimeout bounds the question for a service's newest point.
 	lookTimeout = 150 * time.Millisecond
 	// maxReaches bounds the instances that are tried for one order.
@@ -60,7 +54,8 @@
 	peers   map[string]*relay.Peer
 	order   map[model.ServerID][]plan.Instance
 	leads   map[model.ServiceID]context.CancelFunc
-	buckets map[model.AccountID]*bucket
+	buckets map[source]*bucket
+	mints   map[model.AccountID]*quota.Mints
 	// units is where this entry's transactions run.
 	units map[uint64]plan.Instance
 	packs *packs
@@ -71,11 +66,11 @@
 	// seen are the changes that were followed.
 	seen view.Changes
 
-	wanted memo[[]right.Want]
-	source memo[[]view.Source]
+	wanted  memo[[]right.Want]
+	sourced memo[[]view.Source]
 }
 
-// bucket is an account's bucket with the time since when its right is held.
+// bucket is a mint's bucket with the time since when its right is held.
 type bucket struct {
 	quota *quota.Bucket
 	since time.Time
@@ -85,7 +80,7 @@
 func Start(ctx context.Context, c Config) (*Node, error) {
 	n := &Node{
 		config: c, meter: newMeter(), outlets: map[model.ServerID]*pooler.Outlet{}, peers: map[string]*relay.Peer{},
-		order: map[model.ServerID][]plan.Instance{}, leads: map[model.ServiceID]context.CancelFunc{}, buckets: map[model.AccountID]*bucket{},
+		order: map[model.ServerID][]plan.Instance{}, leads: map[model.ServiceID]context.CancelFunc{}, buckets: map[source]*bucket{}, mints: map[model.AccountID]*quota.Mints{},
 		units: map[uint64]plan.Instance{}, ending: map[uint64]bool{}, cut: map[reach]time.Time{}, packs: newPacks(),
 	}
 	if err := relay.NewServer(relay.ServerConfig{Listener: c.Peers, Handler: &handler{n}, Gone: n.dropEntry, Log: c.Log}); err != nil {
@@ -147,8 +142,19 @@
 // wants works them out.
 func wants(s *view.State) []right.Want {
 	var out []right.Want
-	for g := range rateGroups {
-		out = append(out, right.Want{Name: fmt.Sprintf("rate-%d", g)})
+	domains := map[model.Domain]bool{}
+	for _, server := range s.Servers {
+		domains[server.Domain] = true
+	}
+	order := slices.Sorted(maps.Keys(domains))
+	for group := range rateGroups {
+		for mint := range quota.MaxMints {
+			want := right.Want{Name: mintRight(group, mint)}
+			if len(order) > 0 {
+				want.Domain = order[(group+mint)%len(order)]
+			}
+			out = append(out, want)
+		}
 	}
 	// A primary is watched from another failure domain, that of its first replica: who
 	// is cut off together with it can't have another one promoted.
@@ -171,11 +177,6 @@
 // leadRight names the right to watch over a service's primary.
 func leadRight(service model.ServiceID) string { return leadPart + string(service) }
 
-// rateRight names the right to give out an account's tokens.
-func rateRight(account model.AccountID) string {
-	return fmt.Sprintf("rate-%d", xxhash.Sum64String(string(account))%rateGroups)
-}
-
 // changed follows a change of what is known through the store.
 func (n *Node) changed(s *view.State) {
 	n.mu.Lock()
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -12,6 +12,7 @@
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
+	"pomelofork/core/quota"
 	"pomelofork/emul/seed"
 	"pomelofork/emul/table"
 	"pomelofork/io/store"
@@ -147,7 +148,11 @@
 		for _, want := range (&Node{}).wants(s) {
 			domains[want.Name] = want.Domain
 		}
-		Expect(domains).To(HaveLen(rateGroups + 2))
+		Expect(domains).To(HaveLen(rateGroups*quota.MaxMints + 2))
+		for group := range rateGroups {
+			Expect(domains[mintRight(group, 0)]).NotTo(Equal(domains[mintRight(group, 1)]), "an account's mints lie apart")
+			Expect(domains[mintRight(group, 1)]).NotTo(Equal(domains[mintRight(group, 2)]))
+		}
 		Expect(domains[leadRight("s")]).To(Equal(model.Domain("b")))
 		Expect(domains[leadRight("alone")]).To(Equal(model.Domain("d")))
 	})
--- a/io/proxy/source.go
+++ b/io/proxy/source.go
@@ -38,7 +38,7 @@
 // and watchers elsewhere. They are needed as well when this instance's own entry has
 // lapsed, which is when the store turns it away.
 func (n *Node) sources(s *view.State) []view.Source {
-	return n.source.get(s.Changes.Instances, func() []view.Source { return n.rankSources(s) })
+	return n.sourced.get(s.Changes.Instances, func() []view.Source { return n.rankSources(s) })
 }
 
 // rankSources works them out.
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -34,6 +34,8 @@
 type Draw struct {
 	// Account is the account.
 	Account model.AccountID
+	// Mint is which of the account's mints is asked.
+	Mint int
 	// Need is the number of tokens that operations wait for.
 	Need int
 	// Ahead is the number of tokens wanted beyond that.
@@ -44,7 +46,7 @@
 
 // Drawn is the result of Draw.
 type Drawn struct {
-	// Holds says that the instance holds the account's rate. Otherwise the rest is empty.
+	// Holds says that the instance holds the mint. Otherwise the rest is empty.
 	Holds bool
 	// Tokens is the number of tokens granted.
 	Tokens int
@@ -228,6 +230,7 @@
 
 func (m *Draw) put(w *writer) {
 	w.text(string(m.Account))
+	w.int(int64(m.Mint))
 	w.int(int64(m.Need))
 	w.int(int64(m.Ahead))
 	w.int(int64(m.Patience))
@@ -235,6 +238,7 @@
 
 func (m *Draw) get(r *reader) {
 	m.Account = model.AccountID(r.text())
+	m.Mint = int(r.int())
 	m.Need = int(r.int())
 	m.Ahead = int(r.int())
 	m.Patience = time.Duration(r.int())
