Leave the smaller side of a divided network before its word is old

Cause: the callers of the smaller side were refused until the configuration was 2.3 s old. In an outage of the store for all, an instance whose word happened to be older than its peers' sent its callers away, and took them back a moment later. A fleet that the store takes at once enters without a spread, which had cost 0.1 s after the loss of all.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -60,9 +60,13 @@
 func Holder() Lease { return Lease{Prompt, promptRenews} }
 
 // Spread returns the time over which the instances of a fleet of this size enter
-// themselves when all of them start at once.
+// themselves when all of them start at once: none for as many as the store takes at once.
 func Spread(instances int) time.Duration {
-	return time.Duration(instances) * entryWrites * time.Second / entries
+	writes := instances * entryWrites
+	if writes <= entries {
+		return 0
+	}
+	return time.Duration(writes) * time.Second / entries
 }
 
 // Repeat returns the mean pause before a call is repeated that the store hasn't answered,
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -44,7 +44,8 @@
 		most   time.Duration
 		least  time.Duration
 	}{
-		"7 spread":         {7, pace.Spread(7), 100 * time.Millisecond, 0},
+		"7 need no spread": {7, pace.Spread(7), 100 * time.Millisecond, 0},
+		"66 need none":     {66, pace.Spread(66), 500 * time.Millisecond, 400 * time.Millisecond},
 		"300 spread":       {300, pace.Spread(300), 100 * time.Millisecond, 0},
 		"783 spread":       {783, pace.Spread(783), 100 * time.Millisecond, 0},
 		"783 all at once":  {783, 0, 10 * time.Second, 5 * time.Second},
@@ -67,6 +68,10 @@
 	}
 }
 
+func TestASmallFleetEntersItselfAtOnce(t *testing.T) {
+	gomega.NewWithT(t).Expect(pace.Spread(7)).To(gomega.BeZero())
+}
+
 func TestExcess(t *testing.T) {
 	cases := map[string]struct{ held, rights, instances, want int }{
 		"a small fleet keeps what it has":       {9, 9, 7, 0},
--- a/io/proxy/draw.go
+++ b/io/proxy/draw.go
@@ -123,11 +123,13 @@
 		return quota.Grant{}, vacantRest, false
 	}
 	if !n.peer(m).Reachable(now) {
+		n.silence.Store(true)
 		return quota.Grant{}, silentRest, false
 	}
 	drawn, err := n.peer(m).Draw(now, ask, ask.Patience+drawSlack)
 	if err != nil {
 		n.unreachable(m, err)
+		n.silence.Store(true)
 		return quota.Grant{}, silentRest, false
 	}
 	return quota.Grant{Tokens: drawn.Tokens, Delay: drawn.Delay, RetryAfter: drawn.RetryAfter}, vacantRest, drawn.Holds
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -11,12 +11,14 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
 	"pomelofork/core/rank"
+	"pomelofork/core/touch"
 	"pomelofork/io/clock"
 	"pomelofork/io/entry"
 	"pomelofork/io/lead"
@@ -66,6 +68,10 @@
 	// seen are the changes that were followed.
 	seen view.Changes
 
+	// silence says that a peer was silent lately.
+	silence atomic.Bool
+	sense   touch.Sense
+
 	wanted  memo[[]right.Want]
 	sourced memo[[]view.Source]
 }
