Ask the store once more, without a wait, when a watch gets no answer

Cause: when the store forgets its history, watches that wait are never answered while other calls are. Test: a source whose watches are silent; before, the peer was asked.

--- a/io/view/view.go
+++ b/io/view/view.go
@@ -19,9 +19,14 @@
 	// that the configuration is the newest, and it is what a calm instance costs the
 	// store: one call in that time.
 	watchWait = time.Second
-	// callSlack is the time beyond watchWait after which an answer is given up: the
-	// store answers within some hundred milliseconds even when it is slow.
-	callSlack = 900 * time.Millisecond
+	// watchSlack is the time beyond watchWait after which the answer to a watch is given
+	// up: the store answers within some hundred milliseconds even when it is slow.
+	watchSlack = 500 * time.Millisecond
+	// checkTimeout bounds the question whether a source is well whose watch gave no
+	// answer. A watch may be cut without a word.
+	checkTimeout = 400 * time.Millisecond
+	// listTimeout bounds a question for everything, which is several pages.
+	listTimeout = 1900 * time.Millisecond
 	// retryPause and maxRetryPause bound the pause after a failed call, which doubles
 	// each time: calls that are turned away load the store as well.
 	retryPause    = 100 * time.Millisecond
@@ -98,10 +103,7 @@
 	picker := newPicker()
 	for ctx.Err() == nil {
 		source := picker.pick(clock.Now(), v.config.Sources(v.State()))
-		sent := clock.Now()
-		call, cancel := context.WithTimeout(ctx, watchWait+callSlack)
-		news, err := source.Ask(call, Question{After: after, All: !listed, Wait: watchWait})
-		cancel()
+		news, sent, err := v.ask(ctx, source, Question{After: after, All: !listed, Wait: watchWait})
 		if listed && errors.Is(err, store.ErrCompacted) {
 			// The source is well. It has to be asked for everything, and no other.
 			v.config.Log.LogAttrs(ctx, slog.LevelInfo, "changes are no longer known, asking for everything", slog.String("source", source.Name()), slog.Uint64("after", after))
@@ -139,6 +141,31 @@
 	}
 }
 
+// ask asks a source. A watch without an answer is followed by a question that needs no
+// wait, before the source counts as failed. It returns when the answered question was sent.
+func (v *View) ask(ctx context.Context, source Source, q Question) (News, time.Time, error) {
+	timeout := q.Wait + watchSlack
+	if q.All {
+		timeout = listTimeout
+	}
+	sent := clock.Now()
+	news, err := askWithin(ctx, source, q, timeout)
+	if err == nil || q.All || !errors.Is(err, context.DeadlineExceeded) {
+		return news, sent, err
+	}
+	v.config.Log.LogAttrs(ctx, slog.LevelInfo, "watch without an answer", slog.String("source", source.Name()), slog.Uint64("after", q.After))
+	q.Wait, sent = 0, clock.Now()
+	news, err = askWithin(ctx, source, q, checkTimeout)
+	return news, sent, err
+}
+
+// askWithin asks a source and gives up after a time.
+func askWithin(ctx context.Context, source Source, q Question, timeout time.Duration) (News, error) {
+	call, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return source.Ask(call, q)
+}
+
 // pause waits or returns when the context ends.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/io/view/view_test.go
+++ b/io/view/view_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -229,3 +230,51 @@
 		Eventually(version(follower)).WithTimeout(patience).Should(Equal(uint64(4)))
 	})
 })
+
+// deaf is a source whose watches get no answer, while other questions do.
+type deaf struct {
+	mu     sync.Mutex
+	asked  []time.Duration
+	answer view.News
+}
+
+func (d *deaf) Name() string { return "store" }
+
+func (d *deaf) Ask(ctx context.Context, q view.Question) (view.News, error) {
+	d.mu.Lock()
+	d.asked = append(d.asked, q.Wait)
+	d.mu.Unlock()
+	if q.All || q.Wait == 0 {
+		return d.answer, nil
+	}
+	<-ctx.Done()
+	return view.News{}, ctx.Err()
+}
+
+// other is a peer that must not be asked.
+type other struct{ asked atomic.Bool }
+
+func (o *other) Name() string { return "peer" }
+
+func (o *other) Ask(context.Context, view.Question) (view.News, error) {
+	o.asked.Store(true)
+	return view.News{}, errors.New("knows nothing")
+}
+
+var _ = Describe("A store whose watches get no answer after it forgot its history", func() {
+	It("is asked once more, without a wait, before a peer is", func() {
+		store, peer := &deaf{answer: view.News{Revision: 3}}, &other{}
+		v := start(store, peer)
+		Eventually(func() int {
+			store.mu.Lock()
+			defer store.mu.Unlock()
+			return len(store.asked)
+		}).WithTimeout(patience).Should(BeNumerically(">=", 5))
+		store.mu.Lock()
+		Expect(store.asked[1:5]).To(Equal([]time.Duration{time.Second, 0, time.Second, 0}))
+		store.mu.Unlock()
+		Expect(peer.asked.Load()).To(BeFalse())
+		_, known := v.Fresh()
+		Expect(known).To(BeTrue())
+	})
+})
