Have the mints of an account lie at different instances, always

Change: rights that stand in for each other are given away, one of a group at a time, to instances that hold none of the group. A new bucket accrues from when the right was seen free. Tests: three mints of one instance spread over three; a lost answer never leaves a right with two users. The stand-in can lose the answers of transactions alone.

--- a/emul/table/client.go
+++ b/emul/table/client.go
@@ -113,6 +113,9 @@
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	revision, err := c.table.commit(txn)
+	if fault == FaultLostTxn {
+		fault = FaultLost
+	}
 	return revision, leave(fault, err)
 }
 
--- a/emul/table/table.go
+++ b/emul/table/table.go
@@ -24,6 +24,9 @@
 	FaultSilent
 	// FaultLost does what a changing call asks and loses the answer.
 	FaultLost
+	// FaultLostTxn does what a transaction asks and loses the answer; other calls are
+	// answered.
+	FaultLostTxn
 )
 
 // Table is the service. The zero value isn't usable; see New.
--- a/io/right/keeper.go
+++ b/io/right/keeper.go
@@ -32,8 +32,8 @@
 	// restAfter is the mean pause after a call that the store didn't answer, in a fleet
 	// that is small enough to repeat its calls at that pace.
 	restAfter = 400 * time.Millisecond
-	// shedEvery is the pause between two looks whether this instance holds far more
-	// than its share.
+	// shedEvery is the pause between two looks whether this instance holds what others
+	// should.
 	shedEvery = 2 * time.Second
 )
 
@@ -47,6 +47,9 @@
 	// seconds. In a large fleet it lies under a long lease, and it is moved from
 	// instances that hold far more than others.
 	Patient bool
+	// Apart names rights that should lie at different instances, or is empty. They stand
+	// in for each other, so the loss of one instance should leave the others.
+	Apart string
 }
 
 // Config holds the parts of a keeper.
@@ -90,8 +93,8 @@
 
 	// free are the rights that are seen free.
 	free map[string]vacancy
-	// wants is the number of rights that somebody should hold.
-	wants int
+	// wants are the rights that somebody should hold, by name.
+	wants map[string]Want
 	// seen and seenLease say which state free was worked out from.
 	seen      view.Changes
 	seenLease store.LeaseID
@@ -102,6 +105,8 @@
 	// starts is when this instance may enter itself.
 	starts time.Time
 	shed   time.Time
+	// doubt is when a transfer without an answer is looked into.
+	doubt time.Time
 }
 
 // vacancy is a right that nobody holds.
@@ -197,7 +202,7 @@
 	if lease == 0 {
 		return
 	}
-	k.handOver(ctx, k.names())
+	k.handOver(ctx)
 	k.mu.Lock()
 	clear(k.held)
 	k.until, k.told = time.Time{}, false
--- a/io/right/shed.go
+++ b/io/right/shed.go
@@ -3,32 +3,85 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"pomelofork/core/pace"
+	"pomelofork/core/plan"
+	"pomelofork/io/view"
 )
 
-// spread gives patient rights away when this instance holds far more than its share: the
-// first instances of a fleet take all rights before the others are there.
+// spread gives rights away that others should hold: those that should lie apart, and
+// patient ones when this instance has far more than its share. The first instance of a
+// fleet takes all rights before the others are there.
 func (k *Keeper) spread(ctx context.Context, now time.Time) {
 	if now.Sub(k.shed) < shedEvery {
 		return
 	}
 	k.shed = now
-	size := len(k.config.View.State().Instances)
+	state := k.config.View.State()
 	k.mu.Lock()
-	var movable []string
-	for name, h := range k.held {
-		if h.patient {
-			movable = append(movable, name)
-		}
-	}
-	excess := min(pace.Excess(len(k.held), k.wants, size), len(movable), maxEntries)
 	live := now.Before(k.until) && !k.leaving
+	var names []string
+	for name := range k.held {
+		names = append(names, name)
+	}
 	k.mu.Unlock()
-	if excess == 0 || !live {
+	others := k.others(state)
+	if !live || len(others) == 0 {
+		return
+	}
+	slices.Sort(names)
+	to := k.apart(state, names, others)
+	k.excess(names, others, to)
+	if len(to) == 0 {
 		return
 	}
-	k.config.Log.LogAttrs(ctx, slog.LevelInfo, "holds more rights than others", slog.Int("rights", len(movable)), slog.Int("instances", size), slog.Int("to_move", excess))
-	k.handOver(ctx, movable[:excess])
+	k.config.Log.LogAttrs(ctx, slog.LevelInfo, "holds rights that others should", slog.Int("rights", len(names)), slog.Int("instances", len(others)+1), slog.Int("to_give", len(to)))
+	k.give(ctx, now, to)
+}
+
+// apart returns who gets which right because this instance holds another one of the same
+// group: one of each group at a time, so that the group's users notice little.
+func (k *Keeper) apart(state *view.State, names []string, others []plan.Instance) map[string]plan.Instance {
+	held := holders(state, k.wants)
+	kept := map[string]string{}
+	to := map[string]plan.Instance{}
+	for _, name := range names {
+		want := k.wants[name]
+		former, again := kept[want.Apart]
+		if want.Apart == "" || !again {
+			kept[want.Apart] = name
+			continue
+		}
+		if want.Domain == k.config.Self.Domain {
+			// This one belongs here more than the one that was to be kept.
+			want, kept[want.Apart] = k.wants[former], name
+		}
+		without := slices.DeleteFunc(slices.Clone(others), func(m plan.Instance) bool { return held[want.Apart][m.ID] })
+		next, ok := successor(want, without)
+		if !ok || slices.ContainsFunc(names, func(other string) bool { _, given := to[other]; return given && k.wants[other].Apart == want.Apart }) {
+			continue
+		}
+		to[want.Name] = next
+	}
+	return to
+}
+
+// excess adds the patient rights that are far beyond this instance's share.
+func (k *Keeper) excess(names []string, others []plan.Instance, to map[string]plan.Instance) {
+	surplus := min(pace.Excess(len(names), len(k.wants), len(others)+1), maxEntries) - len(to)
+	for _, name := range names {
+		want := k.wants[name]
+		if surplus <= 0 {
+			return
+		}
+		if _, given := to[name]; given || !want.Patient {
+			continue
+		}
+		if next, ok := successor(want, others); ok {
+			to[name] = next
+			surplus--
+		}
+	}
 }
--- a/io/right/shed_test.go
+++ b/io/right/shed_test.go
@@ -57,6 +57,39 @@
 		Expect(ok).To(BeTrue(), "a right that users wait for stays")
 	})
 
+	It("has rights that stand in for each other lie apart", func() {
+		t := table.New()
+		t.Set("config", nil)
+		wants := []right.Want{{Name: "rate-0", Apart: "rate"}, {Name: "rate-1", Apart: "rate"}, {Name: "rate-2", Apart: "rate"}}
+		first := joinFor(t, "first", wants)
+		Eventually(func() int { return first.count(wants) }).WithTimeout(patience).Should(Equal(3))
+		members := []*member{first, joinFor(t, "m1", wants), joinFor(t, "m2", wants)}
+		Eventually(func(g Gomega) {
+			for _, m := range members {
+				g.Expect(m.count(wants)).To(Equal(1))
+			}
+		}).WithTimeout(patience).Should(Succeed())
+		Consistently(func() int { return first.count(wants) }).WithTimeout(3 * time.Second).Should(Equal(1))
+	})
+
+	It("never has a right twice while it is given away without an answer", func() {
+		t := table.New()
+		t.Set("config", nil)
+		wants := []right.Want{{Name: "rate-0", Apart: "rate"}, {Name: "rate-1", Apart: "rate"}}
+		first := joinFor(t, "first", wants)
+		Eventually(func() int { return first.count(wants) }).WithTimeout(patience).Should(Equal(2))
+		first.client.SetFault(table.FaultLostTxn)
+		other := joinFor(t, "other", wants)
+		Eventually(func() int {
+			for _, want := range wants {
+				_, _, here := first.keeper.Holds(clock.Now(), want.Name)
+				_, _, there := other.keeper.Holds(clock.Now(), want.Name)
+				Expect(here && there).To(BeFalse(), want.Name)
+			}
+			return other.count(wants)
+		}).WithTimeout(patience).WithPolling(time.Millisecond).Should(Equal(1))
+	})
+
 	It("leaves its rights where they are when the instances are few", func() {
 		t := table.New()
 		t.Set("config", nil)
--- a/io/right/take.go
+++ b/io/right/take.go
@@ -7,9 +7,7 @@
 	"slices"
 	"time"
 
-	"pomelofork/core/model"
 	"pomelofork/core/pace"
-	"pomelofork/core/plan"
 	"pomelofork/core/rank"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
@@ -53,15 +51,19 @@
 
 // compare takes in who holds the rights, if anything has changed since the last time.
 func (k *Keeper) compare(ctx context.Context, now time.Time, state *view.State, lease store.LeaseID) {
+	if !k.doubt.IsZero() && now.After(k.doubt) {
+		k.doubt, k.seen = time.Time{}, view.Changes{}
+	}
 	if k.seen == state.Changes && k.seenLease == lease {
 		return
 	}
 	k.seen, k.seenLease = state.Changes, lease
 	wants := k.config.Wants(state)
-	k.wants = len(wants)
+	k.wants = make(map[string]Want, len(wants))
 	former := k.free
 	k.free = map[string]vacancy{}
 	for _, want := range wants {
+		k.wants[want.Name] = want
 		if right, ok := state.Rights[want.Name]; ok {
 			k.adopt(ctx, now, want, right, lease)
 			continue
@@ -175,46 +177,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, v := range free {
-		k.held[v.want.Name] = held{revision: revision, since: now, patient: v.want.Patient}
+		// Nobody has used the right since it was seen free.
+		k.held[v.want.Name] = held{revision: revision, since: v.since, patient: v.want.Patient}
 	}
 	k.told = false
 	k.config.Log.LogAttrs(ctx, slog.LevelInfo, "rights taken", slog.Any("rights", names), slog.Uint64("revision", revision))
 	return true
 }
-
-// handOver gives rights to the instances that rank next, under their leases.
-func (k *Keeper) handOver(ctx context.Context, names []string) {
-	state := k.config.View.State()
-	others := slices.DeleteFunc(state.Members(), func(m plan.Instance) bool { return m.ID == k.config.Self.ID || m.Lease == 0 })
-	if len(others) == 0 {
-		return
-	}
-	domains := map[string]model.Domain{}
-	for _, want := range k.config.Wants(state) {
-		domains[want.Name] = want.Domain
-	}
-	k.mu.Lock()
-	var txn store.Txn
-	for _, name := range names {
-		h, ok := k.held[name]
-		next := rank.Order(name, domains[name], others)[0]
-		value, err := view.RightValue(next.ID)
-		if !ok || err != nil || len(txn.Puts) == maxEntries {
-			continue
-		}
-		key := k.config.View.RightKey(name)
-		txn.Expected = append(txn.Expected, store.Condition{Key: key, Revision: h.revision})
-		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value, Lease: store.LeaseID(next.Lease)})
-	}
-	k.mu.Unlock()
-	if len(txn.Puts) == 0 {
-		return
-	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if _, err := k.config.Table.Commit(call, txn); err != nil {
-		k.config.Log.LogAttrs(ctx, slog.LevelWarn, "rights not handed over", slog.String("error", err.Error()))
-		return
-	}
-	k.config.Log.LogAttrs(ctx, slog.LevelInfo, "rights handed over", slog.Int("rights", len(txn.Puts)))
-}
