Count calls to the store, and ask it less while it is down

Counted, 570 of 8,200 were questions whether the store answers, asked by every instance during an outage. Change: counters of calls by kind and outcome at the metrics address; the store is asked only when most peers are silent.

--- a/core/touch/touch.go
+++ b/core/touch/touch.go
@@ -26,12 +26,12 @@
 	Asked, Silent int
 	// Ages are the ages of the configuration at those that answered and have one.
 	Ages []time.Duration
-	// Store says that the store answered.
+	// Store says that the store answered, or that nothing depends on it.
 	Store bool
 }
 
-// divided reports whether most of the asked peers are out of reach.
-func (s Survey) divided() bool { return 2*s.Silent > s.Asked }
+// Divided reports whether most of the asked peers are out of reach.
+func (s Survey) Divided() bool { return 2*s.Silent > s.Asked }
 
 // Sense is what an instance makes of its surroundings. The zero value is in touch. It isn't
 // safe for concurrent use.
@@ -55,7 +55,7 @@
 	newer := slices.ContainsFunc(survey.Ages, func(other time.Duration) bool { return other < age-newerBy })
 	// When the store is down for all, the peers are in reach and know no more. While the
 	// store answers, silent peers are the others' trouble.
-	s.away = age > StaleAfter && newer || !survey.Store && survey.divided()
+	s.away = age > StaleAfter && newer || !survey.Store && survey.Divided()
 	s.fresh = fresh
 }
 
--- a/io/proxy/meter.go
+++ b/io/proxy/meter.go
@@ -24,11 +24,12 @@
 	mu       sync.Mutex
 	answers  map[string]int64
 	repeated map[string]int64
+	calls    map[string]int64
 	latency  map[string]*hdrhistogram.Histogram
 }
 
 func newMeter() *meter {
-	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
+	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
 }
 
 // Statement implements entry.Meter.
@@ -52,11 +53,18 @@
 	m.repeated[fmt.Sprintf("attempts_repeated{code=%q}", code)]++
 }
 
+// StoreCall counts a call to the store.
+func (m *meter) StoreCall(call, outcome string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls[fmt.Sprintf("store_calls{call=%q,outcome=%q}", call, outcome)]++
+}
+
 // ServeHTTP writes one counter a line, and the quantiles of each route's latency.
 func (m *meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	m.mu.Lock()
 	var lines []string
-	for _, counters := range []map[string]int64{m.answers, m.repeated} {
+	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls} {
 		for name, n := range counters {
 			lines = append(lines, fmt.Sprintf("pomelofork_%s %d\n", name, n))
 		}
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -26,6 +26,7 @@
 	"pomelofork/io/relay"
 	"pomelofork/io/right"
 	"pomelofork/io/sock"
+	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
 
@@ -84,8 +85,10 @@
 
 // Start starts an instance. It stops its background work when the context ends.
 func Start(ctx context.Context, c Config) (*Node, error) {
+	meter := newMeter()
+	c.Table = store.Metered{Table: c.Table, Count: meter.StoreCall}
 	n := &Node{
-		config: c, meter: newMeter(), outlets: map[model.ServerID]*pooler.Outlet{}, peers: map[string]*relay.Peer{},
+		config: c, meter: meter, outlets: map[model.ServerID]*pooler.Outlet{}, peers: map[string]*relay.Peer{},
 		order: map[model.ServerID][]plan.Instance{}, leads: map[model.ServiceID]context.CancelFunc{}, buckets: map[source]*bucket{}, mints: map[model.AccountID]*quota.Mints{},
 		units: map[uint64]plan.Instance{}, ending: map[uint64]bool{}, cut: map[reach]time.Time{}, packs: newPacks(),
 	}
--- a/io/proxy/touch.go
+++ b/io/proxy/touch.go
@@ -34,10 +34,10 @@
 	n.entry.Isolate(n.sense.Away())
 }
 
-// survey asks some peers and the store, all at once.
+// survey asks some peers, all at once, and the store only if they leave it open whether
+// the network is divided.
 func (n *Node) survey(now time.Time) touch.Survey {
 	answers := make(chan touch.Survey)
-	go func() { answers <- touch.Survey{Store: n.storeAnswers()} }()
 	asked := 0
 	for id, m := range n.view.State().Instances {
 		if id == n.config.Self.ID {
@@ -50,12 +50,12 @@
 		go func() { answers <- n.ask(now, m) }()
 	}
 	sum := touch.Survey{Asked: asked}
-	for range asked + 1 {
+	for range asked {
 		one := <-answers
 		sum.Ages = append(sum.Ages, one.Ages...)
 		sum.Silent += one.Silent
-		sum.Store = sum.Store || one.Store
 	}
+	sum.Store = !sum.Divided() || n.storeAnswers()
 	return sum
 }
 
