--- a/io/pooler/outlet.go
+++ b/io/pooler/outlet.go
@@ -18,9 +18,13 @@
 	// extraRunning is the number of statements sent beyond the slots, so that a slot
 	// doesn't stand idle for a round trip.
 	extraRunning = 1
-	// connMargin is the number of connections left to the instance that watches the
-	// service's primary, and to a new holder of the outlet.
+	// connMargin is the least number of connections left to the instance that watches
+	// the service's primary, and to a new holder of the outlet.
 	connMargin = 2
+	// freeShare is the divisor of the connections that are left free. A server keeps the
+	// connections of instances that lost power for some seconds, and takes new ones
+	// meanwhile only in what was left.
+	freeShare = 3
 	// defaultConns is the number of connections if the configuration doesn't say.
 	defaultConns = 16
 	// pinnedShare is the divisor of the connections that transactions may not hold.
@@ -97,7 +101,7 @@
 	}
 	return &Outlet{
 		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, log: c.Log,
-		limit: max(limit-connMargin, 1), line: wait.New[*ticket](c.Server.Slots),
+		limit: max(limit-max(connMargin, limit/freeShare), 1), line: wait.New[*ticket](c.Server.Slots),
 		links: map[*link]struct{}{}, units: map[unitKey]*link{}, opening: map[model.AccountID]int{},
 	}
 }
--- a/io/pooler/pooler_test.go
+++ b/io/pooler/pooler_test.go
@@ -1,6 +1,7 @@
 package pooler_test
 
 import (
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
@@ -225,3 +226,23 @@
 		}).WithTimeout(patience).Should(Equal(stmt.CodeDone))
 	})
 })
+
+var _ = Describe("A new holder of a server whose former holder lost power", func() {
+	It("gets connections while the server keeps the dead ones", func() {
+		const connections = 15
+		b := newBench(group.Config{Connections: connections})
+		// The former holder has served more accounts than it may have connections.
+		for i := range 2 * connections {
+			o := order(fmt.Sprint("q", i), "WRITE x 1", stmt.KindWrite)
+			o.Account = model.AccountID(fmt.Sprint("account", i))
+			Expect(b.run(o).Answer.Code).To(Equal(stmt.CodeDone))
+		}
+		next := b.to("p", connections)
+		for i := range 4 {
+			o := order(fmt.Sprint("n", i), "WRITE x 2", stmt.KindWrite)
+			o.Account = model.AccountID(fmt.Sprint("account", i))
+			// Its connections are held by transactions, so that each needs one of its own.
+			Expect(next.Run(clock.Now(), within(o, uint64(i+1), stmt.OpBegin)).Answer.Code).To(Equal(stmt.CodeDone))
+		}
+	})
+})
