Answer what waits for a transaction when its connection breaks

Cause: a statement of a transaction in line while the transaction's connection was closed had nothing to run on, and was answered only when its time was over. Change: dropping a connection refuses them as aborted, which is true: the transaction is rolled back and they were never sent. Test: before, the statement was answered after 2 s with the slots, now at once.

--- a/emul/group/group.go
+++ b/emul/group/group.go
@@ -158,6 +158,9 @@
 	return append([]string{}, g.broken...)
 }
 
+// Busy returns the number of slots that statements hold.
+func (s *Server) Busy() int { return len(s.slots) }
+
 // Entry returns what the server says of itself.
 func (s *Server) Entry() plan.Server {
 	s.group.mu.Lock()
--- a/io/pooler/finish.go
+++ b/io/pooler/finish.go
@@ -169,9 +169,19 @@
 	o.dispatch(now)
 }
 
-// drop closes a link. A job on it is ended by the reader.
+// drop closes a link. A job on it is ended by the reader, and statements that wait for
+// its transaction have nothing to wait for.
 func (o *Outlet) drop(l *link) {
-	o.unpin(l)
+	if key := l.unit; key != (unitKey{}) {
+		o.unpin(l)
+		o.line.Remove(func(t *ticket) bool {
+			if t.key != key {
+				return false
+			}
+			t.result <- refused(stmt.CodeAborted, "transaction is gone", 0)
+			return true
+		})
+	}
 	delete(o.links, l)
 	l.closed = true
 	if l.conn != nil {
--- a/io/pooler/pooler_test.go
+++ b/io/pooler/pooler_test.go
@@ -246,3 +246,27 @@
 		}
 	})
 })
+
+var _ = Describe("A statement that waits for the connection of its transaction", func() {
+	It("is answered at once when that connection breaks", func() {
+		b := newBench(group.Config{Work: 2 * time.Second})
+		Expect(b.run(within(order("w1", "WRITE x one", stmt.KindWrite), 7, stmt.OpBegin)).Answer.Code).To(Equal(stmt.CodeDone))
+		busy := make(chan stmt.Result, 3)
+		for i := range 3 {
+			o := order(fmt.Sprint("r", i), "READ x", stmt.KindRead)
+			o.Entry, o.Account = 2, model.AccountID(fmt.Sprint("other", i))
+			o.Target, o.Timeout = patience, patience
+			go func() { busy <- b.run(o) }()
+		}
+		Eventually(b.group.Server("p").Busy).WithTimeout(patience).Should(Equal(2))
+		waiting := make(chan stmt.Result, 1)
+		go func() { waiting <- b.run(within(order("w2", "WRITE x two", stmt.KindWrite), 7, stmt.OpPass)) }()
+		Consistently(waiting).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+		b.outlet.DropEntry(1)
+		var result stmt.Result
+		Eventually(waiting).WithTimeout(patience).Should(Receive(&result))
+		Expect(result.Answer.Code).To(Equal(stmt.CodeAborted))
+		Expect(result.NotSent).To(BeTrue())
+		Expect(busy).To(BeEmpty(), "nothing else has ended before")
+	})
+})
