Give a silent instance orders again only after it has answered

Cause: the machine of a process that is stopped accepts connections for it. Change: a peer lost for its silence is asked in the background, and is reached again with its answer. Test: a listener that accepts and never answers; before, it was reachable after 0.3 s.

--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"pomelofork/core/model"
-	"pomelofork/io/clock"
 )
 
 const (
@@ -65,8 +64,11 @@
 	away bool
 	// checking says that the peer is asked whether it lives.
 	checking bool
-	rest     time.Time
-	restErr  error
+	// silent says that the peer gave no answer and has to give one before it is used
+	// again: the machine of a process that is stopped accepts connections for it.
+	silent  bool
+	rest    time.Time
+	restErr error
 }
 
 // NewPeer returns the caller of an instance.
@@ -76,7 +78,7 @@
 func (p *Peer) Reachable(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.client != nil || !now.Before(p.rest)
+	return p.client != nil || (!p.silent && !now.Before(p.rest))
 }
 
 // Run runs an order at the peer.
@@ -162,7 +164,8 @@
 		p.forget(client)
 		p.lost(errSilent)
 		p.restErr = fmt.Errorf("%w: %w", ErrNotSent, errSilent)
-		p.rest = clock.Now().Add(restAfter)
+		p.silent = true
+		go func() { p.revive() }()
 	})
 }
 
@@ -179,7 +182,7 @@
 	if p.client != nil {
 		return p.client, nil
 	}
-	if now.Before(p.rest) {
+	if p.silent || now.Before(p.rest) {
 		return nil, p.restErr
 	}
 	p.opening = make(chan struct{})
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -173,6 +173,24 @@
 		Eventually(done).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
 	})
 
+	It("gives a silent peer nothing to do until it answers again", func() {
+		// A process that is stopped has its connections accepted by its machine.
+		frozen, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		peer = relay.NewPeer(relay.PeerConfig{Name: "p", Address: frozen.Addr().String(), Dial: (&dialer{}).dial, Log: slog.New(slog.DiscardHandler)})
+		_, err = peer.Run(clock.Now(), &relay.Run{}, 10*time.Second)
+		Expect(err).To(MatchError(relay.ErrLost))
+		Consistently(func() bool { return peer.Reachable(clock.Now()) }, time.Second).Should(BeFalse())
+		_, err = peer.Run(clock.Now(), &relay.Run{}, 10*time.Second)
+		Expect(err).To(MatchError(relay.ErrNotSent))
+		By("going on with it as soon as it answers")
+		Expect(relay.NewServer(relay.ServerConfig{Listener: frozen, Handler: h, Gone: func(uint64) {}, Log: slog.New(slog.DiscardHandler)})).To(Succeed())
+		DeferCleanup(func() { _ = frozen.Close() })
+		Eventually(func() bool { return peer.Reachable(clock.Now()) }).WithTimeout(10 * time.Second).Should(BeTrue())
+		_, err = peer.Run(clock.Now(), &relay.Run{}, 10*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("gives up a peer that has fallen silent", func() {
 		silent, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
