Serve all accounts by turns when a server takes no more connections

Cause: a holder that is frozen or cut off keeps its connections at the server, so the next one gets fewer than its limit. Change: the number of connections that the server took holds for a second; an account without one gets that of an idle other account, and its statements wait for it.

--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -74,7 +74,7 @@
 				free++
 			}
 		}
-		if free >= min(waiting[account], o.server.Slots) || !o.makeRoom(account) {
+		if free >= min(waiting[account], o.server.Slots) || !o.makeRoom(now, account) {
 			continue
 		}
 		o.opening[account]++
@@ -85,8 +85,12 @@
 
 // makeRoom reports whether a connection may be opened, after closing an idle one of
 // another account if need be.
-func (o *Outlet) makeRoom(account model.AccountID) bool {
-	if len(o.links) < o.limit {
+func (o *Outlet) makeRoom(now time.Time, account model.AccountID) bool {
+	limit := o.limit
+	if now.Before(o.fullUntil) {
+		limit = min(limit, o.full)
+	}
+	if len(o.links) < limit {
 		return true
 	}
 	var oldest *link
--- a/io/pooler/finish.go
+++ b/io/pooler/finish.go
@@ -21,13 +21,9 @@
 	}
 	if err != nil {
 		delete(o.links, l)
-		o.notBefore = now.Add(dialPause)
 		o.log.LogAttrs(context.Background(), slog.LevelWarn, "connection to a server not opened",
 			slog.String("server", string(o.server.ID)), slog.String("account", string(l.account)), slog.String("error", err.Error()))
-		if !errors.Is(err, ErrConnectionLimit) && o.downSince.IsZero() {
-			o.downSince = now
-		}
-		o.refuseAccount(l.account)
+		o.notOpened(now, l.account, errors.Is(err, ErrConnectionLimit))
 		o.dispatch(now)
 		return false
 	}
@@ -43,6 +39,21 @@
 	return true
 }
 
+// notOpened follows a connection that couldn't be opened. If the server takes no more
+// while others are open here, what waits gets one of theirs in turn.
+func (o *Outlet) notOpened(now time.Time, account model.AccountID, full bool) {
+	if full && len(o.links) > 0 {
+		o.notBefore = now.Add(fullPause)
+		o.full, o.fullUntil = len(o.links), now.Add(fullFor)
+		return
+	}
+	o.notBefore = now.Add(dialPause)
+	if !full && o.downSince.IsZero() {
+		o.downSince = now
+	}
+	o.refuseAccount(account)
+}
+
 // refuseAccount answers the waiting tickets of an account that has no connection left.
 func (o *Outlet) refuseAccount(account model.AccountID) {
 	for l := range o.links {
--- a/io/pooler/outlet.go
+++ b/io/pooler/outlet.go
@@ -31,6 +31,12 @@
 	pinnedShare = 4
 	// dialPause is the pause after a connection that couldn't be opened.
 	dialPause = 100 * time.Millisecond
+	// fullPause is the same of a server that takes no more connections while others are
+	// open: it takes a few round trips to notice that one was closed for a new one.
+	fullPause = 20 * time.Millisecond
+	// fullFor is the time for which no more connections are opened than such a server
+	// took. It keeps those of a machine that is gone for some seconds.
+	fullFor = time.Second
 	// readStall is the time after which the answer to a read that is alone at work
 	// is taken as lost; it is many times the cost of any statement.
 	readStall = 350 * time.Millisecond
@@ -78,8 +84,12 @@
 	latest  func(model.ServiceID) (time.Time, model.Point, bool)
 	log     *slog.Logger
 
-	mu        sync.Mutex
-	limit     int
+	mu    sync.Mutex
+	limit int
+	// full is the number of connections that the server took at last, which holds until
+	// fullUntil.
+	full      int
+	fullUntil time.Time
 	line      *wait.Line[*ticket]
 	links     map[*link]struct{}
 	units     map[unitKey]*link
--- a/io/pooler/pooler_test.go
+++ b/io/pooler/pooler_test.go
@@ -270,3 +270,34 @@
 		Expect(busy).To(BeEmpty(), "nothing else has ended before")
 	})
 })
+
+var _ = Describe("An outlet to a server that takes fewer connections than it may have", func() {
+	It("serves more accounts than it gets connections, by turns", func() {
+		const connections = 12
+		b := newBench(group.Config{Connections: connections, Work: time.Millisecond})
+		// Another holder, whose machine is stopped, keeps its own.
+		for i := range connections {
+			o := order(fmt.Sprint("q", i), "READ x", stmt.KindRead)
+			o.Account = model.AccountID(fmt.Sprint("account", i))
+			b.run(o)
+		}
+		next := b.to("p", connections)
+		const accounts, rounds = 8, 20
+		results := make(chan stmt.Result, accounts*rounds)
+		for i := range accounts {
+			go func() {
+				for n := range rounds {
+					o := order(fmt.Sprint("n", i, "-", n), "READ x", stmt.KindRead)
+					o.Account = model.AccountID(fmt.Sprint("account", i))
+					o.Target, o.Timeout = patience, patience
+					results <- next.Run(clock.Now(), o)
+				}
+			}()
+		}
+		for range accounts * rounds {
+			var result stmt.Result
+			Eventually(results).WithTimeout(patience).Should(Receive(&result))
+			Expect(result.Answer.Code).To(Equal(stmt.CodeDone), result.Answer.Text)
+		}
+	})
+})
