--- a/io/proxy/draw.go
+++ b/io/proxy/draw.go
@@ -152,8 +152,8 @@
 	return n.bucketOf(now, limits, ask.Mint, since).Draw(now, ask.Need, ask.Ahead, ask.Patience), true
 }
 
-// source is one mint of one account.
-type source struct {
+// mintKey is one mint of one account.
+type mintKey struct {
 	account model.AccountID
 	mint    int
 }
@@ -161,7 +161,7 @@
 // bucketOf returns the bucket of a mint that is held since a time. The lock is held.
 func (n *Node) bucketOf(now time.Time, limits plan.Account, mint int, since time.Time) *quota.Bucket {
 	perSecond, burst := quota.MintShare(limits.PerSecond, limits.Burst)
-	at := source{limits.ID, mint}
+	at := mintKey{limits.ID, mint}
 	b, ok := n.buckets[at]
 	if !ok || !b.since.Equal(since) {
 		b = &bucket{quota: quota.NewBucket(since, perSecond, burst), since: since}
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -4,12 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +18,6 @@
 	"pomelofork/core/touch"
 	"pomelofork/io/clock"
 	"pomelofork/io/entry"
-	"pomelofork/io/lead"
 	"pomelofork/io/pooler"
 	"pomelofork/io/relay"
 	"pomelofork/io/right"
@@ -57,7 +53,7 @@
 	peers   map[string]*relay.Peer
 	order   map[model.ServerID][]plan.Instance
 	leads   map[model.ServiceID]context.CancelFunc
-	buckets map[source]*bucket
+	buckets map[mintKey]*bucket
 	mints   map[model.AccountID]*quota.Mints
 	// units is where this entry's transactions run.
 	units map[uint64]plan.Instance
@@ -89,7 +85,7 @@
 	c.Table = store.Metered{Table: c.Table, Count: meter.StoreCall}
 	n := &Node{
 		config: c, meter: meter, outlets: map[model.ServerID]*pooler.Outlet{}, peers: map[string]*relay.Peer{},
-		order: map[model.ServerID][]plan.Instance{}, leads: map[model.ServiceID]context.CancelFunc{}, buckets: map[source]*bucket{}, mints: map[model.AccountID]*quota.Mints{},
+		order: map[model.ServerID][]plan.Instance{}, leads: map[model.ServiceID]context.CancelFunc{}, buckets: map[mintKey]*bucket{}, mints: map[model.AccountID]*quota.Mints{},
 		units: map[uint64]plan.Instance{}, ending: map[uint64]bool{}, cut: map[reach]time.Time{}, packs: newPacks(),
 	}
 	if err := relay.NewServer(relay.ServerConfig{Listener: c.Peers, Handler: &handler{n}, Gone: n.dropEntry, Log: c.Log}); err != nil {
@@ -107,7 +103,7 @@
 		Table: c.Table, View: n.view, Self: c.Self, Wants: n.wants, Log: c.Log,
 		Changed: func(held []string) {
 			<-ready
-			n.follow(ctx, held)
+			n.watchHeld(ctx, held)
 		},
 	})
 	n.entry = entry.New(entry.Config{
@@ -143,49 +139,6 @@
 	}()
 }
 
-// wants returns the rights that somebody should hold.
-func (n *Node) wants(s *view.State) []right.Want {
-	return n.wanted.get(s.Changes.Servers, func() []right.Want { return wants(s) })
-}
-
-// wants works them out.
-func wants(s *view.State) []right.Want {
-	var out []right.Want
-	domains := map[model.Domain]bool{}
-	for _, server := range s.Servers {
-		domains[server.Domain] = true
-	}
-	order := slices.Sorted(maps.Keys(domains))
-	for group := range rateGroups {
-		for mint := range quota.MaxMints {
-			want := right.Want{Name: mintRight(group, mint), Apart: fmt.Sprintf("rate-%d", group)}
-			if len(order) > 0 {
-				want.Domain = order[(group+mint)%len(order)]
-			}
-			out = append(out, want)
-		}
-	}
-	// A primary is watched from another failure domain, that of its first replica: who
-	// is cut off together with it can't have another one promoted.
-	first := map[model.ServiceID]plan.Server{}
-	for _, server := range s.Servers {
-		held, ok := first[server.Service]
-		if !ok || (held.Primary && !server.Primary) || (held.Primary == server.Primary && server.ID < held.ID) {
-			first[server.Service] = server
-		}
-	}
-	for service, server := range first {
-		out = append(out, right.Want{Name: leadRight(service), Domain: server.Domain, Patient: true})
-	}
-	return out
-}
-
-// leadPart begins the names of rights to watch over a primary.
-const leadPart = "lead-"
-
-// leadRight names the right to watch over a service's primary.
-func leadRight(service model.ServiceID) string { return leadPart + string(service) }
-
 // changed follows a change of what is known through the store.
 func (n *Node) changed(s *view.State) {
 	n.mu.Lock()
@@ -225,45 +178,6 @@
 	return closing
 }
 
-// follow watches over the primaries that this instance has the right to, and no others.
-func (n *Node) follow(ctx context.Context, held []string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	watched := map[model.ServiceID]bool{}
-	for _, name := range held {
-		if service, ok := strings.CutPrefix(name, leadPart); ok {
-			watched[model.ServiceID(service)] = true
-		}
-	}
-	for service := range watched {
-		if _, ok := n.leads[service]; !ok {
-			n.leads[service] = n.startLead(ctx, service)
-		}
-	}
-	for service, stop := range n.leads {
-		if !watched[service] {
-			stop()
-			delete(n.leads, service)
-		}
-	}
-}
-
-// startLead watches over a service's primary as long as this instance has the right to.
-func (n *Node) startLead(ctx context.Context, service model.ServiceID) context.CancelFunc {
-	ctx, cancel := context.WithCancel(ctx)
-	name := leadRight(service)
-	lead.New(ctx, lead.Config{
-		Service: service, View: n.view, Dialer: n.config.Dialer, Status: n.config.Status, Promoter: n.config.Promoter, Log: n.config.Log,
-		Holds: func(now time.Time) bool {
-			_, _, ok := n.keeper.Holds(now, name)
-			return ok
-		},
-		Fence:   func(ctx context.Context) (uint64, error) { return n.keeper.Fence(ctx, name) },
-		Observe: n.entry.Observe,
-	})
-	return cancel
-}
-
 // dropEntry rolls back the transactions of an instance that is gone.
 func (n *Node) dropEntry(run uint64) {
 	for _, o := range n.open() {
--- a/io/right/keeper.go
+++ b/io/right/keeper.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -250,62 +249,6 @@
 	return k.leaving
 }
 
-// care gets, changes or renews the lease when it is time to.
-func (k *Keeper) care(ctx context.Context, now time.Time, renewed *time.Time) {
-	size := len(k.config.View.State().Instances)
-	k.mu.Lock()
-	lease, terms, holder := k.lease, k.terms, k.holder
-	if k.prompt(size) {
-		k.used = now
-	}
-	needs := now.Sub(k.used) < unusedFor
-	k.mu.Unlock()
-	due := now.Sub(*renewed) >= terms.Renews
-	// Longer leases for a fleet that has grown can wait for the renewal.
-	outgrown := due && !needs && terms.Outgrown(size)
-	switch {
-	case lease == 0:
-		if k.enter(ctx, now) {
-			*renewed = now
-		}
-	case needs != holder || outgrown:
-		if k.answered(k.move(ctx, now, needs)) {
-			*renewed = now
-		}
-	case due:
-		if k.answered(k.renew(ctx, now, lease, terms)) {
-			*renewed = now
-		} else {
-			*renewed = k.rest.Add(-terms.Renews)
-		}
-	}
-}
-
-// prompt reports whether this instance holds a right whose holder must be missed soon. The
-// caller holds the lock.
-func (k *Keeper) prompt(size int) bool {
-	if size <= pace.PromptFleet {
-		return len(k.held) > 0
-	}
-	for _, h := range k.held {
-		if !h.patient {
-			return true
-		}
-	}
-	return false
-}
-
-// answered takes in whether the store has answered, and returns it. Without an answer the
-// store gets a rest, not the same from all instances: one that is busy with a fleet that
-// starts at once is kept busy by repeated calls.
-func (k *Keeper) answered(ok bool) bool {
-	if !ok {
-		mean := max(restAfter, pace.Repeat(len(k.config.View.State().Instances)))
-		k.rest = clock.Now().Add(mean/2 + rand.N(mean))
-	}
-	return ok
-}
-
 // tell passes on what this instance holds, if that has changed.
 func (k *Keeper) tell() {
 	k.mu.Lock()
