Say once which rights are missed soon and which are held

The predicate stood in two places, the list of held rights was collected twice, and the life of a prompt lease was exported without a user. Behaviour unchanged; linters and the tests of io/right, io/proxy and core/pace pass.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -10,10 +10,10 @@
 import "time"
 
 const (
-	// Prompt is the life of the lease of a holder whose rights are waited for. Shorter,
+	// prompt is the life of the lease of a holder whose rights are waited for. Shorter,
 	// and an outage of the store that users hardly notice would stop every account;
 	// longer, and the accounts of a silent holder wait for longer.
-	Prompt = 3500 * time.Millisecond
+	prompt = 3500 * time.Millisecond
 	// promptRenews is the pause between its renewals: four may fail.
 	promptRenews = 600 * time.Millisecond
 	// shortest and shortestRenews are the same of an instance that nobody waits for.
@@ -57,7 +57,7 @@
 }
 
 // Holder returns the lease of an instance whose rights are waited for.
-func Holder() Lease { return Lease{Prompt, promptRenews} }
+func Holder() Lease { return Lease{prompt, promptRenews} }
 
 // Spread returns the time over which the instances of a fleet of this size enter
 // themselves when all of them start at once: none for as many as the store takes at once.
--- a/io/right/care.go
+++ b/io/right/care.go
@@ -40,14 +40,15 @@
 	}
 }
 
+// missed reports whether users notice soon that nobody holds a right. In a small fleet all
+// holders can have a prompt lease.
+func missed(patient bool, size int) bool { return !patient || size <= pace.PromptFleet }
+
 // prompt reports whether this instance holds a right whose holder must be missed soon. The
 // caller holds the lock.
 func (k *Keeper) prompt(size int) bool {
-	if size <= pace.PromptFleet {
-		return len(k.held) > 0
-	}
 	for _, h := range k.held {
-		if !h.patient {
+		if missed(h.patient, size) {
 			return true
 		}
 	}
--- a/io/right/keeper.go
+++ b/io/right/keeper.go
@@ -260,11 +260,11 @@
 	}
 }
 
-// names returns the rights that this instance holds, by the last word.
+// names returns the rights that this instance holds, by the last word, in order.
 func (k *Keeper) names() []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return slices.Collect(maps.Keys(k.held))
+	return slices.Sorted(maps.Keys(k.held))
 }
 
 // Wake makes the keeper look for free rights now.
--- a/io/right/lease.go
+++ b/io/right/lease.go
@@ -107,7 +107,6 @@
 		return false
 	}
 	names := k.names()
-	slices.Sort(names)
 	// The entry takes the place of a right in the first transaction.
 	first := names[:min(len(names), maxRights-1)]
 	put := store.Put{Key: k.config.View.InstanceKey(k.config.Self.ID), Value: entry, Lease: id}
--- a/io/right/shed.go
+++ b/io/right/shed.go
@@ -22,16 +22,12 @@
 	state := k.config.View.State()
 	k.mu.Lock()
 	live := now.Before(k.until) && !k.leaving
-	var names []string
-	for name := range k.held {
-		names = append(names, name)
-	}
 	k.mu.Unlock()
+	names := k.names()
 	others := k.others(state)
 	if !live || len(others) == 0 {
 		return
 	}
-	slices.Sort(names)
 	to := k.apart(state, names, others)
 	k.excess(names, others, to)
 	if len(to) == 0 {
--- a/io/right/take.go
+++ b/io/right/take.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"pomelofork/core/pace"
 	"pomelofork/core/rank"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
@@ -32,7 +31,7 @@
 	if len(due) == 0 {
 		return
 	}
-	if !k.isHolder() && slices.ContainsFunc(due, func(v vacancy) bool { return !v.want.Patient || len(state.Instances) <= pace.PromptFleet }) {
+	if !k.isHolder() && slices.ContainsFunc(due, func(v vacancy) bool { return missed(v.want.Patient, len(state.Instances)) }) {
 		if !k.answered(k.move(ctx, now, true)) {
 			return
 		}
