--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -81,10 +81,23 @@
 // Reload checks every session against the configuration in force. Call it after each
 // change of the configuration. A session whose key was withdrawn ends: at once if no
 // statement is running, otherwise after the running statement, which is canceled when
-// withdrawalGracePeriod is over.
+// withdrawalGracePeriod is over. Reload waits for these statements, but no longer than that
+// period. Afterwards no statement with a withdrawn key begins.
 func (s *Server) Reload() {
+	var running []<-chan struct{}
 	for _, sess := range s.openSessions() {
-		sess.reload()
+		if ended := sess.reload(); ended != nil {
+			running = append(running, ended)
+		}
+	}
+	timer := time.NewTimer(withdrawalGracePeriod)
+	defer timer.Stop()
+	for _, ended := range running {
+		select {
+		case <-ended:
+		case <-timer.C:
+			return
+		}
 	}
 }
 
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -72,8 +72,10 @@
 	// of work.
 	idle      bool
 	idleSince time.Time
-	// cancelBatch cancels the running batch. It is nil while none runs.
+	// cancelBatch cancels the running batch, and batchEnded is closed when that batch ends.
+	// Both are nil while none runs.
 	cancelBatch context.CancelFunc
+	batchEnded  <-chan struct{}
 }
 
 func newSession(server *Server, conn net.Conn) *session {
@@ -242,18 +244,24 @@
 }
 
 // reload stops the session if its key isn't valid any more. It does nothing if the
-// instance has no configuration that is known to be current.
-func (s *session) reload() {
+// instance has no configuration that is known to be current. It returns a channel that is
+// closed when the running batch of a stopped session ends, or nil if there is none.
+func (s *session) reload() <-chan struct{} {
 	if !s.identified() || s.anonymous {
-		return
+		return nil
 	}
 	config, refusal := s.server.config.Directory.Config(s.now())
 	if refusal != nil {
-		return
+		return nil
 	}
-	if refusal := s.checkKey(config); refusal != nil {
-		s.stop(refusal, false)
+	refusal = s.checkKey(config)
+	if refusal == nil {
+		return nil
 	}
+	s.stop(refusal, false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.batchEnded
 }
 
 // checkKey returns a refusal if the key that opened the session isn't valid any more.
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -217,6 +217,27 @@
 		Expect(ts.gateway.ran.Load()).To(BeZero())
 	})
 
+	It("doesn't come before the end of a statement whose key was checked before the withdrawal", func() {
+		opened, proceed := make(chan struct{}), make(chan struct{})
+		ts.gateway.openErr = func(wire.Unit) error {
+			close(opened)
+			<-proceed
+			return nil
+		}
+		conn := ts.connectAnn(nil)
+		go func() { _, _ = query(conn, "SELECT 1") }()
+		Eventually(opened).Should(BeClosed())
+		withdrawn := make(chan struct{})
+		go func() {
+			ts.withdraw()
+			close(withdrawn)
+		}()
+		Consistently(withdrawn, 200*time.Millisecond).ShouldNot(BeClosed())
+		close(proceed)
+		Eventually(withdrawn).Should(BeClosed())
+		Eventually(ts.server.Sessions).Should(BeZero())
+	})
+
 	It("comes when the key is withdrawn inside a transaction, which is rolled back", func() {
 		conn := ts.connectAnn(nil)
 		_, err := conn.Exec(ctx, "BEGIN")
--- a/io/caller/unit.go
+++ b/io/caller/unit.go
@@ -24,14 +24,17 @@
 		s.backend.Send(errResponse)
 		return s.sendReady()
 	}
+	// The batch counts as running before the key is checked, so that a withdrawal that the
+	// check doesn't see waits for the batch.
+	batchCtx, cancelBatch := context.WithCancel(s.ctx)
+	defer cancelBatch()
+	defer s.beginBatch(cancelBatch)()
 	config, refusal := s.server.config.Directory.Config(s.now())
 	if refusal := s.checkOpenTransaction(config, refusal); refusal != nil {
 		return s.fatal(refusal)
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, s.batchTimeout(config))
+	ctx, cancel := context.WithTimeout(batchCtx, s.batchTimeout(config))
 	defer cancel()
-	s.setCancelBatch(cancel)
-	defer s.setCancelBatch(nil)
 	out := newSink(s.backend, steps)
 	result, err := s.runSteps(ctx, steps, out)
 	dropFailedStatements(s.statements, steps, out.accepted)
@@ -96,11 +99,19 @@
 	s.aborted = true
 }
 
-// setCancelBatch sets the function that cancels the running batch. It is nil while none runs.
-func (s *session) setCancelBatch(cancel context.CancelFunc) {
+// beginBatch records that a batch runs and how to cancel it. The returned function records
+// its end.
+func (s *session) beginBatch(cancel context.CancelFunc) func() {
+	ended := make(chan struct{})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cancelBatch = cancel
+	s.cancelBatch, s.batchEnded = cancel, ended
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.cancelBatch, s.batchEnded = nil, nil
+		close(ended)
+	}
 }
 
 // runSteps runs the steps on the stream of the open transaction, or starts a unit of work
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -154,7 +154,8 @@
 	case conf.OfferAccepted:
 		event.Log(context.Background(), n.config.Logger, event.ConfigInForce, version)
 		if n.callerServer != nil {
-			n.callerServer.Reload()
+			// Reload waits for running statements, and the next configuration must not.
+			go func() { n.callerServer.Reload() }()
 		}
 	}
 }
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -8,6 +8,7 @@
 
 	"pomelofork/core/model"
 	"pomelofork/core/stmt"
+	"pomelofork/io/clock"
 )
 
 // handleOpened handles the end of an attempt to open a connection. It returns false if
@@ -45,17 +46,33 @@
 // until one of these can be closed for them. Otherwise they are rejected.
 func (p *Pool) handleOpenFailure(now time.Time, account model.AccountID, limitReached bool) {
 	if limitReached && len(p.conns) > 0 {
-		p.nextOpen = now.Add(limitPause)
+		p.pauseOpening(now, limitPause)
 		p.observedLimit, p.observedLimitUntil = len(p.conns), now.Add(observedLimitPeriod)
 		return
 	}
-	p.nextOpen = now.Add(dialPause)
+	p.pauseOpening(now, dialPause)
 	if !limitReached && p.downSince.IsZero() {
 		p.downSince = now
 	}
 	p.refuseAccount(account)
 }
 
+// pauseOpening opens no connections for the given time, and dispatches the queue when it is
+// over: the queued statements may need a connection while nothing else happens.
+func (p *Pool) pauseOpening(now time.Time, pause time.Duration) {
+	p.nextOpen = now.Add(pause)
+	if p.openTimer != nil {
+		p.openTimer.Stop()
+	}
+	p.openTimer = time.AfterFunc(pause, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.closed {
+			p.dispatch(clock.Now())
+		}
+	})
+}
+
 // refuseAccount rejects the queued requests of an account that has no connection outside of
 // transactions. Requests of open transactions stay queued.
 func (p *Pool) refuseAccount(account model.AccountID) {
@@ -89,6 +106,7 @@
 		e.setupLeft--
 		if answer.Code != stmt.CodeDone && e.setupError == nil {
 			e.setupError = &answer
+			e.syncFailed = e.setupLeft >= e.setupRest
 		}
 		switch {
 		case e.setupLeft > 0:
@@ -123,7 +141,7 @@
 		result.Answer = stmt.Refuse(e.setupError.Code, stmt.StateIdle, e.setupError.Text)
 		result.Answer.Point = e.setupError.Point
 		result.NotSent = true
-		if last.State != stmt.StateIdle || !e.setupError.Code.NotRun() {
+		if last.State != stmt.StateIdle || !e.setupError.Code.NotRun() || e.syncFailed {
 			p.discard(sc)
 		}
 	} else if order.Statement.Kind != stmt.KindRollback && e.answer.Code == stmt.CodeDone {
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -131,7 +131,11 @@
 		sc.tx = r.key
 		p.transactions[r.key] = sc
 	}
-	sc.execution = &execution{request: r, setupLeft: len(setup), main: main, sentAt: now, provesPrimary: provesPrimary(r.order)}
+	setupRest := 0
+	if n := len(setup); n > 0 && (setup[n-1].Op == stmt.OpBegin || setup[n-1].Op == stmt.OpBeginRead) {
+		setupRest = 1
+	}
+	sc.execution = &execution{request: r, setupLeft: len(setup), setupRest: setupRest, main: main, sentAt: now, provesPrimary: provesPrimary(r.order)}
 	p.countRunning(now)
 	left := r.deadline.Sub(now)
 	if r.order.Reads() {
--- /dev/null
+++ b/io/pooler/faults_test.go
@@ -0,0 +1,189 @@
+package pooler_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/core/model"
+	"pomelofork/core/plan"
+	"pomelofork/core/stmt"
+	"pomelofork/emul/group"
+	"pomelofork/io/clock"
+	"pomelofork/io/pooler"
+)
+
+// scriptedConn is a connection whose answers a test chooses. It keeps what was sent.
+type scriptedConn struct {
+	mu   sync.Mutex
+	sent []stmt.Command
+	// answer returns the answer to a command, or false for none.
+	answer  func(stmt.Command) (stmt.Answer, bool)
+	answers chan stmt.Answer
+	// ended ends Receive when it is closed. Close does so unless holdEnd is true.
+	ended     chan struct{}
+	holdEnd   bool
+	closeOnce sync.Once
+}
+
+func newScriptedConn(answer func(stmt.Command) (stmt.Answer, bool)) *scriptedConn {
+	return &scriptedConn{answer: answer, answers: make(chan stmt.Answer, 64), ended: make(chan struct{})}
+}
+
+func (c *scriptedConn) Send(commands []stmt.Command) error {
+	for _, command := range commands {
+		c.mu.Lock()
+		c.sent = append(c.sent, command)
+		c.mu.Unlock()
+		if answer, ok := c.answer(command); ok {
+			c.answers <- answer
+		}
+	}
+	return nil
+}
+
+func (c *scriptedConn) Receive() (stmt.Answer, error) {
+	select {
+	case answer := <-c.answers:
+		return answer, nil
+	case <-c.ended:
+		return stmt.Answer{}, io.EOF
+	}
+}
+
+func (c *scriptedConn) SetDeadline(time.Time) error { return nil }
+
+func (c *scriptedConn) Close() error {
+	if !c.holdEnd {
+		c.closeOnce.Do(func() { close(c.ended) })
+	}
+	return nil
+}
+
+// texts returns the texts of the callers' statements that were sent.
+func (c *scriptedConn) texts() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var texts []string
+	for _, command := range c.sent {
+		if command.Op == stmt.OpPass {
+			texts = append(texts, command.Text)
+		}
+	}
+	return texts
+}
+
+// scriptedDialer returns its connections one after the other.
+type scriptedDialer struct {
+	mu    sync.Mutex
+	conns []*scriptedConn
+}
+
+func (d *scriptedDialer) Dial(context.Context, plan.Server, model.AccountID) (pooler.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.conns) == 0 {
+		return nil, pooler.ErrConnectionLimit
+	}
+	conn := d.conns[0]
+	d.conns = d.conns[1:]
+	return conn, nil
+}
+
+// newScriptedPool returns a pool for a primary that uses the given connections.
+func newScriptedPool(conns ...*scriptedConn) *pooler.Pool {
+	p := pooler.NewPool(pooler.Config{
+		Server: plan.Server{ID: "p", Service: "s", Slots: 2, Primary: true}, Dialer: &scriptedDialer{conns: conns}, Log: slog.New(slog.DiscardHandler),
+		Observe: func(model.ServiceID, time.Time, model.Point) {},
+		Latest:  func(model.ServiceID) (time.Time, model.Point, bool) { return time.Time{}, model.Point{}, false },
+	})
+	DeferCleanup(p.Close)
+	return p
+}
+
+// done answers every command with success.
+func done(c stmt.Command) (stmt.Answer, bool) {
+	if c.Op == stmt.OpBegin {
+		return stmt.Answer{State: stmt.StateOpen}, true
+	}
+	return stmt.Answer{}, true
+}
+
+var _ = Describe("A statement whose connection was given up while it ran", func() {
+	It("is not reported as never sent when its time is over before the connection has ended", func() {
+		conn := newScriptedConn(func(c stmt.Command) (stmt.Answer, bool) {
+			if c.Op == stmt.OpPass {
+				return stmt.Answer{}, false
+			}
+			return done(c)
+		})
+		conn.holdEnd = true
+		p := newScriptedPool(conn)
+		o := inTransaction(order("w1", "WRITE x one", stmt.KindWrite), 7, stmt.OpBegin)
+		o.Timeout = 300 * time.Millisecond
+		result := make(chan stmt.Result, 1)
+		go func() { result <- p.Run(clock.Now(), o) }()
+		Eventually(conn.texts).WithTimeout(waitTimeout).Should(HaveLen(1))
+		p.RollBackEntry(1)
+		Consistently(result, 2*o.Timeout).ShouldNot(Receive(HaveField("NotSent", true)))
+		close(conn.ended)
+		Eventually(result).WithTimeout(waitTimeout).Should(Receive(And(HaveField("NotSent", false), HaveField("Answer.Code", stmt.CodeConnectionLost))))
+	})
+})
+
+var _ = Describe("A connection whose session could not be given the caller's values", func() {
+	It("isn't used again, since its values aren't known", func() {
+		refusing := newScriptedConn(func(c stmt.Command) (stmt.Answer, bool) {
+			if c.Op == stmt.OpSet {
+				return stmt.Refuse(stmt.CodeBusy, stmt.StateIdle, "no slot"), true
+			}
+			return done(c)
+		})
+		next := newScriptedConn(done)
+		p := newScriptedPool(refusing, next)
+		o := order("r1", "READ x", stmt.KindRead)
+		o.Values = []stmt.Value{{Name: "n", Content: "1"}}
+		Expect(p.Run(clock.Now(), o)).To(And(HaveField("NotSent", true), HaveField("Answer.Code", stmt.CodeBusy)))
+		Expect(p.Run(clock.Now(), o).Answer.Code).To(Equal(stmt.CodeDone))
+		Expect(refusing.texts()).To(BeEmpty())
+		Expect(next.texts()).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("The rollback of a transaction that isn't open", func() {
+	It("is done", func() {
+		p := newScriptedPool(newScriptedConn(done))
+		o := order("-", "ROLLBACK", stmt.KindRollback)
+		Expect(p.Run(clock.Now(), o).Answer.Code).To(Equal(stmt.CodeDone))
+	})
+})
+
+var _ = Describe("A pool whose server has refused another connection", func() {
+	It("opens one after the pause although nothing else happens", func() {
+		const connections = 12
+		f := newFixture(group.Config{Connections: connections})
+		for i := range connections {
+			o := order(fmt.Sprint("q", i), "READ x", stmt.KindRead)
+			o.Account = model.AccountID(fmt.Sprint("account", i))
+			f.run(o)
+		}
+		// The first pool keeps two thirds of the server's connections. The others are idle ones
+		// of other accounts when the last statement arrives.
+		next := f.newPool("p", connections)
+		const accounts = 6
+		for i := range accounts {
+			o := order(fmt.Sprint("n", i), "READ x", stmt.KindRead)
+			o.Account = model.AccountID(fmt.Sprint("account", i))
+			o.Target, o.Timeout = waitTimeout, waitTimeout
+			result := make(chan stmt.Result, 1)
+			go func() { result <- next.Run(clock.Now(), o) }()
+			Eventually(result).WithTimeout(waitTimeout/2).Should(Receive(HaveField("Answer.Code", stmt.CodeDone)), "account %d", i)
+		}
+	})
+})
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -112,8 +112,10 @@
 	running int
 	// opening counts the connections being opened by client account.
 	opening map[model.AccountID]int
-	// nextOpen is the earliest time to open another connection.
-	nextOpen time.Time
+	// nextOpen is the earliest time to open another connection. openTimer dispatches the
+	// queue then.
+	nextOpen  time.Time
+	openTimer *time.Timer
 	// downSince is the time of the first failure to connect since the last success. Zero
 	// means that there was none.
 	downSince time.Time
@@ -138,7 +140,11 @@
 
 // Server returns the backend server with the role, the draining state and the revision of
 // the last Update.
-func (p *Pool) Server() plan.Server { return p.server }
+func (p *Pool) Server() plan.Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.server
+}
 
 // DownSince returns the time of the first failure to open a connection since the last
 // success, or the zero time. A refusal because of the limit of connections doesn't count.
@@ -165,32 +171,20 @@
 		return result
 	case <-timer.C:
 	}
+	queued := false
 	p.mu.Lock()
-	p.queue.Remove(func(other *request) bool { return other == r })
-	inFlight := p.inFlight(r)
+	p.queue.Remove(func(other *request) bool {
+		queued = queued || other == r
+		return other == r
+	})
 	p.mu.Unlock()
-	if !inFlight {
-		select {
-		case result := <-r.result:
-			return result
-		default:
-			return refused(stmt.CodeBusy, "no free slot in time", 0)
-		}
+	if queued {
+		return refused(stmt.CodeBusy, "no free slot in time", 0)
 	}
-	// The statement has been sent, so the deadline of its connection ends the wait.
+	// The statement has been sent or answered. The deadline of its connection ends the wait.
 	return <-r.result
 }
 
-// inFlight reports whether a connection is executing the request.
-func (p *Pool) inFlight(r *request) bool {
-	for sc := range p.conns {
-		if sc.execution != nil && sc.execution.request == r {
-			return true
-		}
-	}
-	return false
-}
-
 // refused returns the result of a statement that was never sent to the server. The caller
 // may retry after the given time.
 func refused(code stmt.Code, text string, after time.Duration) stmt.Result {
@@ -208,6 +202,9 @@
 	case inTransaction && p.transactions[r.key] == nil:
 		r.result <- refused(stmt.CodeAborted, "transaction is gone", 0)
 		return
+	case r.order.Statement.Kind == stmt.KindRollback && p.transactions[r.key] == nil:
+		r.result <- stmt.Result{Answer: stmt.Answer{Code: stmt.CodeDone}}
+		return
 	case r.order.Statement.Kind == stmt.KindRollback:
 		p.start(now, p.transactions[r.key], r)
 		return
@@ -301,6 +298,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	if p.openTimer != nil {
+		p.openTimer.Stop()
+	}
 	for _, item := range p.queue.RemoveAll() {
 		item.Value.result <- refused(stmt.CodeMoved, "server is gone", 0)
 	}
--- a/io/pooler/serverconn.go
+++ b/io/pooler/serverconn.go
@@ -54,6 +54,11 @@
 	// setupLeft is the number of outstanding answers to setup commands. All of them have to
 	// succeed before main is sent.
 	setupLeft int
+	// setupRest is the number of setup commands after those that change the session.
+	setupRest int
+	// syncFailed says that a command that changes the session failed, so that its state at
+	// the server isn't known.
+	syncFailed bool
 	// main is sent after the setup. The caller's statement comes first.
 	main []stmt.Command
 	// mainLeft is the number of outstanding answers to main, or zero until it is sent.
