After a loss of everything, let former holders keep their rights at once

Registrations are spread over three seconds, because the spread assumed the smallest store, and the rights of a former run became free only when its instance ended that run's lease while it registered.

Change: - An instance whose former run held rights registers at once and moves them to its new lease in the same transaction. Former leases aren't ended any more. - The spread follows the rate of the store in the settings. - The pause of a watch after changes grows with the fleet (core/pace). - A follower asks peers in other failure domains before the store, and the store at most once in an interval that grows with the fleet.

Ruled out: ending the leases of other instances as soon as their addresses refuse connections; a process that restarts has its rights sooner.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -32,11 +32,12 @@
 	// maxRenewalsPerSecond is the number of renewals a second for a whole fleet: a fifth of
 	// the 2,000 reads a second of the smallest known store, which counts renewals as reads.
 	maxRenewalsPerSecond = 400
-	// registerWritesPerSecond is the number of writes a second that a fleet may use to
-	// register: half of the 400 writes a second of that store.
-	registerWritesPerSecond = 200
-	// registerWrites is the number of writes with which one instance registers: it ends its
-	// former lease, obtains a new one and writes its entry.
+	// minStoreWrites is the number of writes a second that the smallest known store accepts.
+	minStoreWrites = 400
+	// registerShare is the part of the store's writes that a fleet may use to register.
+	registerShare = 0.5
+	// registerWrites is the number of writes with which one instance registers: it obtains a
+	// lease and writes its entry. The third is for one that ends its former lease.
 	registerWrites = 3
 )
 
@@ -68,21 +69,52 @@
 func HolderLease() Lease { return Lease{shortLeaseTTL, shortLeaseRenewInterval} }
 
 // StartupSpread returns the time over which the instances of a fleet of this size register
-// when all of them start at once. It is zero for a fleet that needs no more than one
-// second's writes.
-func StartupSpread(instances int) time.Duration {
-	writes := instances * registerWrites
-	if writes <= registerWritesPerSecond {
+// when all of them start at once, at a store that accepts the given number of writes a second.
+// It is zero for a fleet that needs no more than one second's writes.
+func StartupSpread(instances int, storeWrites float64) time.Duration {
+	perSecond := registerShare * max(storeWrites, minStoreWrites)
+	writes := float64(instances * registerWrites)
+	if writes <= registerShare*minStoreWrites {
 		return 0
 	}
-	return time.Duration(writes) * time.Second / registerWritesPerSecond
+	return time.Duration(writes / perSecond * float64(time.Second))
 }
 
 // RetryInterval returns the mean time after which an instance repeats a call that the store
 // did not answer. It is long enough for all instances of a fleet of this size to repeat
 // theirs at the same time.
 func RetryInterval(instances int) time.Duration {
-	return time.Duration(instances) * time.Second / registerWritesPerSecond
+	return time.Duration(float64(instances) / (registerShare * minStoreWrites) * float64(time.Second))
+}
+
+const (
+	// minWatchPause is the least pause of a watch after changes, and watchPausePerInstance
+	// what each instance adds: in a large fleet that starts, changes come all the time, and
+	// each watch that returns with one is a call.
+	minWatchPause         = 60 * time.Millisecond
+	watchPausePerInstance = 800 * time.Microsecond
+	// maxWatchPause keeps a change that matters, such as that of a primary, from waiting long.
+	maxWatchPause = 250 * time.Millisecond
+)
+
+// WatchPause returns the pause of a watch after changes, so that its next call returns those that
+// follow shortly after.
+func WatchPause(instances int) time.Duration {
+	return min(max(minWatchPause, time.Duration(instances)*watchPausePerInstance), maxWatchPause)
+}
+
+const (
+	// minDirectInterval is the least time between two queries to the store by an instance that
+	// should follow a watcher, and directPerSecond the number of such queries a second for a
+	// whole fleet whose watchers don't answer or have no recent content.
+	minDirectInterval = time.Second
+	directPerSecond   = 40
+)
+
+// DirectInterval returns the time between two queries to the store by an instance of a fleet of
+// this size that should follow a watcher.
+func DirectInterval(instances int) time.Duration {
+	return max(minDirectInterval, time.Duration(instances)*time.Second/directPerSecond)
 }
 
 const (
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -31,6 +31,9 @@
 	Metrics net.Listener
 	// Table is the platform's store.
 	Table store.Table
+	// StoreWrites is the number of writes a second that the store accepts from all instances
+	// together. Zero means that it isn't known.
+	StoreWrites float64
 	// Prefix is the prefix of the keys that are watched in the store.
 	Prefix string
 	// OwnPrefix is the prefix of the keys under which the instances write their registrations
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -85,6 +85,9 @@
 
 	rightsCache  derived[[]right.Spec]
 	sourcesCache derived[[]view.Source]
+	// lastDirect is when this instance last queried the store itself for its content, in Unix
+	// nanoseconds of package clock. Zero means never.
+	lastDirect atomic.Int64
 }
 
 // bucket is an issuer's token bucket, with the time since when this instance holds the
@@ -116,7 +119,7 @@
 		},
 	})
 	n.rights = right.NewManager(ctx, right.Config{
-		Table: c.Table, View: n.view, Self: c.Self, Wanted: n.wantedRights, Log: c.Log,
+		Table: c.Table, View: n.view, Self: c.Self, StoreWrites: c.StoreWrites, Wanted: n.wantedRights, Log: c.Log,
 		Changed: func(held []string) {
 			<-ready
 			n.updateMonitors(ctx, held)
--- a/io/proxy/source.go
+++ b/io/proxy/source.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pomelofork/core/model"
+	"pomelofork/core/pace"
 	"pomelofork/core/plan"
 	"pomelofork/core/rank"
 	"pomelofork/io/clock"
@@ -36,11 +37,32 @@
 
 // sources returns the sources of the store's content, best first. For a watcher that is
 // the store itself, and for the other instances the watchers of their failure domain.
-// The store and watchers of other failure domains come after them. The peers are also
+// Watchers of other failure domains come after them, and the store last. The peers are also
 // listed while this instance's own registration has expired, because that happens when the
 // store rejects its calls.
+//
+// An instance that isn't a watcher queries the store only now and then. In an outage of the
+// store no peer has recent content, and every instance would turn to the store otherwise.
 func (n *Node) sources(s *view.State) []view.Source {
-	return n.sourcesCache.get(s.ChangeCounts.Instances, func() []view.Source { return n.rankSources(s) })
+	all := n.sourcesCache.get(s.ChangeCounts.Instances, func() []view.Source { return n.rankSources(s) })
+	last := len(all) - 1
+	_, direct := all[last].(directSource)
+	if !direct || last == 0 || clock.Now().UnixNano()-n.lastDirect.Load() >= int64(pace.DirectInterval(len(s.Instances))) {
+		return all
+	}
+	return all[:last]
+}
+
+// directSource is the store itself as a source for an instance that isn't a watcher.
+type directSource struct {
+	view.StoreSource
+	node *Node
+}
+
+// Fetch implements view.Source.
+func (s directSource) Fetch(ctx context.Context, query view.Query) (view.Update, error) {
+	s.node.lastDirect.Store(clock.Now().UnixNano())
+	return s.StoreSource.Fetch(ctx, query)
 }
 
 // rankSources computes the result of sources.
@@ -71,7 +93,7 @@
 		shift := int(xxhash.Sum64String(string(n.config.Self.ID)) % uint64(len(near)))
 		near = append(near[shift:], near[:shift]...)
 	}
-	sources := append(near, direct)
+	sources := near
 	if watches {
 		sources = append([]view.Source{direct}, near...)
 	}
@@ -79,6 +101,9 @@
 	for _, inst := range far[:min(spareSources, len(far))] {
 		sources = append(sources, peerSource{n, inst})
 	}
+	if !watches {
+		sources = append(sources, directSource{direct, n})
+	}
 	return sources
 }
 
--- a/io/right/lease.go
+++ b/io/right/lease.go
@@ -19,11 +19,13 @@
 	// until is when the lease may expire.
 	until time.Time
 	terms pace.Lease
+	// short says that it is the short lease of a holder of rights.
+	short bool
 }
 
 // register obtains a lease and registers this instance under it, once registerAt has passed.
-// It first ends the lease of a former run of the same instance, which has stopped. It returns
-// whether the instance is registered.
+// An instance whose former run held rights registers at once and keeps them, because callers
+// need them as soon as they return. It returns whether the instance is registered.
 func (mgr *Manager) register(ctx context.Context, now time.Time) bool {
 	if _, ok := mgr.config.View.FreshAsOf(); !ok {
 		return false
@@ -32,19 +34,18 @@
 	if mgr.registerAt.IsZero() {
 		// The instances that are registered, or were until a moment ago, show how many start at
 		// the same time as this one.
-		mgr.registerAt = now.Add(rand.N(pace.StartupSpread(len(state.Instances)) + 1))
+		mgr.registerAt = now.Add(rand.N(pace.StartupSpread(len(state.Instances), mgr.config.StoreWrites) + 1))
+	}
+	kept := mgr.formerRights(state)
+	if len(kept) > 0 {
+		mgr.registerAt = now
 	}
 	if now.Before(mgr.registerAt) {
 		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if former, ok := state.Instances[mgr.config.Self.ID]; ok && former.Lease != 0 && former.Lease != uint64(mgr.unregistered.id) {
-		if err := mgr.config.Table.End(callCtx, store.LeaseID(former.Lease)); err != nil && !errors.Is(err, store.ErrNotFound) {
-			mgr.config.Log.LogAttrs(ctx, slog.LevelWarn, "lease of the former run not ended", slog.String("error", err.Error()))
-		}
-	}
-	if !mgr.pauseUnless(mgr.obtainLease(callCtx, now, len(state.Instances))) {
+	if !mgr.pauseUnless(mgr.obtainLease(callCtx, now, len(state.Instances), len(kept) > 0)) {
 		return false
 	}
 	value, err := view.InstanceValue(mgr.config.Self)
@@ -53,7 +54,14 @@
 		return mgr.pauseUnless(false)
 	}
 	lease := mgr.unregistered
-	_, err = mgr.config.Table.Commit(callCtx, store.Txn{Puts: []store.Put{{Key: mgr.config.View.InstanceKey(mgr.config.Self.ID), Value: value, Lease: lease.id}}})
+	txn := store.Txn{Puts: []store.Put{{Key: mgr.config.View.InstanceKey(mgr.config.Self.ID), Value: value, Lease: lease.id}}}
+	revision, err := mgr.keepRights(callCtx, txn, kept, lease)
+	if errors.Is(err, store.ErrConflict) {
+		// Another instance has acquired one of the rights, so it may acquire the others as well.
+		kept = nil
+		mgr.endFormerLease(callCtx, state)
+		revision, err = mgr.config.Table.Commit(callCtx, txn)
+	}
 	if errors.Is(err, store.ErrNotFound) {
 		mgr.unregistered = grantedLease{}
 	}
@@ -62,27 +70,38 @@
 		return mgr.pauseUnless(false)
 	}
 	mgr.mu.Lock()
-	mgr.lease, mgr.validUntil, mgr.terms, mgr.shortLease = lease.id, lease.until, lease.terms, false
+	mgr.lease, mgr.validUntil, mgr.terms, mgr.shortLease = lease.id, lease.until, lease.terms, lease.short
+	for _, former := range kept {
+		mgr.held[former.spec.Name] = heldRight{revision: revision, since: mgr.startedAt, nonUrgent: former.spec.NonUrgent}
+	}
+	if len(kept) > 0 {
+		mgr.lastUrgent, mgr.reported = now, false
+	}
 	mgr.mu.Unlock()
 	mgr.unregistered = grantedLease{}
-	mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "registered under a lease", slog.Uint64("lease", uint64(lease.id)), slog.Duration("life", lease.terms.TTL))
+	mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "registered under a lease", slog.Uint64("lease", uint64(lease.id)), slog.Duration("life", lease.terms.TTL),
+		slog.Int("kept_rights", len(kept)), slog.Uint64("revision", revision))
 	return true
 }
 
 // obtainLease obtains a lease to register under, unless one from an earlier attempt is still
-// valid. It returns false when the store granted none.
-func (mgr *Manager) obtainLease(ctx context.Context, now time.Time, size int) bool {
+// valid. A short one is for an instance that keeps rights. It returns false when the store granted
+// none.
+func (mgr *Manager) obtainLease(ctx context.Context, now time.Time, size int, short bool) bool {
 	if mgr.unregistered.id != 0 && now.Before(mgr.unregistered.until) {
 		return true
 	}
 	terms := pace.MemberLease(size)
+	if short {
+		terms = pace.HolderLease()
+	}
 	id, life, err := mgr.config.Table.Grant(ctx, terms.TTL)
 	if err != nil {
 		mgr.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot obtain a lease", slog.String("error", err.Error()))
 		return false
 	}
 	terms.TTL = life
-	mgr.unregistered = grantedLease{id, now.Add(life), terms}
+	mgr.unregistered = grantedLease{id, now.Add(life), terms, short}
 	return true
 }
 
--- a/io/right/manager.go
+++ b/io/right/manager.go
@@ -62,6 +62,9 @@
 	View *view.View
 	// Self is this instance, as it is to be registered.
 	Self plan.Instance
+	// StoreWrites is the number of writes a second that the store accepts from all instances
+	// together. Zero means that it isn't known.
+	StoreWrites float64
 	// Wanted returns the rights that some instance should hold.
 	Wanted func(*view.State) []Spec
 	// Changed is called after this instance has acquired, received or lost rights, with the
@@ -76,6 +79,8 @@
 // methods are safe for concurrent use.
 type Manager struct {
 	config Config
+	// startedAt is when this run of the instance began.
+	startedAt time.Time
 
 	mu sync.Mutex
 	// validUntil is when the lease may expire.
@@ -139,7 +144,7 @@
 
 // NewManager returns a Manager that obtains a lease and acquires rights until the context ends.
 func NewManager(ctx context.Context, c Config) *Manager {
-	mgr := &Manager{config: c, held: map[string]heldRight{}, free: map[string]freeRight{}, wake: make(chan struct{}, 1)}
+	mgr := &Manager{config: c, startedAt: clock.Now(), held: map[string]heldRight{}, free: map[string]freeRight{}, wake: make(chan struct{}, 1)}
 	go func() { mgr.run(ctx) }()
 	return mgr
 }
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/pace"
 	"pomelofork/core/plan"
 	"pomelofork/io/clock"
 	"pomelofork/io/store"
@@ -31,9 +32,6 @@
 	// The pause doubles with each failure, because rejected calls load the store as well.
 	retryPause    = 100 * time.Millisecond
 	maxRetryPause = 800 * time.Millisecond
-	// batchPause is the pause after an update with changes, so that one call returns the changes
-	// that follow shortly after.
-	batchPause = 60 * time.Millisecond
 	// expiryGrace is the time after a failed call for which a server that is not draining is
 	// kept although its entry was removed. An outage of the store may have let the entry expire,
 	// and running servers write theirs again within about two seconds of the store's return.
@@ -146,7 +144,7 @@
 		}
 		if len(update.Entries) > 0 {
 			// Changes often come in groups. One more call for each would load the store.
-			pause(ctx, batchPause)
+			pause(ctx, pace.WatchPause(len(v.State().Instances)))
 		}
 	}
 }
