Start with a few tokens after a loss of everything, and reuse leases

Callers come back at once, and every bucket starts empty, because nobody knows what the former run issued. And of the calls to the store at a restart two of three obtained a lease and wrote a registration that was already there.

An instance whose former run held no right renews that run's lease.

Ruled out: tokens for every new holder, since planned stops move rights several times within a window.

Tests: core/quota plays up to two losses within one window against the cap, and the return of all callers with and without the tokens; io/right.

--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -41,8 +41,13 @@
 // rounded up. It starts empty because the tokens that a former holder issued count against
 // the burst, and their number is unknown.
 func NewBucket(now time.Time, perSecond, burst float64) *Bucket {
+	return NewRestartedBucket(now, perSecond, burst, 0)
+}
+
+// NewRestartedBucket returns the same with the given number of tokens in it.
+func NewRestartedBucket(now time.Time, perSecond, burst float64, tokens int) *Bucket {
 	b := &Bucket{limiter: rate.NewLimiter(rate.Limit(perSecond), int(math.Ceil(burst)))}
-	b.limiter.ReserveN(now, b.limiter.Burst())
+	b.limiter.ReserveN(now, max(b.limiter.Burst()-tokens, 0))
 	return b
 }
 
--- a/core/quota/issuers_test.go
+++ b/core/quota/issuers_test.go
@@ -98,6 +98,82 @@
 	})
 }
 
+// TestRateHoldsOverRestarts does the same for an account whose issuers all end at once, up to
+// twice within one window, and start again after half a second with the tokens of a restart.
+func TestRateHoldsOverRestarts(t *testing.T) {
+	if err := seed.Fix(); err != nil {
+		t.Fatal(err)
+	}
+	bounds := quota.Cap{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(2, 80).Draw(t, "rate")
+		whole := float64(rapid.IntRange(1, 120).Draw(t, "burst"))
+		count := quota.IssuerCount(rate)
+		perSecond, burst := quota.IssuerShare(rate, whole)
+		caches := make([]quota.TokenCache, rapid.IntRange(1, 8).Draw(t, "entries"))
+		first := time.Duration(rapid.IntRange(0, 1600).Draw(t, "first")) * 5 * time.Millisecond
+		second := first + time.Duration(rapid.IntRange(150, 600).Draw(t, "second"))*5*time.Millisecond
+		const dark = 500 * time.Millisecond
+		var buckets [quota.MaxIssuers]*quota.Bucket
+		for i := range count {
+			buckets[i] = quota.NewBucket(start, perSecond, burst)
+		}
+		var used []time.Duration
+		for now := time.Duration(0); now < 12*time.Second; now += 5 * time.Millisecond {
+			if (now >= first && now < first+dark) || (now >= second && now < second+dark) {
+				clear(caches)
+				continue
+			}
+			if now == first+dark || now == second+dark {
+				for i := range count {
+					buckets[i] = quota.NewRestartedBucket(at(now), perSecond, burst, bounds.RestartTokens(rate, whole))
+				}
+			}
+			c := &caches[int(now/(5*time.Millisecond))%len(caches)]
+			if c.Spend(at(now)) {
+				used = append(used, now)
+				continue
+			}
+			for i := range count {
+				if grant := buckets[i].Draw(at(now), 1, c.PrefetchCount(), 30*time.Millisecond); grant.Tokens > 0 {
+					c.Add(at(now), grant.Tokens-1)
+					used = append(used, now+grant.Delay)
+					break
+				}
+			}
+		}
+		checkWindows(t, used, rate, whole)
+	})
+}
+
+var _ = Describe("An account whose issuers restart after a loss of everything", func() {
+	// serve sends the operations of half a second without instances and of the half second
+	// after it, at the account's usual rate, and returns the fraction granted.
+	serve := func(tokens int) float64 {
+		const rate, usual = 13.0, 8
+		bucket := quota.NewRestartedBucket(start, rate, 26, tokens)
+		granted := 0
+		for i := range usual {
+			// The callers of the time before come back at once.
+			now := time.Duration(max(i-usual/2, 0)) * second / usual
+			if bucket.Draw(at(now), 1, 0, quota.MaxWait(1)).Tokens > 0 {
+				granted++
+			}
+		}
+		return float64(granted) / usual
+	}
+
+	It("gets most of the returning operations served with the tokens of a restart", func() {
+		bounds := quota.Cap{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+		Expect(serve(3 * bounds.RestartTokens(13, 26))).To(Equal(1.0))
+		Expect(serve(0)).To(BeNumerically("<", 0.7))
+	})
+
+	It("gets none if the bounds aren't known", func() {
+		Expect(quota.Cap{}.RestartTokens(13, 26)).To(BeZero())
+	})
+})
+
 var _ = Describe("An account that uses five eighths of its rate", func() {
 	// serve sends ten seconds of the account's operations to count issuers. The holder of
 	// issuer 0 does not answer from 3 s to 7 s. It returns the fraction of operations
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pomelofork/core/plan"
+	"pomelofork/core/quota"
 	"pomelofork/io/entry"
 	"pomelofork/io/lead"
 	"pomelofork/io/pooler"
@@ -53,6 +54,8 @@
 	// KeyLife is the configuration age from which callers' keys are no longer accepted.
 	// Zero means no limit.
 	KeyLife time.Duration
+	// AccountCap is the limit on the operations of one client account.
+	AccountCap quota.Cap
 	// Grace is the time from the request to stop until the process ends in any case.
 	Grace time.Duration
 	// Log receives a record of each of the instance's decisions.
--- a/io/proxy/draw.go
+++ b/io/proxy/draw.go
@@ -166,13 +166,18 @@
 
 // issuerBucket returns the token bucket of an issuer whose right this instance has held
 // since the given time. A bucket from an earlier time as the holder is replaced by an
-// empty one. The caller holds the lock.
+// empty one, or by one with a few tokens if the right was kept over a restart. The caller
+// holds the lock.
 func (n *Node) issuerBucket(now time.Time, limits plan.Account, issuer int, since time.Time) *quota.Bucket {
 	perSecond, burst := quota.IssuerShare(limits.PerSecond, limits.Burst)
 	key := issuerKey{limits.ID, issuer}
 	b, ok := n.buckets[key]
 	if !ok || !b.since.Equal(since) {
-		b = &bucket{quota: quota.NewBucket(since, perSecond, burst), since: since}
+		tokens := 0
+		if n.rights.Kept(accountIssuerRight(limits.ID, issuer)) {
+			tokens = n.config.AccountCap.RestartTokens(limits.PerSecond, limits.Burst)
+		}
+		b = &bucket{quota: quota.NewRestartedBucket(since, perSecond, burst, tokens), since: since}
 		n.buckets[key] = b
 	}
 	b.quota.SetLimits(now, perSecond, burst)
--- a/io/right/former.go
+++ b/io/right/former.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"log/slog"
+	"time"
 
+	"pomelofork/core/pace"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
@@ -33,6 +35,41 @@
 	return rights
 }
 
+// reuseLease renews the lease of the former run of this instance, which saves the calls of a
+// registration. It is for a former run without rights: a peer that noticed its end may still end
+// the lease, and others may then acquire its rights while this run counts on them. It returns false
+// if there is no such lease any more.
+func (mgr *Manager) reuseLease(ctx context.Context, now time.Time, state *view.State) bool {
+	former, ok := state.Instances[mgr.config.Self.ID]
+	registered := mgr.config.Self
+	registered.Lease = former.Lease
+	if !ok || former.Lease == 0 || former != registered || mgr.unregistered.id != 0 || mgr.holdsRights(state) {
+		return false
+	}
+	if err := mgr.config.Table.Renew(ctx, store.LeaseID(former.Lease)); err != nil {
+		mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "lease of the former run not renewed", slog.Uint64("lease", former.Lease), slog.String("error", err.Error()))
+		return false
+	}
+	terms := pace.MemberLease(len(state.Instances))
+	// The former run may have replaced its lease by the short one shortly before its end.
+	terms.TTL = min(terms.TTL, pace.HolderLease().TTL)
+	mgr.mu.Lock()
+	mgr.lease, mgr.validUntil, mgr.terms, mgr.shortLease = store.LeaseID(former.Lease), now.Add(terms.TTL), terms, false
+	mgr.mu.Unlock()
+	mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "registered under the lease of the former run", slog.Uint64("lease", former.Lease))
+	return true
+}
+
+// holdsRights reports whether the store names this instance as the holder of a right.
+func (mgr *Manager) holdsRights(state *view.State) bool {
+	for _, right := range state.Rights {
+		if right.Instance == mgr.config.Self.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // keepRights moves the rights of the former run to a new lease, in one transaction with the puts of
 // txn. It fails with store.ErrConflict if one of them isn't held by the former run any more.
 func (mgr *Manager) keepRights(ctx context.Context, txn store.Txn, kept []formerRight, lease grantedLease) (uint64, error) {
--- a/io/right/lease.go
+++ b/io/right/lease.go
@@ -45,6 +45,9 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if len(kept) == 0 && mgr.reuseLease(callCtx, now, state) {
+		return true
+	}
 	if !mgr.pauseUnless(mgr.obtainLease(callCtx, now, len(state.Instances), len(kept) > 0)) {
 		return false
 	}
@@ -72,7 +75,7 @@
 	mgr.mu.Lock()
 	mgr.lease, mgr.validUntil, mgr.terms, mgr.shortLease = lease.id, lease.until, lease.terms, lease.short
 	for _, former := range kept {
-		mgr.held[former.spec.Name] = heldRight{revision: revision, since: mgr.startedAt, nonUrgent: former.spec.NonUrgent}
+		mgr.held[former.spec.Name] = heldRight{revision: revision, since: mgr.startedAt, nonUrgent: former.spec.NonUrgent, kept: true}
 	}
 	if len(kept) > 0 {
 		mgr.lastUrgent, mgr.reported = now, false
--- a/io/right/manager.go
+++ b/io/right/manager.go
@@ -140,6 +140,8 @@
 	since time.Time
 	// nonUrgent is the NonUrgent of the right's Spec.
 	nonUrgent bool
+	// kept says that the former run of this instance held the right until it ended.
+	kept bool
 }
 
 // NewManager returns a Manager that obtains a lease and acquires rights until the context ends.
@@ -162,6 +164,13 @@
 	return h.since, h.revision, true
 }
 
+// Kept reports whether this instance holds a right that its former run held until it ended.
+func (mgr *Manager) Kept(name string) bool {
+	mgr.mu.Lock()
+	defer mgr.mu.Unlock()
+	return mgr.held[name].kept
+}
+
 // LeaseValid reports whether this instance has a lease that has certainly not expired.
 func (mgr *Manager) LeaseValid(now time.Time) bool {
 	mgr.mu.Lock()
--- a/io/right/manager_test.go
+++ b/io/right/manager_test.go
@@ -222,6 +222,19 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	It("renews the lease of its former run if that held no right", func() {
+		a := joinFor(t, "a", nil)
+		Eventually(func() bool { return a.manager.LeaseValid(clock.Now()) }).WithTimeout(waitTimeout).Should(BeTrue())
+		entry, ok := t.Get("own/instance/a")
+		Expect(ok).To(BeTrue())
+		a.stop()
+		again := joinFor(t, "a", nil)
+		Eventually(func() bool { return again.manager.LeaseValid(clock.Now()) }).WithTimeout(waitTimeout).Should(BeTrue())
+		now, ok := t.Get("own/instance/a")
+		Expect(ok).To(BeTrue())
+		Expect(now).To(Equal(entry), "nothing was written")
+	})
+
 	// All instances of a large fleet lose power and start again. Their registrations are spread
 	// over minutes here, but callers need the issuers of tokens at once.
 	It("has its former rights at once when a whole fleet starts", func() {
