Let reads leave a server that has stopped answering

Cause: a replica goes dark while lookups arrive. The queued reads waited for the statements in flight to time out, and after that each instance in the order of holders opened connections to the dark server for up to half a second, although other servers were free. The users saw stock lookups hang.

Change: reads that another server may run are released when a server has given no answer for 200 ms, are refused while a lost server is being reconnected (except the one that tries), and aren't tried through further instances.

Tests: io/pooler "A server that stops answering", io/proxy "An order for a server that has stopped answering".

--- a/io/logs/explain.go
+++ b/io/logs/explain.go
@@ -23,7 +23,7 @@
 // lines name no request, but explain the outcome of the requests after them.
 var stateChanges = []string{
 	"server changed", "server gone", "configuration in force", "configuration confirmation", "right", "lease", "another primary", "promotion",
-	"primary", "instance", "isolation", "stopping", "started", "dropped",
+	"primary", "instance", "isolation", "stopped answering", "stopping", "started", "dropped",
 }
 
 // line is a parsed line of a log. text is its JSON, at its time.
--- a/io/pooler/faults_test.go
+++ b/io/pooler/faults_test.go
@@ -264,3 +264,42 @@
 		Expect(p.Run(clock.Now(), order("r1", "READ x", stmt.KindRead)).Answer.Code).To(Equal(stmt.CodeDone))
 	})
 })
+
+// A replica goes dark while lookups arrive: those in flight get no answer, and the others must not
+// wait behind them while other servers are free.
+var _ = Describe("A server that stops answering", func() {
+	// silent answers nothing that callers send.
+	silent := func(c stmt.Command) (stmt.Answer, bool) {
+		if c.Op == stmt.OpPass {
+			return stmt.Answer{}, false
+		}
+		return done(c)
+	}
+	// run runs a statement that may wait very long, and returns its result.
+	run := func(p *pooler.Pool, o *stmt.Order) <-chan stmt.Result {
+		o.Target, o.Timeout = waitTimeout, waitTimeout
+		result := make(chan stmt.Result, 1)
+		go func() { result <- p.Run(clock.Now(), o) }()
+		return result
+	}
+	notSent := And(HaveField("NotSent", true), HaveField("Answer.Code", stmt.CodeConnectionLost))
+
+	It("has its queued reads released to other servers, but no writes", func() {
+		first := newScriptedConn(silent)
+		p := newScriptedPool(first, newScriptedConn(silent), newScriptedConn(silent))
+		var inFlight []<-chan stmt.Result
+		for i := range 3 {
+			inFlight = append(inFlight, run(p, order(fmt.Sprint("r", i), "READ x", stmt.KindRead)))
+		}
+		Eventually(first.texts).WithTimeout(waitTimeout).ShouldNot(BeEmpty())
+		queued := run(p, order("q", "READ x", stmt.KindRead))
+		write := run(p, order("w", "WRITE x 1", stmt.KindWrite))
+		Eventually(func() <-chan stmt.Result {
+			p.Tick(clock.Now(), true)
+			return queued
+		}).WithTimeout(waitTimeout / 2).Should(Receive(notSent))
+		Expect(write).NotTo(Receive(), "only this server may run it")
+		Expect(p.Run(clock.Now(), order("n", "READ x", stmt.KindRead))).To(notSent)
+		Expect(inFlight[0]).NotTo(Receive(HaveField("NotSent", true)))
+	})
+})
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -48,6 +48,9 @@
 	// unresponsiveAfter is the time without any answer to the statements in flight after
 	// which new statements are rejected.
 	unresponsiveAfter = 400 * time.Millisecond
+	// silentAfter is the same for reads that another server may run. It is many times the
+	// time between two answers of a server under load.
+	silentAfter = 200 * time.Millisecond
 	// surplusIdleTimeout is the time after which an idle connection is closed when another
 	// instance should hold the server's connections.
 	surplusIdleTimeout = 300 * time.Millisecond
@@ -225,8 +228,11 @@
 	case !inTransaction && now.Before(p.nextOpen) && len(p.conns) == 0:
 		r.result <- refused(p.unreachable(), "no connection to the server", p.nextOpen.Sub(now))
 		return
-	case !inTransaction && p.running > 0 && now.Sub(p.lastAnswer) > unresponsiveAfter:
-		r.result <- refused(stmt.CodeConnectionLost, "server gives no answers", unresponsiveAfter)
+	case !inTransaction && p.silentFor(now) > unresponsiveAfter:
+		r.result <- refused(stmt.CodeConnectionLost, silentText, unresponsiveAfter)
+		return
+	case r.otherServerMayRun() && (p.silentFor(now) > silentAfter || p.reconnecting()):
+		r.result <- refused(stmt.CodeConnectionLost, silentText, silentAfter)
 		return
 	}
 	refusal, ok := p.queue.Add(now, wait.Item[*request]{
@@ -262,6 +268,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.queue.Len() > 0 {
+		p.releaseReads(now)
 		p.dispatch(now)
 	}
 	if holder {
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -47,6 +47,11 @@
 		if ok && got.NotSent && got.Answer.Code == stmt.CodeConnectionLost {
 			n.markPathFailed(now, inst, server.ID)
 			result = got
+			if order.Unit == 0 && order.Reads() && !order.NeedsPrimary() {
+				// Another server runs the read sooner than another instance finds out whether
+				// this one answers.
+				return got
+			}
 			continue
 		}
 		if ok {
--- /dev/null
+++ b/io/proxy/fleet_test.go
@@ -0,0 +1,92 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/core/epoch"
+	"pomelofork/core/model"
+	"pomelofork/core/plan"
+	"pomelofork/core/stmt"
+	"pomelofork/emul/kvsim"
+	"pomelofork/io/clock"
+	"pomelofork/io/relay"
+	"pomelofork/io/view"
+)
+
+// lostGateway is an instance whose server has stopped answering. It counts the orders.
+type lostGateway struct {
+	handler
+	orders *atomic.Int64
+}
+
+// Run implements relay.Handler.
+func (g *lostGateway) Run(_ *relay.RunRequest, result *relay.RunResponse) error {
+	g.orders.Add(1)
+	result.Result = stmt.Result{Answer: stmt.Refuse(stmt.CodeConnectionLost, stmt.StateIdle, "server gives no answers"), NotSent: true}
+	return nil
+}
+
+// newNodeWithGateways returns a node whose view has the given number of other instances, all of
+// which are lost gateways, and the count of their orders.
+func newNodeWithGateways(count int) (*Node, *atomic.Int64) {
+	table := kvsim.New()
+	orders := &atomic.Int64{}
+	log := slog.New(slog.DiscardHandler)
+	for i := range count {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = listener.Close() })
+		Expect(relay.NewServer(relay.ServerConfig{Listener: listener, Handler: &lostGateway{orders: orders}, Disconnected: func(uint64) {}, Log: log})).To(Succeed())
+		table.Set(fmt.Sprint("own/instance/g", i), []byte(fmt.Sprintf(`{"address":%q,"domain":"d","weight":1}`, listener.Addr())))
+	}
+	n := &Node{
+		config: Config{Self: plan.Instance{ID: "self"}, Log: log}, peers: map[string]*relay.Peer{}, holderOrder: map[model.ServerID][]plan.Instance{},
+		pathRetryAt: map[serverPath]time.Time{}, guards: map[model.ServiceID]*epoch.Guard{},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	n.view = view.New(ctx, view.Config{
+		OwnPrefix: "own/", Sources: func(*view.State) []view.Source { return []view.Source{view.StoreSource{Table: table.Client()}} }, Changed: func(view.State) {}, Log: log,
+	})
+	Eventually(func() int { return len(n.view.State().Instances) }).Should(Equal(count))
+	return n, orders
+}
+
+var _ = Describe("An order for a server that has stopped answering", func() {
+	server := plan.Server{ID: "s1", Service: "s", Domain: "d"}
+	for name, c := range map[string]struct {
+		order stmt.Order
+		asked int64
+	}{
+		"is tried at one instance if another server may run it": {stmt.Order{Statement: stmt.Statement{Kind: stmt.KindRead}, Timeout: time.Second}, 1},
+		"is tried at several if only this server may run it":    {stmt.Order{Statement: stmt.Statement{Kind: stmt.KindWrite}, Timeout: time.Second}, 3},
+	} {
+		It(name, func() {
+			n, orders := newNodeWithGateways(5)
+			result := n.Run(clock.Now(), server, &c.order)
+			Expect(result.NotSent).To(BeTrue())
+			Expect(orders.Load()).To(Equal(c.asked))
+		})
+	}
+})
+
+var _ = Describe("The guard of a service's primary", func() {
+	It("follows the appointments in the view and the withdrawals of peers", func() {
+		n, _ := newNodeWithGateways(1)
+		now := clock.Now()
+		Expect(n.allowsPrimary(now, "s", 0)).To(BeTrue())
+		n.withdrawLocally("s", 5)
+		Expect(n.allowsPrimary(now, "s", 4)).To(BeFalse())
+		Expect(n.allowsPrimary(now, "s", 5)).To(BeTrue())
+		Expect(n.allowsPrimary(now, "other", 0)).To(BeTrue())
+		Expect(n.allowsPrimary(now.Add(epoch.PermitLife+2*time.Second), "s", 5)).To(BeFalse(), "the view is too old by then")
+	})
+})
