--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -185,6 +185,10 @@
 			}
 		default:
 		}
+		if p.client != client {
+			// The connection was replaced meanwhile, and the check says nothing about the new one.
+			return
+		}
 		p.disconnectLocked(client)
 		p.markUnreachable(errUnresponsive)
 		p.unreachableErr = fmt.Errorf("%w: %w", ErrNotSent, errUnresponsive)
--- a/io/relay/reconnect.go
+++ b/io/relay/reconnect.go
@@ -33,6 +33,11 @@
 			continue
 		}
 		p.mu.Lock()
+		if p.client != nil {
+			// An error of closing doesn't matter, since the connection wasn't used.
+			_ = client.Close()
+			client = p.client
+		}
 		p.unresponsive, p.unreachable, p.client = false, false, client
 		p.mu.Unlock()
 		p.config.Log.LogAttrs(context.Background(), slog.LevelInfo, "instance is reached again", slog.String("instance", p.config.Name))
