--- a/io/proxy/isolation.go
+++ b/io/proxy/isolation.go
@@ -77,7 +77,5 @@
 func (n *Node) storeAnswers() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), surveyStoreTimeout)
 	defer cancel()
-	// The content of the answer doesn't matter, so a single small entry is requested.
-	_, _, err := n.config.Table.List(ctx, n.view.InstanceKey(n.config.Self.ID))
-	return err == nil
+	return n.rights.StoreAnswers(ctx)
 }
--- a/io/right/lease.go
+++ b/io/right/lease.go
@@ -188,6 +188,22 @@
 	return nil
 }
 
+// StoreAnswers reports whether the store answers a call of this instance. It renews the lease for
+// that, which costs the store less than a read.
+func (mgr *Manager) StoreAnswers(ctx context.Context) bool {
+	mgr.mu.Lock()
+	lease := mgr.lease
+	mgr.mu.Unlock()
+	var err error
+	if lease == 0 {
+		// The content of the answer doesn't matter, so a single small entry is requested.
+		_, _, err = mgr.config.Table.List(ctx, mgr.config.View.InstanceKey(mgr.config.Self.ID))
+	} else {
+		err = mgr.config.Table.Renew(ctx, lease)
+	}
+	return err == nil || errors.Is(err, store.ErrNotFound)
+}
+
 // renew renews the lease. It returns false when that failed. If the lease has ended, its rights
 // are no longer held.
 func (mgr *Manager) renew(ctx context.Context, now time.Time, lease store.LeaseID, terms pace.Lease) bool {
--- a/io/right/manager_test.go
+++ b/io/right/manager_test.go
@@ -235,6 +235,17 @@
 		Expect(now).To(Equal(entry), "nothing was written")
 	})
 
+	It("finds out whether the store answers, with and without a lease", func() {
+		a := joinFor(t, "a", nil)
+		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+		defer cancel()
+		Expect(a.manager.StoreAnswers(ctx)).To(BeTrue())
+		Eventually(func() bool { return a.manager.LeaseValid(clock.Now()) }).WithTimeout(waitTimeout).Should(BeTrue())
+		Expect(a.manager.StoreAnswers(ctx)).To(BeTrue())
+		a.client.SetFault(kvsim.FaultRefuse)
+		Expect(a.manager.StoreAnswers(ctx)).To(BeFalse())
+	})
+
 	// All instances of a large fleet lose power and start again. Their registrations are spread
 	// over minutes here, but callers need the issuers of tokens at once.
 	It("has its former rights at once when a whole fleet starts", func() {
