End the wait for a withdrawn primary with the registrations of its gateways

The monitor waited 3.9 s for gateways that could not answer, although their leases had ended before.

Change: a gateway uses a primary only while its registration in the store is certain, and after a gap in it only with a copy of the store from after the gap. So an instance whose registration has ended, as the monitor's own copy of the store shows after the withdrawal, counts as stopped. A former lease is reused only with its full lifetime, which the registration says now, and at once.

Ruled out: a shorter life of the permits, which would stop all primaries sooner in an outage of the store.

--- a/core/epoch/doc.go
+++ b/core/epoch/doc.go
@@ -5,9 +5,9 @@
 // replacement by writing an entry that appoints no server, which withdraws the former
 // appointment, and has another server promoted only after no instance uses the former one any
 // more. An instance passes on the work of a primary only with the epoch under which that work was
-// requested, and only while its copy of the store's content is recent (Guard). So an instance has
-// stopped when it has acknowledged the withdrawal, or when its copy must have become too old
-// (Withdrawal).
+// requested, and only while its copy of the store's content is recent and its registration in the
+// store certain (Guard). So an instance has stopped when it has acknowledged the withdrawal, when
+// its registration has ended, or when its copy must have become too old (Withdrawal).
 //
 // Load pattern: a network partition separates a primary from its replicas and from most
 // instances, while a few instances still reach it and their callers go on writing. The platform
--- a/core/epoch/guard.go
+++ b/core/epoch/guard.go
@@ -11,6 +11,23 @@
 	ClockSlack = 100 * time.Millisecond
 )
 
+// Permit is what entitles an instance to use primaries. An instance without contact to the store
+// loses it by itself.
+type Permit struct {
+	// Confirmed is the time as of which the instance's copy of the store's content was complete.
+	Confirmed time.Time
+	// Registered is the time since which the instance has been registered without a gap.
+	Registered time.Time
+	// ValidUntil is the time until which the instance is certainly registered.
+	ValidUntil time.Time
+}
+
+// valid reports whether the permit is in force. A copy from before a gap in the registration
+// doesn't count, since others may have taken the instance as stopped in the gap.
+func (p Permit) valid(now time.Time) bool {
+	return now.Sub(p.Confirmed) < PermitLife && now.Before(p.ValidUntil) && !p.Confirmed.Before(p.Registered)
+}
+
 // Guard decides, at one instance, whether the work of one service's primary may be passed on.
 // The zero value knows of no appointment. It isn't safe for concurrent use.
 type Guard struct {
@@ -28,8 +45,8 @@
 }
 
 // Allows reports whether work that was requested under an epoch may be sent to the primary, and
-// whether its answer may be passed on. confirmed is the time as of which the instance's copy of
-// the store's content was complete. Every appointment in that copy must have been given to Raise.
-func (g *Guard) Allows(now, confirmed time.Time, epoch uint64) bool {
-	return epoch >= g.epoch && now.Sub(confirmed) < PermitLife
+// whether its answer may be passed on. Every appointment in the instance's copy of the store's
+// content must have been given to Raise.
+func (g *Guard) Allows(now time.Time, permit Permit, epoch uint64) bool {
+	return epoch >= g.epoch && permit.valid(now)
 }
--- a/core/epoch/withdrawal.go
+++ b/core/epoch/withdrawal.go
@@ -1,7 +1,6 @@
 package epoch
 
 import (
-	"slices"
 	"time"
 
 	"pomelofork/core/model"
@@ -11,40 +10,45 @@
 // isn't safe for concurrent use.
 type Withdrawal struct {
 	writtenAt time.Time
-	pending   map[model.InstanceID]bool
+	// users are the registered instances that may use the primary. complete says that they are
+	// those of a time after the withdrawal was written.
+	users    []model.InstanceID
+	complete bool
+	stopped  map[model.InstanceID]bool
 }
 
-// NewWithdrawal returns the withdrawal of an appointment. instances are all that may use the
-// primary. writtenAt is a time at or after which the store had acknowledged the entry.
-func NewWithdrawal(writtenAt time.Time, instances []model.InstanceID) *Withdrawal {
-	w := &Withdrawal{writtenAt: writtenAt, pending: map[model.InstanceID]bool{}}
-	for _, id := range instances {
-		w.pending[id] = true
-	}
-	return w
+// NewWithdrawal returns the withdrawal of an appointment. writtenAt is a time at or after which the
+// store had acknowledged the entry.
+func NewWithdrawal(writtenAt time.Time) *Withdrawal {
+	return &Withdrawal{writtenAt: writtenAt, stopped: map[model.InstanceID]bool{}}
+}
+
+// Observe sets the registered instances that may use the primary, as known from a copy of the
+// store's content that was complete as of confirmed. Instances whose registration has ended since
+// are not among them: they have stopped, and use no primary before they know of the withdrawal.
+func (w *Withdrawal) Observe(confirmed time.Time, users []model.InstanceID) {
+	w.users, w.complete = users, !confirmed.Before(w.writtenAt)
 }
 
 // Stopped records that an instance doesn't use the primary any more: it acknowledged the
 // withdrawal, or its process has ended.
-func (w *Withdrawal) Stopped(id model.InstanceID) { delete(w.pending, id) }
+func (w *Withdrawal) Stopped(id model.InstanceID) { w.stopped[id] = true }
 
-// Pending returns the instances that may still use the primary at now, sorted.
-func (w *Withdrawal) Pending(now time.Time) []model.InstanceID {
-	if w.Left(now) == 0 {
-		return nil
-	}
+// Pending returns the known instances that may still use the primary.
+func (w *Withdrawal) Pending() []model.InstanceID {
 	var ids []model.InstanceID
-	for id := range w.pending {
-		ids = append(ids, id)
+	for _, id := range w.users {
+		if !w.stopped[id] {
+			ids = append(ids, id)
+		}
 	}
-	slices.Sort(ids)
 	return ids
 }
 
 // Left returns the time after which no instance uses the primary any more. It is zero once
 // another server may be promoted.
 func (w *Withdrawal) Left(now time.Time) time.Duration {
-	if len(w.pending) == 0 {
+	if w.complete && len(w.Pending()) == 0 {
 		return 0
 	}
 	return max(w.writtenAt.Add(PermitLife+ClockSlack).Sub(now), 0)
--- a/core/plan/instance.go
+++ b/core/plan/instance.go
@@ -1,6 +1,10 @@
 package plan
 
-import "pomelofork/core/model"
+import (
+	"time"
+
+	"pomelofork/core/model"
+)
 
 // Instance is one running instance of the fleet, as it is registered in the platform's
 // store.
@@ -16,4 +20,6 @@
 	// Lease is the identifier of the store's lease under which the instance is
 	// registered. The store removes the registration when the lease ends.
 	Lease uint64
+	// LeaseLife is the lifetime of the lease. Zero means that it isn't known.
+	LeaseLife time.Duration
 }
--- a/io/lead/gateways.go
+++ b/io/lead/gateways.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"pomelofork/core/epoch"
@@ -18,6 +20,8 @@
 	probingGateways = 3
 	// withdrawPause is the pause before gateways are told of a withdrawal again.
 	withdrawPause = 100 * time.Millisecond
+	// viewPause is the pause before the view is looked at again.
+	viewPause = 10 * time.Millisecond
 )
 
 // Gateways are the instances through which callers use the servers of a service. Package proxy
@@ -72,27 +76,32 @@
 		m.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot withdraw the appointment of a primary", slog.String("service", string(m.config.Service)), slog.String("error", err.Error()))
 		return false
 	}
-	gateways := m.gatewaysOf(decision.Primary, servers)
-	var ids []model.InstanceID
-	for id := range gateways {
-		ids = append(ids, id)
-	}
-	w := epoch.NewWithdrawal(clock.Now(), ids)
-	for first := true; ; first = false {
+	w := epoch.NewWithdrawal(clock.Now())
+	for first := true; ; {
+		// The time is read before the instances, so that these are at least as recent.
+		confirmed, _ := m.config.View.FreshAsOf()
+		gateways := m.gatewaysOf(decision.Primary, servers)
+		w.Observe(confirmed, slices.Sorted(maps.Keys(gateways)))
 		m.tellPending(w, gateways, withdrawal)
 		now := clock.Now()
-		left := w.Left(now)
+		left, pending := w.Left(now), w.Pending()
 		if left == 0 {
 			break
 		}
-		if first {
+		if first && len(pending) > 0 {
+			first = false
 			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "waiting for gateways that may still use the primary", slog.String("service", string(m.config.Service)),
-				slog.Any("instances", w.Pending(now)), slog.Uint64("epoch", withdrawal), slog.Duration("at_most", left))
+				slog.Any("instances", pending), slog.Uint64("epoch", withdrawal), slog.Duration("at_most", left))
 		}
 		if !m.config.Holds(now) {
 			return false
 		}
-		time.Sleep(min(left, withdrawPause))
+		pause := withdrawPause
+		if len(pending) == 0 {
+			// Only the view has to show that there are no others.
+			pause = viewPause
+		}
+		time.Sleep(min(left, pause))
 	}
 	return m.config.Holds(clock.Now())
 }
@@ -118,8 +127,7 @@
 // tellPending tells the instances that may still use a primary of the withdrawal, and records
 // which of them have stopped.
 func (m *Monitor) tellPending(w *epoch.Withdrawal, gateways map[model.InstanceID]plan.Instance, withdrawal uint64) {
-	now := clock.Now()
-	pending := w.Pending(now)
+	now, pending := clock.Now(), w.Pending()
 	stopped := make(chan model.InstanceID, len(pending))
 	for _, id := range pending {
 		go func() {
--- a/io/proxy/primary.go
+++ b/io/proxy/primary.go
@@ -40,12 +40,14 @@
 	if !ok {
 		return false
 	}
+	permit := epoch.Permit{Confirmed: confirmed}
+	permit.Registered, permit.ValidUntil = n.rights.Registration()
 	known := n.view.State().Appointments[service].Epoch
 	n.guardsMu.Lock()
 	defer n.guardsMu.Unlock()
 	guard := n.guard(service)
 	guard.Raise(known)
-	return guard.Allows(now, confirmed, requested)
+	return guard.Allows(now, permit, requested)
 }
 
 // guard returns the guard of a service. The caller holds guardsMu.
--- a/io/right/former.go
+++ b/io/right/former.go
@@ -41,20 +41,19 @@
 // if there is no such lease any more.
 func (mgr *Manager) reuseLease(ctx context.Context, now time.Time, state *view.State) bool {
 	former, ok := state.Instances[mgr.config.Self.ID]
+	terms := pace.MemberLease(len(state.Instances))
 	registered := mgr.config.Self
-	registered.Lease = former.Lease
-	if !ok || former.Lease == 0 || former != registered || mgr.unregistered.id != 0 || mgr.holdsRights(state) {
+	registered.Lease, registered.LeaseLife = former.Lease, former.LeaseLife
+	if !ok || former.Lease == 0 || former.LeaseLife < terms.TTL || former != registered || mgr.unregistered.id != 0 || mgr.holdsRights(state) {
 		return false
 	}
 	if err := mgr.config.Table.Renew(ctx, store.LeaseID(former.Lease)); err != nil {
 		mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "lease of the former run not renewed", slog.Uint64("lease", former.Lease), slog.String("error", err.Error()))
 		return false
 	}
-	terms := pace.MemberLease(len(state.Instances))
-	// The former run may have replaced its lease by the short one shortly before its end.
-	terms.TTL = min(terms.TTL, pace.HolderLease().TTL)
 	mgr.mu.Lock()
 	mgr.lease, mgr.validUntil, mgr.terms, mgr.shortLease = store.LeaseID(former.Lease), now.Add(terms.TTL), terms, false
+	mgr.registeredSince = mgr.startedAt
 	mgr.mu.Unlock()
 	mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "registered under the lease of the former run", slog.Uint64("lease", former.Lease))
 	return true
--- a/io/right/lease.go
+++ b/io/right/lease.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pomelofork/core/pace"
+	"pomelofork/io/clock"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
@@ -40,23 +41,23 @@
 	if len(kept) > 0 {
 		mgr.registerAt = now
 	}
-	if now.Before(mgr.registerAt) {
-		return false
-	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if len(kept) == 0 && mgr.reuseLease(callCtx, now, state) {
 		return true
 	}
+	if now.Before(mgr.registerAt) {
+		return false
+	}
 	if !mgr.pauseUnless(mgr.obtainLease(callCtx, now, len(state.Instances), len(kept) > 0)) {
 		return false
 	}
-	value, err := view.InstanceValue(mgr.config.Self)
+	lease := mgr.unregistered
+	value, err := mgr.registration(lease.terms.TTL)
 	if err != nil {
 		mgr.config.Log.LogAttrs(ctx, slog.LevelError, "cannot encode the registration of this instance", slog.String("error", err.Error()))
 		return mgr.pauseUnless(false)
 	}
-	lease := mgr.unregistered
 	txn := store.Txn{Puts: []store.Put{{Key: mgr.config.View.InstanceKey(mgr.config.Self.ID), Value: value, Lease: lease.id}}}
 	revision, err := mgr.keepRights(callCtx, txn, kept, lease)
 	if errors.Is(err, store.ErrConflict) {
@@ -74,6 +75,11 @@
 	}
 	mgr.mu.Lock()
 	mgr.lease, mgr.validUntil, mgr.terms, mgr.shortLease = lease.id, lease.until, lease.terms, lease.short
+	mgr.registeredSince = clock.Now()
+	if len(kept) > 0 {
+		// The former registration was replaced before it ended.
+		mgr.registeredSince = mgr.startedAt
+	}
 	for _, former := range kept {
 		mgr.held[former.spec.Name] = heldRight{revision: revision, since: mgr.startedAt, nonUrgent: former.spec.NonUrgent, kept: true}
 	}
@@ -87,6 +93,13 @@
 	return true
 }
 
+// registration encodes the registration of this instance under a lease of the given lifetime.
+func (mgr *Manager) registration(life time.Duration) ([]byte, error) {
+	self := mgr.config.Self
+	self.LeaseLife = life
+	return view.InstanceValue(self)
+}
+
 // obtainLease obtains a lease to register under, unless one from an earlier attempt is still
 // valid. A short one is for an instance that keeps rights. It returns false when the store granted
 // none.
@@ -123,7 +136,7 @@
 		mgr.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot obtain a lease to replace the present one", slog.Bool("holder", shortLease), slog.String("error", err.Error()))
 		return false
 	}
-	entry, err := view.InstanceValue(mgr.config.Self)
+	entry, err := mgr.registration(life)
 	if err != nil {
 		mgr.config.Log.LogAttrs(ctx, slog.LevelError, "cannot encode the registration of this instance", slog.String("error", err.Error()))
 		return false
--- a/io/right/manager.go
+++ b/io/right/manager.go
@@ -85,6 +85,8 @@
 	mu sync.Mutex
 	// validUntil is when the lease may expire.
 	validUntil time.Time
+	// registeredSince is the time since which this instance has been registered without a gap.
+	registeredSince time.Time
 	// lease is zero when there is none.
 	lease store.LeaseID
 	// shortLease says that the lease is the short one of a holder of urgent rights.
@@ -171,6 +173,14 @@
 	return mgr.held[name].kept
 }
 
+// Registration returns the time since which this instance has been registered without a gap, and
+// the time until which it certainly is. Both are zero while it isn't registered.
+func (mgr *Manager) Registration() (since, until time.Time) {
+	mgr.mu.Lock()
+	defer mgr.mu.Unlock()
+	return mgr.registeredSince, mgr.validUntil
+}
+
 // LeaseValid reports whether this instance has a lease that has certainly not expired.
 func (mgr *Manager) LeaseValid(now time.Time) bool {
 	mgr.mu.Lock()
--- a/io/view/entries.go
+++ b/io/view/entries.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"strings"
+	"time"
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
@@ -24,6 +25,8 @@
 	Address string  `json:"address"`
 	Domain  string  `json:"domain"`
 	Weight  float64 `json:"weight"`
+	// LeaseMs is the lifetime of the lease, in milliseconds.
+	LeaseMs int64 `json:"lease_ms,omitempty"`
 }
 
 // rightEntry is the value of a held right in the store.
@@ -57,7 +60,7 @@
 // InstanceValue encodes the registration of an instance. The key holds its ID, and the store
 // its lease.
 func InstanceValue(i plan.Instance) ([]byte, error) {
-	return json.Marshal(instanceEntry{Address: i.Address, Domain: string(i.Domain), Weight: i.Weight})
+	return json.Marshal(instanceEntry{Address: i.Address, Domain: string(i.Domain), Weight: i.Weight, LeaseMs: i.LeaseLife.Milliseconds()})
 }
 
 // RightValue encodes the value of a right with the given holder.
@@ -84,7 +87,7 @@
 			v.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot decode the registration of an instance", slog.String("instance", name), slog.String("error", err.Error()))
 			return true
 		}
-		next := plan.Instance{ID: id, Address: entry.Address, Domain: model.Domain(entry.Domain), Weight: entry.Weight, Lease: uint64(e.Lease)}
+		next := plan.Instance{ID: id, Address: entry.Address, Domain: model.Domain(entry.Domain), Weight: entry.Weight, Lease: uint64(e.Lease), LeaseLife: time.Duration(entry.LeaseMs) * time.Millisecond}
 		if next == b.next.Instances[id] {
 			return true
 		}
