--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The tasks of this repository. `make help` lists them.
 GO ?= go
 
-.PHONY: help build test soak soak-fleet fault-soak race lint ci demo demo-up demo-down measure capacity
+.PHONY: help build test soak soak-fleet fault-soak race lint ci regression demo demo-up demo-down measure capacity
 help: ## list the tasks
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
 
@@ -48,5 +48,8 @@
 capacity: build ## measure how the cost of an instance grows with the fleet; write docs/CAPACITY.md
 	scripts/capacity.sh
 
+regression: ## play quick days with the users' bench: make regression BENCH=... SITES="..."
+	scripts/regression.sh $(BENCH) $(SITES)
+
 ci: ## run .ci/run
 	bash .ci/run
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -265,8 +265,19 @@
 	}
 }
 
-// answer serves one statement and returns its answer.
+// answer serves one statement and returns its answer. A statement that the state of the session
+// doesn't allow is logged here, since it reaches no server.
 func (s *session) answer(now time.Time, statement stmt.Statement) stmt.Answer {
+	answer := s.serveStatement(now, statement)
+	if answer.Code == stmt.CodeMalformed || answer.Code == stmt.CodeNoStatement {
+		s.log(slog.LevelInfo, "statement refused in this state of the session", slog.String("request", statement.ID), slog.String("kind", statement.Kind.String()),
+			slog.String("code", answer.Code.String()), slog.String("reason", answer.Text), slog.Bool("in_transaction", s.tx != nil))
+	}
+	return answer
+}
+
+// serveStatement returns the answer to one statement.
+func (s *session) serveStatement(now time.Time, statement stmt.Statement) stmt.Answer {
 	switch {
 	case statement.Kind == stmt.KindInvalid:
 		return stmt.Refuse(stmt.CodeMalformed, s.state(), "statement not understood")
