Don't end the leases of others right after a start

Change: an instance that has started less than two seconds ago doesn't do that.

Test: io/proxy "The lease of an instance whose address refuses connections".

--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -145,10 +145,14 @@
 	return pool.Run(now, order)
 }
 
+// restartGrace is the time after its own start for which an instance doesn't end the leases of
+// others. When a whole fleet starts, those that aren't up yet keep their rights a moment later.
+const restartGrace = 2 * time.Second
+
 // endLeaseIfRefused ends the lease of an instance if the error says that no process
 // listens at its address, so that its rights become free at once.
 func (n *Node) endLeaseIfRefused(inst plan.Instance, err error) {
-	if !errors.Is(err, relay.ErrConnRefused) {
+	if !errors.Is(err, relay.ErrConnRefused) || clock.Now().Sub(n.startedAt) < restartGrace {
 		return
 	}
 	n.mu.Lock()
--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -19,6 +19,7 @@
 	"pomelofork/io/clock"
 	"pomelofork/io/relay"
 	"pomelofork/io/right"
+	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
 
@@ -95,3 +96,34 @@
 		Expect(n.allowsPrimary(now.Add(epoch.PermitLife+2*time.Second), "s", 5)).To(BeFalse(), "the view is too old by then")
 	})
 })
+
+// All instances lose power and start again, one a little sooner than the other.
+var _ = Describe("The lease of an instance whose address refuses connections", func() {
+	for name, c := range map[string]struct {
+		age   time.Duration
+		ended bool
+	}{
+		"is ended, since its process has":                                                {time.Minute, true},
+		"isn't ended by an instance that has just started, because it may start as well": {0, false},
+	} {
+		It(name, func() {
+			table := kvsim.New()
+			client := table.Client()
+			lease, _, err := client.Grant(context.Background(), time.Minute)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = client.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: "k", Lease: lease}}})
+			Expect(err).NotTo(HaveOccurred())
+			n := &Node{config: Config{Table: client, Log: slog.New(slog.DiscardHandler)}, startedAt: clock.Now().Add(-c.age), endedLeases: map[uint64]bool{}}
+			n.endLeaseIfRefused(plan.Instance{ID: "i", Lease: uint64(lease)}, fmt.Errorf("dial: %w", relay.ErrConnRefused))
+			held := func() bool {
+				_, ok := table.Get("k")
+				return ok
+			}
+			if c.ended {
+				Eventually(held).WithTimeout(10 * time.Second).Should(BeFalse())
+				return
+			}
+			Consistently(held, 200*time.Millisecond).Should(BeTrue())
+		})
+	}
+})
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -47,6 +47,8 @@
 // Node is one running instance.
 type Node struct {
 	config Config
+	// startedAt is when the instance started.
+	startedAt time.Time
 	view   *view.View
 	rights *right.Manager
 	entry  *entry.Entry
@@ -103,7 +105,7 @@
 	meter := newMeter()
 	c.Table = store.Metered{Table: c.Table, Count: meter.StoreCall}
 	n := &Node{
-		config: c, meter: meter, pools: map[model.ServerID]*pooler.Pool{}, peers: map[string]*relay.Peer{},
+		config: c, startedAt: clock.Now(), meter: meter, pools: map[model.ServerID]*pooler.Pool{}, peers: map[string]*relay.Peer{},
 		holderOrder: map[model.ServerID][]plan.Instance{}, monitors: map[model.ServiceID]context.CancelFunc{}, buckets: map[issuerKey]*bucket{}, issuers: map[model.AccountID]*quota.IssuerStatus{},
 		transactions: map[uint64]plan.Instance{}, endedLeases: map[uint64]bool{}, pathRetryAt: map[serverPath]time.Time{}, encoded: newEncodedValues(), guards: map[model.ServiceID]*epoch.Guard{},
 	}
