End the lease of another instance only if it hasn't registered again

Cause, found while reading the diff: an instance that registers under the lease of its former run could lose it to a call of a peer that had noticed the end of that run and whose call is carried out late. It would count on a registration that the store no longer has, and the promoter would take it as stopped.

Change: a peer removes the registration and the rights under the condition that they weren't written since, and ends the lease only after that. An instance that reuses a lease writes its registration again.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -36,9 +36,9 @@
 	minStoreWrites = 400
 	// registerShare is the part of the store's writes that a fleet may use to register.
 	registerShare = 0.5
-	// registerWrites is the number of writes with which one instance registers: it obtains a
+	// RegisterWrites is the number of writes with which one instance registers: it obtains a
 	// lease and writes its entry. The third is for one that ends its former lease.
-	registerWrites = 3
+	RegisterWrites = 3
 )
 
 // Lease is the lifetime of a lease and the interval between its renewals.
@@ -73,7 +73,7 @@
 // It is zero for a fleet that needs no more than one second's writes.
 func StartupSpread(instances int, storeWrites float64) time.Duration {
 	perSecond := registerShare * max(storeWrites, minStoreWrites)
-	writes := float64(instances * registerWrites)
+	writes := float64(instances * RegisterWrites)
 	if writes <= registerShare*minStoreWrites {
 		return 0
 	}
--- a/core/plan/instance.go
+++ b/core/plan/instance.go
@@ -20,6 +20,8 @@
 	// Lease is the identifier of the store's lease under which the instance is
 	// registered. The store removes the registration when the lease ends.
 	Lease uint64
+	// Revision is the store's revision of the registration.
+	Revision uint64
 	// LeaseLife is the lifetime of the lease. Zero means that it isn't known.
 	LeaseLife time.Duration
 }
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -149,6 +149,14 @@
 // others. When a whole fleet starts, those that aren't up yet keep their rights a moment later.
 const restartGrace = 2 * time.Second
 
+const (
+	// endLeaseTimeout bounds the calls to the store that end the lease of another instance.
+	endLeaseTimeout = 2 * time.Second
+	// maxEndedKeys is the number of keys that one transaction can remove: the store accepts 32
+	// conditions and deletions together.
+	maxEndedKeys = 16
+)
+
 // endLeaseIfRefused ends the lease of an instance if the error says that no process
 // listens at its address, so that its rights become free at once.
 func (n *Node) endLeaseIfRefused(inst plan.Instance, err error) {
@@ -164,10 +172,13 @@
 	}
 	n.config.Log.LogAttrs(context.Background(), slog.LevelWarn, "no process at the address of an instance, ending its lease", slog.String("instance", string(inst.ID)), slog.Uint64("lease", inst.Lease))
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), endLeaseTimeout)
 		defer cancel()
-		if err := n.config.Table.End(ctx, store.LeaseID(inst.Lease)); err != nil && !errors.Is(err, store.ErrNotFound) {
+		if err := n.endLease(ctx, inst); err != nil {
 			n.config.Log.LogAttrs(ctx, slog.LevelWarn, "failed to end the lease of an instance", slog.String("instance", string(inst.ID)), slog.String("error", err.Error()))
+			if errors.Is(err, store.ErrConflict) {
+				return
+			}
 			n.mu.Lock()
 			delete(n.endedLeases, inst.Lease)
 			n.mu.Unlock()
@@ -175,6 +186,27 @@
 	}()
 }
 
+// endLease removes the registration and the rights of an instance whose process has ended, and
+// ends its lease. It fails with store.ErrConflict if they were written again since: then the
+// instance runs again and uses the lease.
+func (n *Node) endLease(ctx context.Context, inst plan.Instance) error {
+	key := n.view.InstanceKey(inst.ID)
+	txn := store.Txn{Expected: []store.Condition{{Key: key, Revision: inst.Revision}}, Deletes: []string{key}}
+	for name, right := range n.view.State().Rights {
+		if right.Instance == inst.ID && uint64(right.Lease) == inst.Lease && len(txn.Deletes) < maxEndedKeys {
+			txn.Expected = append(txn.Expected, store.Condition{Key: n.view.RightKey(name), Revision: right.Revision})
+			txn.Deletes = append(txn.Deletes, n.view.RightKey(name))
+		}
+	}
+	if _, err := n.config.Table.Commit(ctx, txn); err != nil {
+		return err
+	}
+	if err := n.config.Table.End(ctx, store.LeaseID(inst.Lease)); err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	return nil
+}
+
 // NewestPoint implements entry.Fleet. The instance that monitors the service's primary
 // knows the newest point. If that is this one, it returns false, because the entry has
 // that point already.
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -49,10 +49,10 @@
 	config Config
 	// startedAt is when the instance started.
 	startedAt time.Time
-	view   *view.View
-	rights *right.Manager
-	entry  *entry.Entry
-	meter  *meter
+	view      *view.View
+	rights    *right.Manager
+	entry     *entry.Entry
+	meter     *meter
 
 	mu    sync.Mutex
 	pools map[model.ServerID]*pooler.Pool
--- a/io/right/former.go
+++ b/io/right/former.go
@@ -35,20 +35,32 @@
 	return rights
 }
 
-// reuseLease renews the lease of the former run of this instance, which saves the calls of a
-// registration. It is for a former run without rights: a peer that noticed its end may still end
-// the lease, and others may then acquire its rights while this run counts on them. It returns false
-// if there is no such lease any more.
+// reuseLease registers this instance under the lease of its former run, which saves the call for
+// another one. It is for a former run without rights, whose lease has the usual lifetime. The
+// registration is written again under the condition that it is still there: a peer that noticed
+// the end of the former run removes it under the same condition. reuseLease returns false if the
+// lease can't be reused.
 func (mgr *Manager) reuseLease(ctx context.Context, now time.Time, state *view.State) bool {
 	former, ok := state.Instances[mgr.config.Self.ID]
 	terms := pace.MemberLease(len(state.Instances))
-	registered := mgr.config.Self
-	registered.Lease, registered.LeaseLife = former.Lease, former.LeaseLife
-	if !ok || former.Lease == 0 || former.LeaseLife < terms.TTL || former != registered || mgr.unregistered.id != 0 || mgr.holdsRights(state) {
+	if !ok || former.Lease == 0 || former.LeaseLife < terms.TTL || mgr.unregistered.id != 0 || mgr.holdsRights(state) {
 		return false
 	}
-	if err := mgr.config.Table.Renew(ctx, store.LeaseID(former.Lease)); err != nil {
-		mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "lease of the former run not renewed", slog.Uint64("lease", former.Lease), slog.String("error", err.Error()))
+	value, err := mgr.registration(former.LeaseLife)
+	if err != nil {
+		mgr.config.Log.LogAttrs(ctx, slog.LevelError, "cannot encode the registration of this instance", slog.String("error", err.Error()))
+		return false
+	}
+	key := mgr.config.View.InstanceKey(mgr.config.Self.ID)
+	_, err = mgr.config.Table.Commit(ctx, store.Txn{
+		Expected: []store.Condition{{Key: key, Revision: former.Revision}},
+		Puts:     []store.Put{{Key: key, Value: value, Lease: store.LeaseID(former.Lease)}},
+	})
+	if err == nil {
+		err = mgr.config.Table.Renew(ctx, store.LeaseID(former.Lease))
+	}
+	if err != nil {
+		mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "lease of the former run not reused", slog.Uint64("lease", former.Lease), slog.String("error", err.Error()))
 		return false
 	}
 	mgr.mu.Lock()
--- a/io/right/lease.go
+++ b/io/right/lease.go
@@ -32,19 +32,23 @@
 		return false
 	}
 	state := mgr.config.View.State()
+	kept := mgr.formerRights(state)
 	if mgr.registerAt.IsZero() {
 		// The instances that are registered, or were until a moment ago, show how many start at
 		// the same time as this one.
-		mgr.registerAt = now.Add(rand.N(pace.StartupSpread(len(state.Instances), mgr.config.StoreWrites) + 1))
+		spread := rand.N(pace.StartupSpread(len(state.Instances), mgr.config.StoreWrites) + 1)
+		mgr.registerAt, mgr.reuseAt = now.Add(spread), now.Add(spread/pace.RegisterWrites)
 	}
-	kept := mgr.formerRights(state)
 	if len(kept) > 0 {
 		mgr.registerAt = now
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if len(kept) == 0 && mgr.reuseLease(callCtx, now, state) {
-		return true
+	if len(kept) == 0 && !mgr.triedReuse && !now.Before(mgr.reuseAt) {
+		mgr.triedReuse = true
+		if mgr.reuseLease(callCtx, now, state) {
+			return true
+		}
 	}
 	if now.Before(mgr.registerAt) {
 		return false
--- a/io/right/manager.go
+++ b/io/right/manager.go
@@ -120,6 +120,10 @@
 	unregistered grantedLease
 	// registerAt is when this instance may register. It is zero until it has been chosen.
 	registerAt time.Time
+	// reuseAt is when it may register under the lease of its former run, which takes fewer writes.
+	// triedReuse says that it has tried.
+	reuseAt    time.Time
+	triedReuse bool
 	// rebalancedAt is when rebalance last ran.
 	rebalancedAt time.Time
 	// recheckAt is when the view is compared again after a transfer whose answer was lost. Zero
--- a/io/view/entries.go
+++ b/io/view/entries.go
@@ -87,7 +87,7 @@
 			v.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot decode the registration of an instance", slog.String("instance", name), slog.String("error", err.Error()))
 			return true
 		}
-		next := plan.Instance{ID: id, Address: entry.Address, Domain: model.Domain(entry.Domain), Weight: entry.Weight, Lease: uint64(e.Lease), LeaseLife: time.Duration(entry.LeaseMs) * time.Millisecond}
+		next := plan.Instance{ID: id, Address: entry.Address, Domain: model.Domain(entry.Domain), Weight: entry.Weight, Lease: uint64(e.Lease), Revision: e.Revision, LeaseLife: time.Duration(entry.LeaseMs) * time.Millisecond}
 		if next == b.next.Instances[id] {
 			return true
 		}
