--- a/emul/group/group.go
+++ b/emul/group/group.go
@@ -56,6 +56,8 @@
 	mu      sync.Mutex
 	servers map[model.ServerID]*Server
 	term    model.Term
+	// promotedAt is when a server was last promoted, or zero.
+	promotedAt time.Time
 	// runCounts holds the number of runs of statements by the identifier of the request.
 	runCounts map[string]int
 	// violations are the messages that Violations returns.
@@ -137,6 +139,7 @@
 		return true
 	}
 	g.term++
+	g.promotedAt = time.Now()
 	for _, s := range g.servers {
 		if s.cutOff && s != chosen {
 			continue
@@ -151,6 +154,13 @@
 	return true
 }
 
+// PromotedAt returns when a server was last promoted, or the zero time.
+func (g *Group) PromotedAt() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.promotedAt
+}
+
 // RunCount returns how often a request's statement has run, on all servers together.
 func (g *Group) RunCount(id string) int {
 	g.mu.Lock()
@@ -225,8 +235,13 @@
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
 	s.cutOff = cutOff
-	if !cutOff {
-		s.followNewest()
+	if cutOff {
+		return
+	}
+	for _, other := range s.group.servers {
+		if !other.down && !other.replicationCut && !other.paused {
+			other.followNewest()
+		}
 	}
 }
 
