Split the registration of an instance; end a reused lease again when it is due

The lease of a former run may be reused, so a peer that couldn't end it because the instance had registered again must be able to end it later. Otherwise no behaviour changes: register is split, and a field of core/promo renamed.

--- a/core/promo/promo.go
+++ b/core/promo/promo.go
@@ -86,9 +86,9 @@
 	// are zero if there is none.
 	promotionStartedAt time.Time
 	promotionTarget    model.ServerID
-	// refused is true after a promotion that certainly doesn't take place, until the next
-	// promotion or until a primary is found.
-	refused bool
+	// promotionFailed is true after a promotion that certainly doesn't take place, until the
+	// next promotion or until a primary is found.
+	promotionFailed bool
 }
 
 // New returns a machine that takes the primary as confirmed at now.
@@ -114,7 +114,7 @@
 		m.primary = ""
 		return primary, false
 	}
-	m.noPrimarySince, m.removed, m.refused = time.Time{}, false, false
+	m.noPrimarySince, m.removed, m.promotionFailed = time.Time{}, false, false
 	if primary.ID != m.primary {
 		m.primary, m.confirmedAt, m.refusedSince = primary.ID, now, time.Time{}
 		if primary.ID == m.promotionTarget {
@@ -149,13 +149,13 @@
 // PromotionStarted records that target was asked to become primary. Until it has done
 // so, or promotionTimeout has passed, Decide returns no action.
 func (m *Machine) PromotionStarted(now time.Time, target model.ServerID) {
-	m.promotionStartedAt, m.promotionTarget, m.refused = now, target, false
+	m.promotionStartedAt, m.promotionTarget, m.promotionFailed = now, target, false
 }
 
 // PromotionFailed records that the last promotion certainly does not take place, so
 // that Decide need not wait for it.
 func (m *Machine) PromotionFailed() {
-	m.promotionStartedAt, m.promotionTarget, m.refused = time.Time{}, "", true
+	m.promotionStartedAt, m.promotionTarget, m.promotionFailed = time.Time{}, "", true
 }
 
 // Doubtful reports whether the primary's last confirmation is so old that others should be asked
@@ -173,7 +173,7 @@
 	switch {
 	case !ok && m.removed && now.Sub(m.noPrimarySince) >= removedAfter:
 		return Decision{Action: ActionReplace, Reason: "the primary is gone", Since: m.noPrimarySince}
-	case !ok && m.refused:
+	case !ok && m.promotionFailed:
 		return Decision{Action: ActionReplace, Reason: "the last promotion was refused", Since: m.noPrimarySince}
 	case !ok && now.Sub(m.noPrimarySince) >= noPrimaryAfter:
 		return Decision{Action: ActionReplace, Reason: "no server reports the primary role", Since: m.noPrimarySince}
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -145,11 +145,11 @@
 	return pool.Run(now, order)
 }
 
-// restartGrace is the time after its own start for which an instance doesn't end the leases of
-// others. When a whole fleet starts, those that aren't up yet keep their rights a moment later.
-const restartGrace = 2 * time.Second
-
 const (
+	// restartGrace is the time after its own start for which an instance doesn't end the leases
+	// of others. When a whole fleet starts, those that aren't up yet keep their rights a moment
+	// later.
+	restartGrace = 2 * time.Second
 	// endLeaseTimeout bounds the calls to the store that end the lease of another instance.
 	endLeaseTimeout = 2 * time.Second
 	// maxEndedKeys is the number of keys that one transaction can remove: the store accepts 32
@@ -176,9 +176,6 @@
 		defer cancel()
 		if err := n.endLease(ctx, inst); err != nil {
 			n.config.Log.LogAttrs(ctx, slog.LevelWarn, "failed to end the lease of an instance", slog.String("instance", string(inst.ID)), slog.String("error", err.Error()))
-			if errors.Is(err, store.ErrConflict) {
-				return
-			}
 			n.mu.Lock()
 			delete(n.endedLeases, inst.Lease)
 			n.mu.Unlock()
--- a/io/right/lease.go
+++ b/io/right/lease.go
@@ -33,15 +33,7 @@
 	}
 	state := mgr.config.View.State()
 	kept := mgr.formerRights(state)
-	if mgr.registerAt.IsZero() {
-		// The instances that are registered, or were until a moment ago, show how many start at
-		// the same time as this one.
-		spread := rand.N(pace.StartupSpread(len(state.Instances), mgr.config.StoreWrites) + 1)
-		mgr.registerAt, mgr.reuseAt = now.Add(spread), now.Add(spread/pace.RegisterWrites)
-	}
-	if len(kept) > 0 {
-		mgr.registerAt = now
-	}
+	mgr.scheduleRegistration(now, len(state.Instances), len(kept) > 0)
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if len(kept) == 0 && !mgr.triedReuse && !now.Before(mgr.reuseAt) {
@@ -57,44 +49,69 @@
 		return false
 	}
 	lease := mgr.unregistered
-	value, err := mgr.registration(lease.terms.TTL)
+	kept, revision, err := mgr.writeRegistration(callCtx, state, kept, lease)
+	if errors.Is(err, store.ErrNotFound) {
+		mgr.unregistered = grantedLease{}
+	}
 	if err != nil {
-		mgr.config.Log.LogAttrs(ctx, slog.LevelError, "cannot encode the registration of this instance", slog.String("error", err.Error()))
+		mgr.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot register this instance", slog.String("error", err.Error()))
 		return mgr.pauseUnless(false)
 	}
+	mgr.unregistered = grantedLease{}
+	mgr.recordRegistration(now, lease, kept, revision)
+	mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "registered under a lease", slog.Uint64("lease", uint64(lease.id)), slog.Duration("life", lease.terms.TTL),
+		slog.Int("kept_rights", len(kept)), slog.Uint64("revision", revision))
+	return true
+}
+
+// scheduleRegistration chooses when this instance may register, if that isn't chosen yet. An
+// instance that keeps rights doesn't wait.
+func (mgr *Manager) scheduleRegistration(now time.Time, size int, keepsRights bool) {
+	if mgr.registerAt.IsZero() {
+		// The instances that are registered, or were until a moment ago, show how many start at
+		// the same time as this one.
+		spread := rand.N(pace.StartupSpread(size, mgr.config.StoreWrites) + 1)
+		mgr.registerAt, mgr.reuseAt = now.Add(spread), now.Add(spread/pace.RegisterWrites)
+	}
+	if keepsRights {
+		mgr.registerAt = now
+	}
+}
+
+// writeRegistration writes this instance's registration, and the rights to keep, under a lease. It
+// returns the rights that are kept and the revision of the entries.
+func (mgr *Manager) writeRegistration(ctx context.Context, state *view.State, kept []formerRight, lease grantedLease) ([]formerRight, uint64, error) {
+	value, err := mgr.registration(lease.terms.TTL)
+	if err != nil {
+		return nil, 0, err
+	}
 	txn := store.Txn{Puts: []store.Put{{Key: mgr.config.View.InstanceKey(mgr.config.Self.ID), Value: value, Lease: lease.id}}}
-	revision, err := mgr.keepRights(callCtx, txn, kept, lease)
+	revision, err := mgr.keepRights(ctx, txn, kept, lease)
 	if errors.Is(err, store.ErrConflict) {
 		// Another instance has acquired one of the rights, so it may acquire the others as well.
 		kept = nil
-		mgr.endFormerLease(callCtx, state)
-		revision, err = mgr.config.Table.Commit(callCtx, txn)
-	}
-	if errors.Is(err, store.ErrNotFound) {
-		mgr.unregistered = grantedLease{}
-	}
-	if err != nil {
-		mgr.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot register this instance", slog.String("error", err.Error()))
-		return mgr.pauseUnless(false)
+		mgr.endFormerLease(ctx, state)
+		revision, err = mgr.config.Table.Commit(ctx, txn)
 	}
+	return kept, revision, err
+}
+
+// recordRegistration records that this instance is registered under a lease and holds the rights
+// that it has kept.
+func (mgr *Manager) recordRegistration(now time.Time, lease grantedLease, kept []formerRight, revision uint64) {
 	mgr.mu.Lock()
+	defer mgr.mu.Unlock()
 	mgr.lease, mgr.validUntil, mgr.terms, mgr.shortLease = lease.id, lease.until, lease.terms, lease.short
 	mgr.registeredSince = clock.Now()
-	if len(kept) > 0 {
-		// The former registration was replaced before it ended.
-		mgr.registeredSince = mgr.startedAt
+	if len(kept) == 0 {
+		return
 	}
+	// The former registration was replaced before it ended.
+	mgr.registeredSince = mgr.startedAt
+	mgr.lastUrgent, mgr.reported = now, false
 	for _, former := range kept {
 		mgr.held[former.spec.Name] = heldRight{revision: revision, since: mgr.startedAt, nonUrgent: former.spec.NonUrgent, kept: true}
 	}
-	if len(kept) > 0 {
-		mgr.lastUrgent, mgr.reported = now, false
-	}
-	mgr.mu.Unlock()
-	mgr.unregistered = grantedLease{}
-	mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "registered under a lease", slog.Uint64("lease", uint64(lease.id)), slog.Duration("life", lease.terms.TTL),
-		slog.Int("kept_rights", len(kept)), slog.Uint64("revision", revision))
-	return true
 }
 
 // registration encodes the registration of this instance under a lease of the given lifetime.
