Leave work for a primary to the next gateway if the permit has ended

Change: an instance that may not use a primary at present answers as one that doesn't reach the server.

Test: io/proxy "An order for a primary at an instance without a valid registration".

--- a/core/epoch/guard.go
+++ b/core/epoch/guard.go
@@ -22,9 +22,9 @@
 	ValidUntil time.Time
 }
 
-// valid reports whether the permit is in force. A copy from before a gap in the registration
+// Valid reports whether the permit is in force. A copy from before a gap in the registration
 // doesn't count, since others may have taken the instance as stopped in the gap.
-func (p Permit) valid(now time.Time) bool {
+func (p Permit) Valid(now time.Time) bool {
 	return now.Sub(p.Confirmed) < PermitLife && now.Before(p.ValidUntil) && !p.Confirmed.Before(p.Registered)
 }
 
@@ -48,5 +48,5 @@
 // whether its answer may be passed on. Every appointment in the instance's copy of the store's
 // content must have been given to Raise.
 func (g *Guard) Allows(now time.Time, permit Permit, epoch uint64) bool {
-	return epoch >= g.epoch && permit.valid(now)
+	return epoch >= g.epoch && permit.Valid(now)
 }
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -139,8 +139,9 @@
 	if pool == nil {
 		return stmt.Result{Answer: stmt.Refuse(stmt.CodeMoved, stmt.StateIdle, "server not known"), NotSent: true}
 	}
-	if order.NeedsPrimary() && !n.mayHoldPrimary(pool.Server()) {
-		return stmt.Result{Answer: stmt.Refuse(stmt.CodeReadOnly, stmt.StateIdle, "instance may not use the primary"), NotSent: true}
+	if order.NeedsPrimary() && !n.mayHoldPrimary(now, pool.Server()) {
+		// The next instance in the order of holders may.
+		return stmt.Result{Answer: stmt.Refuse(stmt.CodeConnectionLost, stmt.StateIdle, "instance may not use the primary"), NotSent: true}
 	}
 	return pool.Run(now, order)
 }
--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -17,6 +17,7 @@
 	"pomelofork/core/stmt"
 	"pomelofork/emul/kvsim"
 	"pomelofork/io/clock"
+	"pomelofork/io/pooler"
 	"pomelofork/io/relay"
 	"pomelofork/io/right"
 	"pomelofork/io/store"
@@ -90,6 +91,18 @@
 	}
 })
 
+var _ = Describe("An order for a primary at an instance without a valid registration", func() {
+	It("is left to the next instance in the order of holders", func() {
+		n, orders := newNodeWithGateways(2)
+		n.pools = map[model.ServerID]*pooler.Pool{"s1": pooler.NewPool(pooler.Config{Server: plan.Server{ID: "s1", Service: "s", Domain: "d"}, Log: n.config.Log})}
+		order := stmt.Order{Server: "s1", Statement: stmt.Statement{Kind: stmt.KindWrite}, Timeout: time.Second}
+		result := n.runLocally(clock.Now(), &order)
+		Expect(result.NotSent).To(BeTrue())
+		Expect(result.Answer.Code).To(Equal(stmt.CodeConnectionLost), "Run tries the next instance after this code")
+		Expect(orders.Load()).To(BeZero())
+	})
+})
+
 var _ = Describe("The guard of a service's primary", func() {
 	It("follows the appointments in the view and the withdrawals of peers", func() {
 		n, _ := newNodeWithGateways(1)
--- a/io/proxy/primary.go
+++ b/io/proxy/primary.go
@@ -35,13 +35,8 @@
 // allowsPrimary reports whether work of a service's primary that was requested under an epoch may
 // be passed on.
 func (n *Node) allowsPrimary(now time.Time, service model.ServiceID, requested uint64) bool {
-	// The state is read after the time, so that it is at least as recent.
-	confirmed, ok := n.view.FreshAsOf()
-	if !ok {
-		return false
-	}
-	permit := epoch.Permit{Confirmed: confirmed}
-	permit.Registered, permit.ValidUntil = n.rights.Registration()
+	// The state is read after the permit, so that it is at least as recent.
+	permit := n.primaryPermit()
 	known := n.view.State().Appointments[service].Epoch
 	n.guardsMu.Lock()
 	defer n.guardsMu.Unlock()
@@ -50,6 +45,18 @@
 	return guard.Allows(now, permit, requested)
 }
 
+// primaryPermit returns what entitles this instance to use primaries. It is not valid before the
+// first confirmation of the state.
+func (n *Node) primaryPermit() epoch.Permit {
+	confirmed, ok := n.view.FreshAsOf()
+	if !ok {
+		return epoch.Permit{}
+	}
+	permit := epoch.Permit{Confirmed: confirmed}
+	permit.Registered, permit.ValidUntil = n.rights.Registration()
+	return permit
+}
+
 // guard returns the guard of a service. The caller holds guardsMu.
 func (n *Node) guard(service model.ServiceID) *epoch.Guard {
 	g, ok := n.guards[service]
@@ -60,8 +67,11 @@
 	return g
 }
 
-// mayHoldPrimary reports whether this instance may use the server as a primary.
-func (n *Node) mayHoldPrimary(server plan.Server) bool {
+// mayHoldPrimary reports whether this instance may use the server as a primary now.
+func (n *Node) mayHoldPrimary(now time.Time, server plan.Server) bool {
+	if !n.primaryPermit().Valid(now) {
+		return false
+	}
 	order := n.holders(server)
 	i := slices.IndexFunc(order, func(inst plan.Instance) bool { return inst.ID == n.config.Self.ID })
 	return i >= 0 && i < maxPrimaryHolders
