Let followers turn to the store again unless it fails to answer them

The interval holds only after the store has failed to answer the follower. A source whose process has ended is asked again after 300 ms instead of 2 s, so that a fleet that starts doesn't query the store meanwhile.

Tests: io/proxy.

--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -87,9 +87,9 @@
 
 	rightsCache  derived[[]right.Spec]
 	sourcesCache derived[[]view.Source]
-	// lastDirect is when this instance last queried the store itself for its content, in Unix
-	// nanoseconds of package clock. Zero means never.
-	lastDirect atomic.Int64
+	// directFailedAt is when the store last failed to answer a query for its content by this
+	// instance as a follower, in Unix nanoseconds of package clock. Zero means never.
+	directFailedAt atomic.Int64
 }
 
 // bucket is an issuer's token bucket, with the time since when this instance holds the
--- a/io/proxy/source.go
+++ b/io/proxy/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,20 +38,22 @@
 
 // sources returns the sources of the store's content, best first. For a watcher that is
 // the store itself, and for the other instances the watchers of their failure domain.
-// Watchers of other failure domains come after them, and the store last. The peers are also
+// The store and watchers of other failure domains come after them. The peers are also
 // listed while this instance's own registration has expired, because that happens when the
 // store rejects its calls.
 //
-// An instance that isn't a watcher queries the store only now and then. In an outage of the
-// store no peer has recent content, and every instance would turn to the store otherwise.
+// An instance that isn't a watcher doesn't query the store for a while after the store has
+// failed to answer it. In an outage of the store no peer has recent content, and every
+// instance would turn to the store otherwise.
 func (n *Node) sources(s *view.State) []view.Source {
 	all := n.sourcesCache.get(s.ChangeCounts.Instances, func() []view.Source { return n.rankSources(s) })
-	last := len(all) - 1
-	_, direct := all[last].(directSource)
-	if !direct || last == 0 || clock.Now().UnixNano()-n.lastDirect.Load() >= int64(pace.DirectInterval(len(s.Instances))) {
+	if len(all) == 1 || clock.Now().UnixNano()-n.directFailedAt.Load() >= int64(pace.DirectInterval(len(s.Instances))) {
 		return all
 	}
-	return all[:last]
+	return slices.DeleteFunc(slices.Clone(all), func(source view.Source) bool {
+		_, direct := source.(directSource)
+		return direct
+	})
 }
 
 // directSource is the store itself as a source for an instance that isn't a watcher.
@@ -61,8 +64,11 @@
 
 // Fetch implements view.Source.
 func (s directSource) Fetch(ctx context.Context, query view.Query) (view.Update, error) {
-	s.node.lastDirect.Store(clock.Now().UnixNano())
-	return s.StoreSource.Fetch(ctx, query)
+	update, err := s.StoreSource.Fetch(ctx, query)
+	if err != nil && !errors.Is(err, store.ErrCompacted) {
+		s.node.directFailedAt.Store(clock.Now().UnixNano())
+	}
+	return update, err
 }
 
 // rankSources computes the result of sources.
@@ -93,7 +99,7 @@
 		shift := int(xxhash.Sum64String(string(n.config.Self.ID)) % uint64(len(near)))
 		near = append(near[shift:], near[:shift]...)
 	}
-	sources := near
+	sources := append(near, directSource{direct, n})
 	if watches {
 		sources = append([]view.Source{direct}, near...)
 	}
@@ -101,9 +107,6 @@
 	for _, inst := range far[:min(spareSources, len(far))] {
 		sources = append(sources, peerSource{n, inst})
 	}
-	if !watches {
-		sources = append(sources, directSource{direct, n})
-	}
 	return sources
 }
 
@@ -122,6 +125,9 @@
 	response, err := s.node.peer(s.peer).Follow(now, &relay.FollowRequest{After: q.After, All: q.All, Wait: followWait}, followWait+followSlack)
 	if err != nil {
 		s.node.endLeaseIfRefused(s.peer, err)
+		if errors.Is(err, relay.ErrConnRefused) {
+			err = fmt.Errorf("%w: %w", view.ErrSourceStopped, err)
+		}
 		return view.Update{}, fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
 	if !response.Known {
--- a/io/view/picker.go
+++ b/io/view/picker.go
@@ -1,11 +1,17 @@
 package view
 
-import "time"
+import (
+	"errors"
+	"time"
+)
 
 const (
 	// failedSourcePause is the time for which a source isn't queried after a failure while
 	// there are others.
 	failedSourcePause = 2 * time.Second
+	// stoppedSourcePause is the same for a source whose process has ended. When a whole fleet
+	// starts, the sources are back within that time.
+	stoppedSourcePause = 300 * time.Millisecond
 	// maxAnswerAge is the age above which an answer counts as a failure of its source. It is
 	// longer than one watch of the store takes.
 	maxAnswerAge = 1700 * time.Millisecond
@@ -40,9 +46,13 @@
 
 // recordFailure records that a source failed. It returns whether the source or the outcome
 // differs from the last one.
-func (p *picker) recordFailure(now time.Time, s Source) bool {
+func (p *picker) recordFailure(now time.Time, s Source, err error) bool {
 	changed := !p.lastFailed || p.last != s.Name()
-	p.pausedUntil[s.Name()] = now.Add(failedSourcePause)
+	pause := failedSourcePause
+	if errors.Is(err, ErrSourceStopped) {
+		pause = stoppedSourcePause
+	}
+	p.pausedUntil[s.Name()] = now.Add(pause)
 	p.last, p.lastFailed = s.Name(), true
 	return changed
 }
@@ -51,7 +61,7 @@
 // returns whether the source or the outcome differs from the last one.
 func (p *picker) recordAnswer(now time.Time, s Source, age time.Duration) bool {
 	if age > maxAnswerAge {
-		return p.recordFailure(now, s)
+		return p.recordFailure(now, s, nil)
 	}
 	changed := p.lastFailed || p.last != s.Name()
 	delete(p.pausedUntil, s.Name())
--- a/io/view/source.go
+++ b/io/view/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"pomelofork/io/store"
@@ -33,6 +34,9 @@
 	Age time.Duration
 }
 
+// ErrSourceStopped means that the source's process has ended. It often starts again soon.
+var ErrSourceStopped = errors.New("source is not running")
+
 // Source provides the content of the platform's store. It is the store itself or a peer that has
 // a copy.
 type Source interface {
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		if err != nil {
-			if picker.recordFailure(clock.Now(), source) {
+			if picker.recordFailure(clock.Now(), source, err) {
 				v.config.Log.LogAttrs(ctx, slog.LevelWarn, "configuration confirmation failed", slog.String("source", source.Name()), slog.String("error", err.Error()))
 			}
 			v.mu.Lock()
