io/pooler: make a spec independent of which statement is queued first

Traced: the second of two statements opened another connection, and whichever was enqueued first was sent on it. If that was the read, it was in flight and not queued, so that nothing released it. Now as many statements as the pool sends at once are in flight before. The expectations are the same.

--- a/io/pooler/faults_test.go
+++ b/io/pooler/faults_test.go
@@ -285,10 +285,17 @@
 	notSent := And(HaveField("NotSent", true), HaveField("Answer.Code", stmt.CodeConnectionLost))
 
 	It("has its queued reads released to other servers, but no writes", func() {
-		first := newScriptedConn(silent)
-		p := newScriptedPool(first, newScriptedConn(silent), newScriptedConn(silent))
-		inFlight := run(p, order("r", "READ x", stmt.KindRead))
-		Eventually(first.texts).WithTimeout(waitTimeout).Should(HaveLen(1))
+		conns := []*scriptedConn{newScriptedConn(silent), newScriptedConn(silent), newScriptedConn(silent)}
+		p := newScriptedPool(conns...)
+		// As many statements as the pool sends at once are in flight, each on a connection of its
+		// own account, so that all others are queued.
+		var inFlight <-chan stmt.Result
+		for i, conn := range conns {
+			o := order(fmt.Sprint("r", i), "READ x", stmt.KindRead)
+			o.Account = model.AccountID(fmt.Sprint("account", i))
+			inFlight = run(p, o)
+			Eventually(conn.texts).WithTimeout(waitTimeout).Should(HaveLen(1))
+		}
 		queued := run(p, order("q", "READ x", stmt.KindRead))
 		write := run(p, order("w", "WRITE x 1", stmt.KindWrite))
 		Eventually(func() <-chan stmt.Result {
