One place for what the change had written twice

No behaviour changes; tests keep their assertions. - stmt.Order.AnyServerMayRun serves io/pooler and io/proxy. - io/pooler: execution.provesPrimary was the order's NeedsPrimary; dropped. - io/right: one function records a registration, also under a reused lease. The end of another instance's lease moves there from io/proxy, with the limit of keys that stood there already. - io/proxy: one function says which holders may use a primary. io/lead: a condition that the loop had already. emul/group: Server.receives. - core/quota and io/lead tests: shared steps. Long test files and emul/group are split by type. - Comments of io/pooler say that a withdrawal closes connections whose last work used the primary, idle ones included, as it does.

--- a/core/quota/issuers_test.go
+++ b/core/quota/issuers_test.go
@@ -56,6 +56,21 @@
 	})
 })
 
+// spend takes a token from the cache, or draws one from the first issuer that grants it. It returns
+// when the token is used, and false if there is none.
+func spend(now time.Duration, c *quota.TokenCache, issuers []*quota.Bucket) (time.Duration, bool) {
+	if c.Spend(at(now)) {
+		return now, true
+	}
+	for _, issuer := range issuers {
+		if grant := issuer.Draw(at(now), 1, c.PrefetchCount(), 30*time.Millisecond); grant.Tokens > 0 {
+			c.Add(at(now), grant.Tokens-1)
+			return now + grant.Delay, true
+		}
+	}
+	return 0, false
+}
+
 // TestRateHoldsOverIssuers does the same as TestRateHoldsOverHolders for a rate that several
 // issuers share, each of which moves between holders independently.
 func TestRateHoldsOverIssuers(t *testing.T) {
@@ -82,16 +97,8 @@
 				buckets[issuer] = quota.NewBucket(at(now), perSecond, burst)
 			}
 			c := &caches[int(now/(5*time.Millisecond))%len(caches)]
-			if c.Spend(at(now)) {
-				used = append(used, now)
-				continue
-			}
-			for i := range count {
-				if grant := buckets[i].Draw(at(now), 1, c.PrefetchCount(), 30*time.Millisecond); grant.Tokens > 0 {
-					c.Add(at(now), grant.Tokens-1)
-					used = append(used, now+grant.Delay)
-					break
-				}
+			if usedAt, ok := spend(now, c, buckets[:count]); ok {
+				used = append(used, usedAt)
 			}
 		}
 		checkWindows(t, used, rate, whole)
@@ -130,16 +137,8 @@
 				}
 			}
 			c := &caches[int(now/(5*time.Millisecond))%len(caches)]
-			if c.Spend(at(now)) {
-				used = append(used, now)
-				continue
-			}
-			for i := range count {
-				if grant := buckets[i].Draw(at(now), 1, c.PrefetchCount(), 30*time.Millisecond); grant.Tokens > 0 {
-					c.Add(at(now), grant.Tokens-1)
-					used = append(used, now+grant.Delay)
-					break
-				}
+			if usedAt, ok := spend(now, c, buckets[:count]); ok {
+				used = append(used, usedAt)
 			}
 		}
 		checkWindows(t, used, rate, whole)
--- a/core/stmt/order.go
+++ b/core/stmt/order.go
@@ -51,6 +51,10 @@
 	return o.Prove || o.Begin == OpBegin || (o.Unit == 0 && o.Writes())
 }
 
+// AnyServerMayRun reports whether every server of the service may run the order: a read outside of
+// a transaction that doesn't need the primary.
+func (o *Order) AnyServerMayRun() bool { return o.Unit == 0 && o.Reads() && !o.NeedsPrimary() }
+
 // Writes reports whether the statement, or the prepared statement that it executes,
 // writes.
 func (o *Order) Writes() bool {
--- a/emul/group/session.go
+++ b/emul/group/session.go
@@ -255,7 +255,7 @@
 	}
 	for _, other := range g.servers {
 		reached := other == s.server || !other.cutOff && !s.server.cutOff
-		if reached && !other.down && !other.replicationCut && !other.paused {
+		if reached && other.receives() {
 			other.commits = append(other.commits, added)
 		}
 	}
--- a/io/lead/gateways.go
+++ b/io/lead/gateways.go
@@ -109,11 +109,8 @@
 // gatewaysOf returns the instances that may use the server as the primary. If it isn't known, any
 // server of the service may be meant.
 func (m *Monitor) gatewaysOf(primary model.ServerID, servers []plan.Server) map[model.InstanceID]plan.Instance {
-	if primary == "" || m.lastPrimary.ID == primary {
-		servers = append([]plan.Server{m.lastPrimary}, servers...)
-	}
 	gateways := map[model.InstanceID]plan.Instance{}
-	for _, server := range servers {
+	for _, server := range append([]plan.Server{m.lastPrimary}, servers...) {
 		if server.ID == "" || (primary != "" && server.ID != primary) {
 			continue
 		}
--- a/io/lead/monitor_test.go
+++ b/io/lead/monitor_test.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"log/slog"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -14,14 +10,9 @@
 
 	"pomelofork/core/epoch"
 	"pomelofork/core/model"
-	"pomelofork/core/plan"
 	"pomelofork/core/stmt"
 	"pomelofork/emul/group"
 	"pomelofork/emul/seed"
-	"pomelofork/io/lead"
-	"pomelofork/io/pooler"
-	"pomelofork/io/store"
-	"pomelofork/io/view"
 )
 
 func TestLead(t *testing.T) {
@@ -29,204 +20,21 @@
 	RunSpecs(t, "lead", seed.Suite())
 }
 
-// groupStatus decodes the status of the emulated servers. These receive everything at once, so
-// the point of the answer serves as the received one, even when it is zero.
-type groupStatus struct{}
-
-func (groupStatus) Status(answer stmt.Answer) (stmt.Status, error) {
-	return stmt.Status{Received: answer.Point, Term: answer.Point.Term(), Primary: len(answer.Rows) > 0 && strings.HasPrefix(answer.Rows[0], "primary")}, nil
-}
-
-// testCluster is a group of servers, the source of their entries in the store, and the platform
-// that promotes them.
-type testCluster struct {
-	group *group.Group
-	mu    sync.Mutex
-	// promotions are the fences of the promotions so far.
-	promotions []uint64
-	fence      uint64
-	// refuse makes promotions fail.
-	refuse bool
-	// draining is the server whose entry says that it is draining, or empty.
-	draining model.ServerID
-	// points is the number of points that the monitor has reported.
-	points       int
-	syncReplicas int
-	// appointed is the server that was appointed last, and withdrawals counts the appointments
-	// of none.
-	appointed   model.ServerID
-	withdrawals int
-	// unreached says that the monitor doesn't reach server p. confirms says that the only
-	// gateway does, and stopped that the gateway acknowledges a withdrawal.
-	unreached, confirms, stopped bool
-	// unregistered says that the registration of the gateway has ended.
-	unregistered bool
-	// told counts the withdrawals that the gateway was told of.
-	told int
-}
-
-// Holders implements lead.Gateways: there is one gateway.
-func (s *testCluster) Holders(plan.Server) []plan.Instance {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.unregistered {
-		return nil
-	}
-	return []plan.Instance{{ID: "g"}}
-}
-
-// Confirm implements lead.Gateways.
-func (s *testCluster) Confirm(now time.Time, _ plan.Instance, _ plan.Server, _ bool) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.confirms {
-		return time.Time{}
-	}
-	return now
-}
-
-// Withdraw implements lead.Gateways.
-func (s *testCluster) Withdraw(time.Time, plan.Instance, model.ServiceID, uint64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.told++
-	return s.stopped
-}
-
-// Dial implements pooler.Dialer for the monitor.
-func (s *testCluster) Dial(ctx context.Context, server plan.Server, account model.AccountID) (pooler.Conn, error) {
-	s.mu.Lock()
-	unreached := s.unreached && server.ID == "p"
-	s.mu.Unlock()
-	if unreached {
-		return nil, errors.New("no answer")
-	}
-	return group.Dialer{s.group}.Dial(ctx, server, account)
-}
-
-// appoint records an appointment and returns its epoch.
-func (s *testCluster) appoint(_ context.Context, server model.ServerID) (uint64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fence++
-	s.appointed = server
-	if server == "" {
-		s.withdrawals++
-	}
-	return s.fence, nil
-}
-
-// set changes the cluster.
-func (s *testCluster) set(change func(*testCluster)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	change(s)
-}
-
-func (s *testCluster) Name() string { return "cluster" }
-
-// Fetch implements view.Source. It returns the present state of the group.
-func (s *testCluster) Fetch(_ context.Context, q view.Query) (view.Update, error) {
-	time.Sleep(10 * time.Millisecond)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	entries := []store.Entry{{Key: "plan"}}
-	for _, id := range []model.ServerID{"p", "r1", "r2"} {
-		text := "replica"
-		if s.group.Server(id).Registration().Primary {
-			text = "primary"
-		}
-		if id == s.draining {
-			text += " draining"
-		}
-		entries = append(entries, store.Entry{Key: string(id), Value: []byte(text), Revision: q.After + 1})
-	}
-	return view.Update{Entries: entries, All: true, Revision: q.After + 1}, nil
-}
-
-// Plan, Server, ServerID and ServerKey implement view.Decoder.
-func (s *testCluster) Plan(e store.Entry) (*plan.Plan, bool, error) {
-	return plan.New(plan.Config{Version: 1, SyncReplicas: map[model.ServiceID]int{"s": s.syncReplicas}}), e.Key == "plan", nil
-}
-
-func (s *testCluster) Server(e store.Entry) (plan.Server, bool, error) {
-	server := s.group.Server(model.ServerID(e.Key)).Registration()
-	server.Primary = string(e.Value)[:7] == "primary"
-	server.Draining = len(e.Value) > 7
-	server.Revision = e.Revision
-	return server, true, nil
-}
-
-func (s *testCluster) ServerID(key string) (model.ServerID, bool) {
-	return model.ServerID(key), key != "plan"
-}
-func (s *testCluster) ServerKey(id model.ServerID) string { return string(id) }
-
-// Promote implements lead.Promoter.
-func (s *testCluster) Promote(_ context.Context, _ model.ServiceID, server model.ServerID, fence uint64) error {
-	s.mu.Lock()
-	s.promotions = append(s.promotions, fence)
-	refuse := s.refuse
-	s.mu.Unlock()
-	if refuse || !s.group.Promote(server) {
-		return lead.ErrFenced
-	}
-	return nil
-}
-
-// fences returns the fences of the promotions so far.
-func (s *testCluster) fences() []uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]uint64{}, s.promotions...)
-}
-
-// loseSight changes the cluster, and cuts the monitor off from server p, which goes on as primary.
-func (s *testCluster) loseSight(change func(*testCluster)) {
-	s.set(func(s *testCluster) {
-		s.unreached = true
-		change(s)
-	})
-	// This closes the monitor's connection.
-	s.group.Server("p").SetDown(true)
-	s.group.Server("p").SetDown(false)
-}
-
-// start starts a monitor for a group of three servers, each with a limit on its connections.
-func start(connections int) *testCluster { return startReplicated(connections, 0) }
-
-// startReplicated does the same for a service each of whose commits is on syncReplicas replicas
-// before it is acknowledged.
-func startReplicated(connections, syncReplicas int) *testCluster {
-	servers := []plan.Server{{ID: "p", Service: "s", Slots: 2}, {ID: "r1", Service: "s", Slots: 2}, {ID: "r2", Service: "s", Slots: 2}}
-	s := &testCluster{group: group.New(group.Config{Service: "s", Servers: servers, Connections: connections}), syncReplicas: syncReplicas, stopped: true}
-	ctx, cancel := context.WithCancel(context.Background())
-	DeferCleanup(cancel)
-	log := slog.New(slog.DiscardHandler)
-	v := view.New(ctx, view.Config{
-		OwnPrefix: "own/", Decoder: s, Changed: func(view.State) {}, Log: log, Sources: func(*view.State) []view.Source { return []view.Source{s} },
-	})
-	lead.New(ctx, lead.Config{
-		Service: "s", View: v, Dialer: s, Status: groupStatus{}, Promoter: s, Log: log,
-		Holds:   func(time.Time) bool { return true },
-		Appoint: s.appoint, Gateways: s,
-		Allows: func(time.Time, uint64) bool { return true },
-		Observe: func(model.ServiceID, time.Time, model.Point) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.points++
-		},
-	})
+// startWithdrawal starts a monitor that has lost sight of the primary and has told its only gateway,
+// which doesn't stop, of the withdrawal more than once.
+func startWithdrawal() *testCluster {
+	s := start(0)
+	Eventually(s.confirmed).WithTimeout(waitTimeout).Should(BeTrue())
+	s.loseSight(func(s *testCluster) { s.stopped = false })
+	Eventually(func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.told
+	}).WithTimeout(waitTimeout).Should(BeNumerically(">", 1))
+	Expect(s.fences()).To(BeEmpty())
 	return s
 }
 
-// confirmed reports whether the primary has reported a point.
-func (s *testCluster) confirmed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.points > 0
-}
-
 // waitTimeout is the longest time to wait for an expected state.
 const waitTimeout = 30 * time.Second
 
@@ -268,30 +76,14 @@
 	})
 
 	It("promotes nobody while a gateway may still use the primary", func() {
-		s := start(0)
-		Eventually(s.confirmed).WithTimeout(waitTimeout).Should(BeTrue())
-		s.loseSight(func(s *testCluster) { s.stopped = false })
-		Eventually(func() int {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			return s.told
-		}).WithTimeout(waitTimeout).Should(BeNumerically(">", 1))
-		Expect(s.fences()).To(BeEmpty())
+		s := startWithdrawal()
 		withdrawn := time.Now()
 		Eventually(s.fences).WithTimeout(waitTimeout).ShouldNot(BeEmpty())
 		Expect(time.Since(withdrawn)).To(BeNumerically(">", epoch.PermitLife-time.Second))
 	})
 
 	It("promotes a replica as soon as the registration of a silent gateway has ended", func() {
-		s := start(0)
-		Eventually(s.confirmed).WithTimeout(waitTimeout).Should(BeTrue())
-		s.loseSight(func(s *testCluster) { s.stopped = false })
-		Eventually(func() int {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			return s.told
-		}).WithTimeout(waitTimeout).Should(BeNumerically(">", 1))
-		Expect(s.fences()).To(BeEmpty())
+		s := startWithdrawal()
 		withdrawn := time.Now()
 		s.set(func(s *testCluster) { s.unregistered = true })
 		Eventually(s.fences).WithTimeout(waitTimeout).ShouldNot(BeEmpty())
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -148,7 +148,8 @@
 		p.queue.ObserveCost(order.Class, now.Sub(e.sentAt))
 	}
 	result = p.checkAnswer(now, sc, e, result)
-	if e.provesPrimary && e.setupError == nil && result.Answer.Code == stmt.CodeDone {
+	// Success proves that the server was the primary at some time after sentAt.
+	if order.NeedsPrimary() && e.setupError == nil && result.Answer.Code == stmt.CodeDone {
 		p.confirmedAt = e.sentAt
 		if !e.answer.Point.IsZero() {
 			p.observe(p.server.Service, e.sentAt, e.answer.Point)
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -142,7 +142,7 @@
 	if n := len(setup); n > 0 && (setup[n-1].Op == stmt.OpBegin || setup[n-1].Op == stmt.OpBeginRead) {
 		setupRest = 1
 	}
-	sc.execution = &execution{request: r, setupLeft: len(setup), setupRest: setupRest, main: main, sentAt: now, provesPrimary: r.order.NeedsPrimary()}
+	sc.execution = &execution{request: r, setupLeft: len(setup), setupRest: setupRest, main: main, sentAt: now}
 	p.countRunning(now)
 	left := r.deadline.Sub(now)
 	if r.order.Reads() {
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -231,7 +231,7 @@
 	case !inTransaction && p.silentFor(now) > unresponsiveAfter:
 		r.result <- refused(stmt.CodeConnectionLost, silentText, unresponsiveAfter)
 		return
-	case r.otherServerMayRun() && (p.silentFor(now) > silentAfter || p.reconnecting()):
+	case r.order.AnyServerMayRun() && (p.silentFor(now) > silentAfter || p.reconnecting()):
 		r.result <- refused(stmt.CodeConnectionLost, silentText, silentAfter)
 		return
 	}
--- a/io/pooler/serverconn.go
+++ b/io/pooler/serverconn.go
@@ -28,8 +28,8 @@
 	tx txKey
 	// execution is the statement in flight, or nil.
 	execution *execution
-	// usesPrimary says that the order in flight or the open transaction needs the service's
-	// primary. It was requested under epoch.
+	// usesPrimary says that the last order or transaction needed the service's primary. It was
+	// requested under epoch.
 	usesPrimary bool
 	epoch       uint64
 	idleFrom    time.Time
@@ -74,9 +74,6 @@
 	answered bool
 	// setupError is the answer to the first setup command that failed, or nil.
 	setupError *stmt.Answer
-	// provesPrimary says that success proves that the server was the service's primary at
-	// some time after sentAt.
-	provesPrimary bool
 }
 
 // newServerConn returns a connection and starts a goroutine that opens it and reads from it
--- a/io/pooler/silent.go
+++ b/io/pooler/silent.go
@@ -34,12 +34,6 @@
 	return true
 }
 
-// otherServerMayRun reports whether another server of the service may run the request: a read
-// outside of a transaction that doesn't need the primary.
-func (r *request) otherServerMayRun() bool {
-	return r.order.Unit == 0 && r.order.Reads() && !r.order.NeedsPrimary()
-}
-
 // releaseReads rejects the queued reads that another server may run, if this server has stopped
 // answering. Otherwise they would wait until the statements in flight time out, although other
 // servers are free.
@@ -50,7 +44,7 @@
 	}
 	released := 0
 	p.queue.Remove(func(r *request) bool {
-		if !r.otherServerMayRun() {
+		if !r.order.AnyServerMayRun() {
 			return false
 		}
 		released++
--- a/io/pooler/withdraw.go
+++ b/io/pooler/withdraw.go
@@ -20,8 +20,8 @@
 }
 
 // Withdraw ends the work for the service's primary that was requested under an epoch below the
-// given one. Queued orders are refused. Connections with such an order or transaction are closed,
-// so that the outcome of what was sent is unknown.
+// given one. Queued orders are refused. Connections whose last order or transaction was such
+// work are closed, so that the outcome of what was sent is unknown.
 func (p *Pool) Withdraw(epoch uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -12,7 +12,6 @@
 	"pomelofork/core/stmt"
 	"pomelofork/io/clock"
 	"pomelofork/io/relay"
-	"pomelofork/io/store"
 )
 
 // Run implements entry.Fleet. An order runs at the first instance, in the order of
@@ -34,7 +33,7 @@
 	tried := 0
 	holders := n.holders(server)
 	if order.NeedsPrimary() {
-		holders = holders[:min(maxPrimaryHolders, len(holders))]
+		holders = primaryHolders(holders)
 	}
 	for _, inst := range holders {
 		if (inst.ID != n.config.Self.ID && !n.peer(inst).Reachable(now)) || n.pathFailedRecently(now, inst, server.ID) {
@@ -47,7 +46,7 @@
 		if ok && got.NotSent && got.Answer.Code == stmt.CodeConnectionLost {
 			n.markPathFailed(now, inst, server.ID)
 			result = got
-			if order.Unit == 0 && order.Reads() && !order.NeedsPrimary() {
+			if order.AnyServerMayRun() {
 				// Another server runs the read sooner than another instance finds out whether
 				// this one answers.
 				return got
@@ -153,9 +152,6 @@
 	restartGrace = 2 * time.Second
 	// endLeaseTimeout bounds the calls to the store that end the lease of another instance.
 	endLeaseTimeout = 2 * time.Second
-	// maxEndedKeys is the number of keys that one transaction can remove: the store accepts 32
-	// conditions and deletions together.
-	maxEndedKeys = 16
 )
 
 // endLeaseIfRefused ends the lease of an instance if the error says that no process
@@ -175,7 +171,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), endLeaseTimeout)
 		defer cancel()
-		if err := n.endLease(ctx, inst); err != nil {
+		if err := n.rights.EndLease(ctx, inst); err != nil {
 			n.config.Log.LogAttrs(ctx, slog.LevelWarn, "failed to end the lease of an instance", slog.String("instance", string(inst.ID)), slog.String("error", err.Error()))
 			n.mu.Lock()
 			delete(n.endedLeases, inst.Lease)
@@ -184,27 +180,6 @@
 	}()
 }
 
-// endLease removes the registration and the rights of an instance whose process has ended, and
-// ends its lease. It fails with store.ErrConflict if they were written again since: then the
-// instance runs again and uses the lease.
-func (n *Node) endLease(ctx context.Context, inst plan.Instance) error {
-	key := n.view.InstanceKey(inst.ID)
-	txn := store.Txn{Expected: []store.Condition{{Key: key, Revision: inst.Revision}}, Deletes: []string{key}}
-	for name, right := range n.view.State().Rights {
-		if right.Instance == inst.ID && uint64(right.Lease) == inst.Lease && len(txn.Deletes) < maxEndedKeys {
-			txn.Expected = append(txn.Expected, store.Condition{Key: n.view.RightKey(name), Revision: right.Revision})
-			txn.Deletes = append(txn.Deletes, n.view.RightKey(name))
-		}
-	}
-	if _, err := n.config.Table.Commit(ctx, txn); err != nil {
-		return err
-	}
-	if err := n.config.Table.End(ctx, store.LeaseID(inst.Lease)); err != nil && !errors.Is(err, store.ErrNotFound) {
-		return err
-	}
-	return nil
-}
-
 // NewestPoint implements entry.Fleet. The instance that monitors the service's primary
 // knows the newest point. If that is this one, it returns false, because the entry has
 // that point already.
--- a/io/proxy/primary.go
+++ b/io/proxy/primary.go
@@ -72,9 +72,12 @@
 	if !n.primaryPermit().Valid(now) {
 		return false
 	}
-	order := n.holders(server)
-	i := slices.IndexFunc(order, func(inst plan.Instance) bool { return inst.ID == n.config.Self.ID })
-	return i >= 0 && i < maxPrimaryHolders
+	return slices.ContainsFunc(primaryHolders(n.holders(server)), func(inst plan.Instance) bool { return inst.ID == n.config.Self.ID })
+}
+
+// primaryHolders returns those of a server's holders that may use it as a primary.
+func primaryHolders(holders []plan.Instance) []plan.Instance {
+	return holders[:min(maxPrimaryHolders, len(holders))]
 }
 
 // withdrawLocally stops the work of a service's primary under epochs below the given one.
--- a/io/right/former.go
+++ b/io/right/former.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pomelofork/core/pace"
+	"pomelofork/core/plan"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
@@ -63,10 +64,7 @@
 		mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "lease of the former run not reused", slog.Uint64("lease", former.Lease), slog.String("error", err.Error()))
 		return false
 	}
-	mgr.mu.Lock()
-	mgr.lease, mgr.validUntil, mgr.terms, mgr.shortLease = store.LeaseID(former.Lease), now.Add(terms.TTL), terms, false
-	mgr.registeredSince = mgr.startedAt
-	mgr.mu.Unlock()
+	mgr.recordRegistration(now, mgr.startedAt, grantedLease{id: store.LeaseID(former.Lease), until: now.Add(terms.TTL), terms: terms}, nil, 0)
 	mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "registered under the lease of the former run", slog.Uint64("lease", former.Lease))
 	return true
 }
@@ -96,6 +94,28 @@
 	return mgr.config.Table.Commit(ctx, txn)
 }
 
+// EndLease removes the registration and the rights of an instance whose process has ended, and
+// ends its lease. It fails with store.ErrConflict if they were written again since: then the
+// instance runs again and uses the lease.
+func (mgr *Manager) EndLease(ctx context.Context, inst plan.Instance) error {
+	key := mgr.config.View.InstanceKey(inst.ID)
+	txn := store.Txn{Expected: []store.Condition{{Key: key, Revision: inst.Revision}}, Deletes: []string{key}}
+	for name, right := range mgr.config.View.State().Rights {
+		if right.Instance == inst.ID && uint64(right.Lease) == inst.Lease && len(txn.Deletes) < maxRights {
+			key := mgr.config.View.RightKey(name)
+			txn.Expected = append(txn.Expected, store.Condition{Key: key, Revision: right.Revision})
+			txn.Deletes = append(txn.Deletes, key)
+		}
+	}
+	if _, err := mgr.config.Table.Commit(ctx, txn); err != nil {
+		return err
+	}
+	if err := mgr.config.Table.End(ctx, store.LeaseID(inst.Lease)); err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	return nil
+}
+
 // endFormerLease ends the lease of the former run of this instance, so that its rights are free.
 func (mgr *Manager) endFormerLease(ctx context.Context, state *view.State) {
 	former, ok := state.Instances[mgr.config.Self.ID]
--- a/io/right/lease.go
+++ b/io/right/lease.go
@@ -58,7 +58,12 @@
 		return mgr.pauseUnless(false)
 	}
 	mgr.unregistered = grantedLease{}
-	mgr.recordRegistration(now, lease, kept, revision)
+	since := clock.Now()
+	if len(kept) > 0 {
+		// The former registration was replaced before it ended.
+		since = mgr.startedAt
+	}
+	mgr.recordRegistration(now, since, lease, kept, revision)
 	mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "registered under a lease", slog.Uint64("lease", uint64(lease.id)), slog.Duration("life", lease.terms.TTL),
 		slog.Int("kept_rights", len(kept)), slog.Uint64("revision", revision))
 	return true
@@ -96,18 +101,16 @@
 	return kept, revision, err
 }
 
-// recordRegistration records that this instance is registered under a lease and holds the rights
-// that it has kept.
-func (mgr *Manager) recordRegistration(now time.Time, lease grantedLease, kept []formerRight, revision uint64) {
+// recordRegistration records that this instance is registered under a lease, without a gap since
+// the given time, and holds the rights that it has kept.
+func (mgr *Manager) recordRegistration(now, since time.Time, lease grantedLease, kept []formerRight, revision uint64) {
 	mgr.mu.Lock()
 	defer mgr.mu.Unlock()
 	mgr.lease, mgr.validUntil, mgr.terms, mgr.shortLease = lease.id, lease.until, lease.terms, lease.short
-	mgr.registeredSince = clock.Now()
+	mgr.registeredSince = since
 	if len(kept) == 0 {
 		return
 	}
-	// The former registration was replaced before it ended.
-	mgr.registeredSince = mgr.startedAt
 	mgr.lastUrgent, mgr.reported = now, false
 	for _, former := range kept {
 		mgr.held[former.spec.Name] = heldRight{revision: revision, since: mgr.startedAt, nonUrgent: former.spec.NonUrgent, kept: true}
