End a withdrawal by the copy that contains it; count a vacancy from the loss of the primary

Its withdrawal, written at 16.1 s, ended at 17.5 s, although all other gateways had stopped or their registrations had ended: the copy counted as complete only with the confirmation of the next watch, which returns nothing for up to a second. By then the store rejected that instance; the primary was missing until 23.5 s. Ruled out: the wait for a silent gateway (none was pending), the life of the permit.

Change: a withdrawal is complete when the copy has the revision of its entry. The view keeps since when a service lacks a primary and which one it had; a monitor that takes over counts from there, or from a later appointment under way.

--- a/core/epoch/epoch_test.go
+++ b/core/epoch/epoch_test.go
@@ -66,7 +66,7 @@
 
 	It("ends when every instance that may use the primary has stopped", func() {
 		w := epoch.NewWithdrawal(start)
-		w.Observe(after, ids)
+		w.Observe(true, ids)
 		w.Stopped("b")
 		w.Stopped("unknown")
 		Expect(w.Pending()).To(Equal([]model.InstanceID{"a", "c"}))
@@ -78,23 +78,23 @@
 
 	It("ends when no permit can be left", func() {
 		w := epoch.NewWithdrawal(start)
-		w.Observe(after, ids)
+		w.Observe(true, ids)
 		Expect(w.Left(start.Add(epoch.PermitLife + epoch.ClockSlack))).To(BeZero())
 	})
 
 	It("counts instances as stopped whose registration has ended", func() {
 		w := epoch.NewWithdrawal(start)
-		w.Observe(after, ids)
+		w.Observe(true, ids)
 		w.Stopped("a")
-		w.Observe(after, ids[:1])
+		w.Observe(true, ids[:1])
 		Expect(w.Left(after)).To(BeZero())
 	})
 
 	It("doesn't end by what was known before it was written", func() {
 		w := epoch.NewWithdrawal(start)
-		w.Observe(start.Add(-time.Millisecond), nil)
+		w.Observe(false, nil)
 		Expect(w.Left(after)).NotTo(BeZero())
-		w.Observe(after, ids)
+		w.Observe(true, ids)
 		Expect(w.Pending()).To(Equal(ids))
 	})
 })
--- a/core/epoch/model_test.go
+++ b/core/epoch/model_test.go
@@ -30,9 +30,10 @@
 	// replaced.
 	withdrawal *epoch.Withdrawal
 	withdrawn  uint64
-	// users are the registered instances that the promoter knew at observed.
+	// users are the registered instances in the promoter's copy of the store's content, and
+	// observed is the epoch in that copy.
 	users    []model.InstanceID
-	observed time.Time
+	observed uint64
 	// mustWait is false in the variant that promotes without waiting for the withdrawal.
 	mustWait   bool
 	promotions int
@@ -182,7 +183,7 @@
 		return
 	}
 	if m.withdrawal != nil && m.chance(5) {
-		m.observed, m.users = m.now, nil
+		m.observed, m.users = m.epoch, nil
 		for i, inst := range m.instances {
 			if m.now.Before(inst.registeredUntil) {
 				m.users = append(m.users, model.InstanceID(fmt.Sprint(i)))
@@ -190,7 +191,7 @@
 		}
 	}
 	if m.withdrawal != nil {
-		m.withdrawal.Observe(m.observed, m.users)
+		m.withdrawal.Observe(m.observed >= m.withdrawn, m.users)
 	}
 	switch {
 	case m.withdrawal == nil && m.effectAt.IsZero() && m.chance(200):
--- a/core/epoch/withdrawal.go
+++ b/core/epoch/withdrawal.go
@@ -10,8 +10,8 @@
 // isn't safe for concurrent use.
 type Withdrawal struct {
 	writtenAt time.Time
-	// users are the registered instances that may use the primary. complete says that they are
-	// those of a time after the withdrawal was written.
+	// users are the registered instances that may use the primary. complete says that no others
+	// were registered when the withdrawal was written.
 	users    []model.InstanceID
 	complete bool
 	stopped  map[model.InstanceID]bool
@@ -24,10 +24,11 @@
 }
 
 // Observe sets the registered instances that may use the primary, as known from a copy of the
-// store's content that was complete as of confirmed. Instances whose registration has ended since
-// are not among them: they have stopped, and use no primary before they know of the withdrawal.
-func (w *Withdrawal) Observe(confirmed time.Time, users []model.InstanceID) {
-	w.users, w.complete = users, !confirmed.Before(w.writtenAt)
+// store's content. containsWithdrawal says that the copy has every change up to the withdrawal.
+// Instances whose registration had ended before are not among them: they have stopped, and use no
+// primary before they know of the withdrawal.
+func (w *Withdrawal) Observe(containsWithdrawal bool, users []model.InstanceID) {
+	w.users, w.complete = users, containsWithdrawal
 }
 
 // Stopped records that an instance doesn't use the primary any more: it acknowledged the
--- a/core/promo/promo.go
+++ b/core/promo/promo.go
@@ -78,8 +78,10 @@
 	// refusedSince is when a connection to primary was first refused after confirmedAt,
 	// or zero if none was.
 	refusedSince time.Time
-	// noPrimarySince is when servers stopped reporting the primary role, or zero.
+	// noPrimarySince is when servers stopped reporting the primary role, or zero. former is the
+	// server that did so before, or empty if it isn't known.
 	noPrimarySince time.Time
+	former         model.ServerID
 	// removed is true when the entry of the last primary no longer exists.
 	removed bool
 	// promotionStartedAt and promotionTarget belong to the promotion under way. They
@@ -91,8 +93,14 @@
 	promotionFailed bool
 }
 
-// New returns a machine that takes the primary as confirmed at now.
-func New(now time.Time) *Machine { return &Machine{confirmedAt: now} }
+// New returns a machine that takes the primary as confirmed at now. If the service has no primary,
+// noPrimarySince is when it lost the former one, whose ID may be empty; otherwise both are zero.
+//
+// Load pattern: the instance that monitored the service is lost together with the primary, and
+// another one takes over seconds later, while every write waits.
+func New(now, noPrimarySince time.Time, former model.ServerID) *Machine {
+	return &Machine{confirmedAt: now, noPrimarySince: noPrimarySince, former: former}
+}
 
 // Primary returns the server to probe, and false if no server reports the primary
 // role. If several do, it is the one whose entry has the highest revision.
@@ -109,12 +117,13 @@
 			m.noPrimarySince = now
 		}
 		if m.primary != "" {
-			m.removed = !slices.ContainsFunc(servers, func(s plan.Server) bool { return s.ID == m.primary })
+			m.former = m.primary
 		}
 		m.primary = ""
+		m.removed = m.former != "" && !slices.ContainsFunc(servers, func(s plan.Server) bool { return s.ID == m.former })
 		return primary, false
 	}
-	m.noPrimarySince, m.removed, m.promotionFailed = time.Time{}, false, false
+	m.noPrimarySince, m.former, m.removed, m.promotionFailed = time.Time{}, "", false, false
 	if primary.ID != m.primary {
 		m.primary, m.confirmedAt, m.refusedSince = primary.ID, now, time.Time{}
 		if primary.ID == m.promotionTarget {
--- a/core/promo/promo_test.go
+++ b/core/promo/promo_test.go
@@ -29,7 +29,7 @@
 var _ = Describe("Machine", func() {
 	group := []plan.Server{server("p", true, false), server("r1", false, false), server("r2", false, false)}
 	var m *promo.Machine
-	BeforeEach(func() { m = promo.New(start) })
+	BeforeEach(func() { m = promo.New(start, time.Time{}, "") })
 
 	// decide shows the servers to the machine and returns its decision.
 	decide := func(ms int, servers []plan.Server) promo.Decision {
@@ -107,6 +107,37 @@
 	})
 })
 
+var _ = Describe("A machine that takes over from a lost monitor", func() {
+	// gap returns the time after the loss of the primary at which another one is decided on. The
+	// other monitor was lost with the primary, and this one starts 1.2 s later.
+	gap := func(since time.Time, former model.ServerID, servers []plan.Server) time.Duration {
+		m := promo.New(at(1200), since, former)
+		for ms := 1200; ms < 10_000; ms += 50 {
+			m.Primary(at(ms), servers)
+			if m.Decide(at(ms), servers).Action == promo.ActionReplace {
+				return at(ms).Sub(start)
+			}
+		}
+		return 0
+	}
+	replicas := []plan.Server{server("r1", false, false), server("r2", false, false)}
+	demoted := append(replicas, server("p", false, false))
+
+	for name, c := range map[string]struct {
+		since   time.Time
+		former  model.ServerID
+		servers []plan.Server
+		want    time.Duration
+	}{
+		"replaces a primary at once whose entry was removed before":        {start, "p", replicas, 1200 * time.Millisecond},
+		"counts the time since the primary gave up its role":               {start, "p", demoted, 1500 * time.Millisecond},
+		"counts from its own start if nothing is known of the time before": {time.Time{}, "", replicas, 2700 * time.Millisecond},
+		"leaves a promotion under way its time":                            {at(1100), "", replicas, 2600 * time.Millisecond},
+	} {
+		It(name, func() { Expect(gap(c.since, c.former, c.servers)).To(Equal(c.want)) })
+	}
+})
+
 var _ = Describe("CoverAllCommits", func() {
 	for name, c := range map[string]struct {
 		answers, replicas, syncReplicas int
--- a/io/lead/cluster_test.go
+++ b/io/lead/cluster_test.go
@@ -52,6 +52,8 @@
 	unreached, confirms, stopped bool
 	// unregistered says that the registration of the gateway has ended.
 	unregistered bool
+	// age is the age of the copy that the view gets.
+	age time.Duration
 	// told counts the withdrawals that the gateway was told of.
 	told int
 }
@@ -132,7 +134,7 @@
 		}
 		entries = append(entries, store.Entry{Key: string(id), Value: []byte(text), Revision: q.After + 1})
 	}
-	return view.Update{Entries: entries, All: true, Revision: q.After + 1}, nil
+	return view.Update{Entries: entries, All: true, Revision: q.After + 1, Age: s.age}, nil
 }
 
 // Plan, Server, ServerID and ServerKey implement view.Decoder.
--- a/io/lead/gateways.go
+++ b/io/lead/gateways.go
@@ -78,10 +78,10 @@
 	}
 	w := epoch.NewWithdrawal(clock.Now())
 	for first := true; ; {
-		// The time is read before the instances, so that these are at least as recent.
-		confirmed, _ := m.config.View.FreshAsOf()
+		// The revision is read before the instances, so that these are at least as recent.
+		known := m.config.View.Revision()
 		gateways := m.gatewaysOf(decision.Primary, servers)
-		w.Observe(confirmed, slices.Sorted(maps.Keys(gateways)))
+		w.Observe(known >= withdrawal, slices.Sorted(maps.Keys(gateways)))
 		m.tellPending(w, gateways, withdrawal)
 		now := clock.Now()
 		left, pending := w.Left(now), w.Pending()
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -120,7 +120,8 @@
 				continue
 			}
 			if m.machine == nil {
-				m.machine = promo.New(now)
+				vacancy := c.View.State().Vacancies[c.Service]
+				m.machine = promo.New(now, vacancy.Since, vacancy.Former)
 			}
 			m.check(ctx, now)
 		}
--- a/io/lead/monitor_test.go
+++ b/io/lead/monitor_test.go
@@ -35,6 +35,13 @@
 	return s
 }
 
+// withdrawn reports whether the appointment of the primary was withdrawn.
+func (s *testCluster) withdrawn() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.withdrawals > 0
+}
+
 // waitTimeout is the longest time to wait for an expected state.
 const waitTimeout = 30 * time.Second
 
@@ -90,6 +97,16 @@
 		Expect(time.Since(withdrawn)).To(BeNumerically("<", epoch.PermitLife/2))
 	})
 
+	It("promotes a replica without a later confirmation of a copy that contains the withdrawal", func() {
+		s := start(0)
+		Eventually(s.confirmed).WithTimeout(waitTimeout).Should(BeTrue())
+		s.loseSight(func(s *testCluster) { s.stopped, s.age = true, time.Hour })
+		Eventually(s.withdrawn).WithTimeout(waitTimeout).Should(BeTrue())
+		withdrawn := time.Now()
+		Eventually(s.fences).WithTimeout(waitTimeout).ShouldNot(BeEmpty())
+		Expect(time.Since(withdrawn)).To(BeNumerically("<", epoch.PermitLife/2))
+	})
+
 	It("uses a higher fence for each promotion", func() {
 		s := start(0)
 		s.mu.Lock()
--- a/io/view/builder.go
+++ b/io/view/builder.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
@@ -13,6 +14,7 @@
 // changes: with many servers or instances the maps are large, and most updates concern only one
 // of them.
 type stateBuilder struct {
+	now  time.Time
 	next State
 	// former are the counts of the state that the builder started from.
 	former ChangeCounts
@@ -23,8 +25,8 @@
 }
 
 // newStateBuilder returns a builder that starts from a state. It leaves that state unchanged.
-func newStateBuilder(s *State) *stateBuilder {
-	return &stateBuilder{next: *s, former: s.ChangeCounts, initial: s.ChangeCounts == ChangeCounts{} && s.Plan == nil}
+func newStateBuilder(now time.Time, s *State) *stateBuilder {
+	return &stateBuilder{now: now, next: *s, former: s.ChangeCounts, initial: s.ChangeCounts == ChangeCounts{} && s.Plan == nil}
 }
 
 // writable returns a map of the state that may be changed, and counts the change. The first call
@@ -47,6 +49,7 @@
 	}
 	b.next.Servers = writable(b.next.Servers, b.former.Servers, &b.next.ChangeCounts.Servers)
 	b.next.Servers[s.ID] = s
+	former := primaryOf(b.next.Services[s.Service])
 	servers, i, found := b.copyService(s.Service, s.ID)
 	if found {
 		servers[i] = s
@@ -54,6 +57,7 @@
 		servers = slices.Insert(servers, i, s)
 	}
 	b.next.Services[s.Service] = servers
+	b.updateVacancy(s.Service, former)
 }
 
 // removeServer removes a server, if there is one with the ID.
@@ -64,12 +68,45 @@
 	}
 	b.next.Servers = writable(b.next.Servers, b.former.Servers, &b.next.ChangeCounts.Servers)
 	delete(b.next.Servers, id)
+	former := primaryOf(b.next.Services[previous.Service])
 	servers, i, _ := b.copyService(previous.Service, id)
 	if servers = slices.Delete(servers, i, i+1); len(servers) == 0 {
 		delete(b.next.Services, previous.Service)
-		return
+	} else {
+		b.next.Services[previous.Service] = servers
+	}
+	b.updateVacancy(previous.Service, former)
+}
+
+// primaryOf returns the server to be used as the primary, or an empty ID.
+func primaryOf(servers []plan.Server) model.ServerID {
+	var primary plan.Server
+	for _, s := range servers {
+		if s.Primary && s.Revision >= primary.Revision {
+			primary = s
+		}
+	}
+	return primary.ID
+}
+
+// updateVacancy updates whether a service has a primary. former is its primary before the change.
+func (b *stateBuilder) updateVacancy(service model.ServiceID, former model.ServerID) {
+	switch _, vacant := b.next.Vacancies[service]; {
+	case primaryOf(b.next.Services[service]) != "" || len(b.next.Services[service]) == 0:
+		if vacant {
+			b.next.Vacancies = maps.Clone(b.next.Vacancies)
+			delete(b.next.Vacancies, service)
+		}
+	case former != "":
+		b.setVacancy(service, Vacancy{Former: former, Since: b.now})
 	}
-	b.next.Services[previous.Service] = servers
+}
+
+func (b *stateBuilder) setVacancy(service model.ServiceID, v Vacancy) {
+	if b.next.Vacancies = maps.Clone(b.next.Vacancies); b.next.Vacancies == nil {
+		b.next.Vacancies = map[model.ServiceID]Vacancy{}
+	}
+	b.next.Vacancies[service] = v
 }
 
 // setAppointment sets which server is to be used as the primary of a service.
@@ -79,6 +116,9 @@
 	for _, s := range b.next.Services[service] {
 		b.setServer(a.Apply(s))
 	}
+	if _, vacant := b.next.Vacancies[service]; vacant && a.Server != "" {
+		b.setVacancy(service, Vacancy{Since: b.now})
+	}
 }
 
 // copyService returns a copy of a service's servers, the index of a server in it, and whether the
--- a/io/view/builder_test.go
+++ b/io/view/builder_test.go
@@ -1,6 +1,8 @@
 package view
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -8,9 +10,11 @@
 	"pomelofork/core/plan"
 )
 
+var start = time.Unix(1000, 0)
+
 var _ = Describe("State builder", func() {
 	first := func() *State {
-		b := newStateBuilder(&State{})
+		b := newStateBuilder(start, &State{})
 		b.setServer(plan.Server{ID: "b", Service: "s"})
 		b.setServer(plan.Server{ID: "a", Service: "s"})
 		b.setServer(plan.Server{ID: "c", Service: "t"})
@@ -28,7 +32,7 @@
 
 	It("leaves the former state unchanged", func() {
 		s := first()
-		b := newStateBuilder(s)
+		b := newStateBuilder(start, s)
 		b.setServer(plan.Server{ID: "a", Service: "s", Primary: true})
 		b.removeServer("c")
 		b.removeInstance("i")
@@ -44,7 +48,7 @@
 	})
 
 	It("keeps the servers of a service sorted, also when one moves to another service", func() {
-		b := newStateBuilder(first())
+		b := newStateBuilder(start, first())
 		Expect(ids(&b.next, "s")).To(Equal([]model.ServerID{"a", "b"}))
 		b.setServer(plan.Server{ID: "a", Service: "t"})
 		Expect(ids(&b.next, "s")).To(Equal([]model.ServerID{"b"}))
@@ -53,7 +57,7 @@
 
 	It("counts one change of each changed map, and shares the unchanged maps with the former state", func() {
 		s := first()
-		b := newStateBuilder(s)
+		b := newStateBuilder(start, s)
 		b.setRight("q", Right{Instance: "i"})
 		b.setRight("p", Right{Instance: "i"})
 		b.removeInstance("unknown")
@@ -61,4 +65,36 @@
 		b.next.Instances["shared"] = plan.Instance{}
 		Expect(s.Instances).To(HaveKey(model.InstanceID("shared")))
 	})
+
+	Describe("of a service whose primary is lost", func() {
+		lose := func(change func(*stateBuilder)) *State {
+			b := newStateBuilder(start, first())
+			b.setServer(plan.Server{ID: "b", Service: "s", Primary: true, ReportsPrimary: true})
+			Expect(b.next.Vacancies).To(BeEmpty())
+			b = newStateBuilder(start.Add(time.Second), &b.next)
+			change(b)
+			return &b.next
+		}
+		lost := map[model.ServiceID]Vacancy{"s": {Former: "b", Since: start.Add(time.Second)}}
+		for name, change := range map[string]func(*stateBuilder){
+			"by the removal of its entry": func(b *stateBuilder) { b.removeServer("b") },
+			"by another role":             func(b *stateBuilder) { b.setServer(plan.Server{ID: "b", Service: "s"}) },
+			"by a withdrawal":             func(b *stateBuilder) { b.setAppointment("s", plan.Appointment{Epoch: 1}) },
+		} {
+			It("records which it was and since when: "+name, func() {
+				Expect(lose(change).Vacancies).To(Equal(lost))
+			})
+		}
+		It("counts from the appointment of another server, until that reports the role", func() {
+			b := newStateBuilder(start.Add(2*time.Second), lose(func(b *stateBuilder) { b.removeServer("b") }))
+			b.setAppointment("s", plan.Appointment{Server: "a", Epoch: 1})
+			Expect(b.next.Vacancies).To(Equal(map[model.ServiceID]Vacancy{"s": {Since: start.Add(2 * time.Second)}}))
+			b = newStateBuilder(start.Add(3*time.Second), &b.next)
+			b.setServer(plan.Server{ID: "a", Service: "s", Primary: true, ReportsPrimary: true})
+			Expect(b.next.Vacancies).To(BeEmpty())
+		})
+		It("forgets it with the last server", func() {
+			Expect(lose(func(b *stateBuilder) { b.removeServer("b"); b.removeServer("a") }).Vacancies).To(BeEmpty())
+		})
+	})
 })
--- a/io/view/state.go
+++ b/io/view/state.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
@@ -20,6 +21,16 @@
 	Lease store.LeaseID
 }
 
+// Vacancy says since when a service has had no server to be used as its primary.
+type Vacancy struct {
+	// Former is the primary before. It is empty if it isn't known, or if another server has been
+	// appointed since.
+	Former model.ServerID
+	// Since is when the primary was lost, or when another server was appointed that doesn't
+	// report the role yet.
+	Since time.Time
+}
+
 // ChangeCounts counts how often each map of a state has changed. What was computed from a map is
 // valid as long as its count is the same.
 type ChangeCounts struct {
@@ -40,6 +51,8 @@
 	Services map[model.ServiceID][]plan.Server
 	// Appointments say which servers are to be used as primaries.
 	Appointments map[model.ServiceID]plan.Appointment
+	// Vacancies are the services that had a primary and have none now.
+	Vacancies map[model.ServiceID]Vacancy
 	// Instances are the registered instances. This one is among them once it is registered.
 	Instances map[model.InstanceID]plan.Instance
 	// Rights are the held rights by name.
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -77,6 +77,8 @@
 	// freshAsOf is the time as of which the state is known to be complete, in Unix nanoseconds
 	// of package clock. Zero means never.
 	freshAsOf atomic.Int64
+	// revision is the revision up to which the state has every change.
+	revision atomic.Uint64
 
 	mu sync.Mutex
 	// lastFailure is when a query last failed.
@@ -102,6 +104,10 @@
 	return time.Unix(0, at), at != 0
 }
 
+// Revision returns the store's revision up to which the state has every change, and what
+// Config.Changed does with these changes is done. It is zero before the first update.
+func (v *View) Revision() uint64 { return v.revision.Load() }
+
 // watch queries one source after the other until the context ends, and applies their updates.
 func (v *View) watch(ctx context.Context) {
 	after, synced := uint64(0), false
@@ -138,6 +144,7 @@
 		if !synced || update.Revision >= after {
 			v.applyUpdate(ctx, update)
 			after, synced = update.Revision, true
+			v.revision.Store(after)
 		}
 		if at := sent.Add(update.Waited - update.Age).UnixNano(); at > v.freshAsOf.Load() {
 			v.freshAsOf.Store(at)
@@ -167,8 +174,8 @@
 	if len(update.Entries) == 0 && !update.All {
 		return
 	}
-	b := newStateBuilder(v.state.Load())
 	now := clock.Now()
+	b := newStateBuilder(now, v.state.Load())
 	present := map[string]bool{}
 	for _, e := range update.Entries {
 		present[e.Key] = !e.Removed
@@ -263,7 +270,7 @@
 	if server, ok := current.Servers[id]; !ok || server.Revision != revision {
 		return
 	}
-	b := newStateBuilder(current)
+	b := newStateBuilder(clock.Now(), current)
 	b.removeServer(id)
 	v.config.Log.LogAttrs(ctx, slog.LevelInfo, "server gone: its entry was removed and not written again", slog.String("server", string(id)))
 	v.state.Store(&b.next)
