Return the tokens of operations that were certainly not sent

Change: the entry keeps such a token for the next operation until 250 ms after it was drawn. A life from the return on was tried first: TestRateHoldsWithReturns then finds windows above the cap, since tokens of rejected operations collect.

--- a/core/quota/issuers_test.go
+++ b/core/quota/issuers_test.go
@@ -58,17 +58,17 @@
 
 // spend takes a token from the cache, or draws one from the first issuer that grants it. It returns
 // when the token is used, and false if there is none.
-func spend(now time.Duration, c *quota.TokenCache, issuers []*quota.Bucket) (time.Duration, bool) {
-	if c.Spend(at(now)) {
-		return now, true
+func spend(now time.Duration, c *quota.TokenCache, issuers []*quota.Bucket) (quota.Token, time.Duration, bool) {
+	if token, ok := c.Spend(at(now)); ok {
+		return token, now, true
 	}
 	for _, issuer := range issuers {
 		if grant := issuer.Draw(at(now), 1, c.PrefetchCount(), 30*time.Millisecond); grant.Tokens > 0 {
 			c.Add(at(now), grant.Tokens-1)
-			return now + grant.Delay, true
+			return quota.DrawnToken(at(now + grant.Delay)), now + grant.Delay, true
 		}
 	}
-	return 0, false
+	return quota.Token{}, 0, false
 }
 
 // TestRateHoldsOverIssuers does the same as TestRateHoldsOverHolders for a rate that several
@@ -97,7 +97,7 @@
 				buckets[issuer] = quota.NewBucket(at(now), perSecond, burst)
 			}
 			c := &caches[int(now/(5*time.Millisecond))%len(caches)]
-			if usedAt, ok := spend(now, c, buckets[:count]); ok {
+			if _, usedAt, ok := spend(now, c, buckets[:count]); ok {
 				used = append(used, usedAt)
 			}
 		}
@@ -137,7 +137,7 @@
 				}
 			}
 			c := &caches[int(now/(5*time.Millisecond))%len(caches)]
-			if usedAt, ok := spend(now, c, buckets[:count]); ok {
+			if _, usedAt, ok := spend(now, c, buckets[:count]); ok {
 				used = append(used, usedAt)
 			}
 		}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -59,15 +60,33 @@
 	})
 })
 
+// spends takes a token from the cache and reports whether there was one.
+func spends(c *quota.TokenCache, now time.Duration) bool {
+	_, ok := c.Spend(at(now))
+	return ok
+}
+
 var _ = Describe("TokenCache", func() {
 	It("spends its tokens until they expire", func() {
 		var c quota.TokenCache
-		Expect(c.Spend(start)).To(BeFalse())
+		Expect(spends(&c, 0)).To(BeFalse())
 		c.Add(start, 2)
-		Expect(c.Spend(start)).To(BeTrue())
-		Expect(c.Spend(at(quota.TokenLife))).To(BeFalse())
+		Expect(spends(&c, 0)).To(BeTrue())
+		Expect(spends(&c, quota.TokenLife)).To(BeFalse())
 	})
 
+	It("spends returned tokens once, and not later than without the return", func() {
+		var c quota.TokenCache
+		token := quota.DrawnToken(start)
+		c.Return(at(100*time.Millisecond), token)
+		c.Return(at(100*time.Millisecond), quota.DrawnToken(at(100*time.Millisecond)))
+		Expect(spends(&c, 150*time.Millisecond)).To(BeTrue())
+		Expect(spends(&c, 200*time.Millisecond)).To(BeTrue())
+		Expect(spends(&c, 200*time.Millisecond)).To(BeFalse())
+		c.Return(at(220*time.Millisecond), token)
+		c.Return(at(time.Second), token)
+		Expect(spends(&c, 260*time.Millisecond)).To(BeFalse())
+	})
 	It("prefetches in proportion to its recent usage", func() {
 		var c quota.TokenCache
 		for i := range 100 {
@@ -125,7 +144,7 @@
 				bucket = quota.NewBucket(at(now), perSecond, burst)
 			}
 			c := &caches[int(now/(5*time.Millisecond))%len(caches)]
-			if c.Spend(at(now)) {
+			if spends(c, now) {
 				used = append(used, now)
 				continue
 			}
@@ -139,6 +158,79 @@
 	})
 }
 
+// TestRateHoldsWithReturns does the same for operations of which any part is rejected after some
+// time without having been sent, so that their tokens return.
+func TestRateHoldsWithReturns(t *testing.T) {
+	if err := seed.Fix(); err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		const step = 5 * time.Millisecond
+		perSecond := rapid.Float64Range(2, 200).Draw(t, "rate")
+		burst := float64(rapid.IntRange(1, 120).Draw(t, "burst"))
+		caches := make([]quota.TokenCache, rapid.IntRange(1, 8).Draw(t, "entries"))
+		perStep := rapid.IntRange(1, 6).Draw(t, "operations")
+		rejectedFrom := time.Duration(rapid.IntRange(0, 2400).Draw(t, "from")) * step
+		rejectedUntil := rejectedFrom + time.Duration(rapid.IntRange(0, 600).Draw(t, "for"))*step
+		held := time.Duration(rapid.IntRange(0, 40).Draw(t, "held")) * step
+		bucket := quota.NewBucket(start, perSecond, burst)
+		type returned struct {
+			entry int
+			token quota.Token
+		}
+		returns := map[time.Duration][]returned{}
+		var used []time.Duration
+		for now := time.Duration(0); now < 12*time.Second; now += step {
+			for _, r := range returns[now] {
+				caches[r.entry].Return(at(now), r.token)
+			}
+			for i := range perStep {
+				entry := (int(now/step)*perStep + i) % len(caches)
+				token, usedAt, ok := spend(now, &caches[entry], []*quota.Bucket{bucket})
+				switch {
+				case !ok:
+				case now >= rejectedFrom && now < rejectedUntil:
+					returns[now+held] = append(returns[now+held], returned{entry, token})
+				default:
+					used = append(used, usedAt)
+				}
+			}
+		}
+		checkWindows(t, used, perSecond, burst)
+	})
+}
+
+var _ = Describe("An account with work on two services of which one lacks its primary for two seconds", func() {
+	// serve returns the fraction of the operations on the other service that got a token.
+	serve := func(returning bool) float64 {
+		const perSecond, usual = 100.0, 60
+		bucket := quota.NewBucket(start, perSecond, 20)
+		var c quota.TokenCache
+		asked, granted := 0, 0
+		random := rand.New(rand.NewPCG(1, 1))
+		// Beside each operation on the other service there is one that is rejected, and repeated twice
+		// by its caller.
+		for now := time.Duration(0); now < 2*time.Second; now += second / usual {
+			for _, attempt := range random.Perm(1 + 3) {
+				token, _, ok := spend(now, &c, []*quota.Bucket{bucket})
+				if attempt == 0 {
+					asked++
+					if ok {
+						granted++
+					}
+				} else if ok && returning {
+					c.Return(at(now), token)
+				}
+			}
+		}
+		return float64(granted) / float64(asked)
+	}
+	It("serves the work on the other one", func() {
+		Expect(serve(true)).To(BeNumerically(">=", 0.95))
+		Expect(serve(false)).To(BeNumerically("<", 0.6))
+	})
+})
+
 var _ = Describe("An account far above its rate", func() {
 	// serve sends operations of two priorities to one bucket, of which priority 1 alone
 	// stays below the rate, and returns the fraction granted of each.
--- a/core/quota/token_cache.go
+++ b/core/quota/token_cache.go
@@ -6,6 +6,19 @@
 // the length of the window over which an account's rate is measured.
 const TokenLife = time.Second
 
+// returnableLife is the time after which a token that was drawn for an operation at once can't be
+// returned any more. Together with the prefetched tokens, those that returns move from one window
+// to the next are less than a tenth of a window's.
+const returnableLife = 250 * time.Millisecond
+
+// Token pays for one operation.
+type Token struct {
+	expires time.Time
+}
+
+// DrawnToken returns a token that an issuer granted for the use at usableAt.
+func DrawnToken(usableAt time.Time) Token { return Token{expires: usableAt.Add(returnableLife)} }
+
 const (
 	// usageSpan is the time over which a cache averages its usage.
 	usageSpan = time.Second
@@ -31,20 +44,30 @@
 type TokenCache struct {
 	tokens  int
 	expires time.Time
-	usage   float64
-	usedAt  time.Time
+	// returned are the tokens of operations that were not sent.
+	returned []Token
+	usage    float64
+	usedAt   time.Time
 }
 
 // Spend takes one token and reports whether there was one. Either way it counts as usage
 // from which PrefetchCount is estimated.
-func (c *TokenCache) Spend(now time.Time) bool {
+func (c *TokenCache) Spend(now time.Time) (Token, bool) {
 	c.recordUse(now)
+	for len(c.returned) > 0 {
+		last := len(c.returned) - 1
+		token := c.returned[last]
+		c.returned = c.returned[:last]
+		if now.Before(token.expires) {
+			return token, true
+		}
+	}
 	if c.tokens == 0 || !now.Before(c.expires) {
 		c.tokens = 0
-		return false
+		return Token{}, false
 	}
 	c.tokens--
-	return true
+	return Token{expires: c.expires}, true
 }
 
 // recordUse adds one use to a count that decays over usageSpan.
@@ -63,6 +86,21 @@
 	return int(c.usage * prefetchFor.Seconds() / usageSpan.Seconds())
 }
 
+// Return stores the token of an operation of which certainly no statement was sent to a server. The
+// account's rate counts what arrives at servers, so the next operation may spend it.
+//
+// Load pattern: a service lacks its primary for a second, or its queues are full. Each attempt
+// takes a token before it is rejected, so without returns the account has none left for its work
+// on other services, and none when the new primary is there.
+//
+// The token keeps the time at which it expires. Otherwise tokens could be collected by operations
+// that are rejected one after the other, and all be spent in one window.
+func (c *TokenCache) Return(now time.Time, token Token) {
+	if now.Before(token.expires) {
+		c.returned = append(c.returned, token)
+	}
+}
+
 // Add stores tokens whose lifetime counts from drawnAt, the time at which they were
 // requested. All tokens in the cache then expire together, with the newest.
 func (c *TokenCache) Add(drawnAt time.Time, tokens int) {
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -38,6 +38,7 @@
 		a.order.Target = a.received.Add(a.route.TargetLatency).Sub(now)
 		a.order.Timeout = a.received.Add(a.route.Timeout).Sub(now)
 		last = e.runOrder(now, chosen, &a.order)
+		a.sent = a.sent || !last.NotSent
 		if !a.mayRetry(last) {
 			break
 		}
@@ -53,6 +54,14 @@
 	return last, server
 }
 
+// returnTokenIfNotSent returns the token of the operation if no attempt of its first statement can
+// have reached a server.
+func (a *attempts) returnTokenIfNotSent() {
+	if !a.sent && a.account != "" {
+		a.session.entry.returnToken(clock.Now(), a.account, a.token)
+	}
+}
+
 // mayRetry reports whether the statement may be tried once more after the given result.
 // It also notes that an attempt failed, because a failed read is tried only once more.
 func (a *attempts) mayRetry(result stmt.Result) bool {
--- a/io/entry/draw.go
+++ b/io/entry/draw.go
@@ -11,16 +11,16 @@
 // drawToken takes one token of an account for an operation, from the token cache or else
 // from an issuer. It waits for a token until the given time at most. When it returns
 // false, refusal is the text for the caller and says when to retry.
-func (e *Entry) drawToken(now time.Time, account model.AccountID, until time.Time) (refusal string, ok bool) {
+func (e *Entry) drawToken(now time.Time, account model.AccountID, until time.Time) (token quota.Token, refusal string, ok bool) {
 	e.mu.Lock()
 	cache, found := e.tokenCaches[account]
 	if !found {
 		cache = &quota.TokenCache{}
 		e.tokenCaches[account] = cache
 	}
-	if cache.Spend(now) {
+	if token, ok := cache.Spend(now); ok {
 		e.mu.Unlock()
-		return "", true
+		return token, "", true
 	}
 	prefetch := cache.PrefetchCount()
 	e.mu.Unlock()
@@ -33,16 +33,25 @@
 			cache.Add(sent, grant.Tokens-1)
 			e.mu.Unlock()
 			time.Sleep(grant.Delay)
-			return "", true
+			return quota.DrawnToken(sent.Add(grant.Delay)), "", true
 		case held:
-			return withRetryAfter("rate of the account exceeded", grant.RetryAfter), false
+			return quota.Token{}, withRetryAfter("rate of the account exceeded", grant.RetryAfter), false
 		case clock.Now().Add(holderRetryPause).After(until):
-			return withRetryAfter("no instance gives out tokens of the account at the moment", noHolderRetryAfter), false
+			return quota.Token{}, withRetryAfter("no instance gives out tokens of the account at the moment", noHolderRetryAfter), false
 		}
 		time.Sleep(holderRetryPause)
 	}
 }
 
+// returnToken returns the token of an operation that was certainly not sent to a server.
+func (e *Entry) returnToken(now time.Time, account model.AccountID, token quota.Token) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cache, ok := e.tokenCaches[account]; ok {
+		cache.Return(now, token)
+	}
+}
+
 const (
 	// holderRetryPause is the pause before tokens are requested again when no issuer of
 	// the account could be asked.
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -197,6 +197,39 @@
 		Expect(answer.Text).To(ContainSubstring("retry in 71 ms"))
 	})
 
+	for name, c := range map[string]struct {
+		result  stmt.Result
+		begin   bool
+		returns bool
+	}{
+		"no server received the statement":                  {refuse(stmt.CodeBusy), false, true},
+		"no server received the first one of a transaction": {refuse(stmt.CodeBusy), true, true},
+		"the answer was lost":                               {stmt.Result{Answer: stmt.Refuse(stmt.CodeConnectionLost, stmt.StateIdle, "lost")}, false, false},
+		"the statement failed":                              {stmt.Result{Answer: stmt.Refuse(stmt.CodeFailed, stmt.StateIdle, "failed")}, true, false},
+	} {
+		It("returns the token of an operation only if it was certainly not sent: "+name, func() {
+			caller := connect("latest")
+			write := func() stmt.Code { return caller.ask("WRITE x 1", stmt.KindWrite).Code }
+			// next returns the outcomes of two writes without a grant, after an operation with one.
+			next := func() []stmt.Code {
+				f.set(quota.Grant{Tokens: 1}, c.result)
+				if c.begin {
+					caller.ask("BEGIN", stmt.KindBegin)
+				}
+				Expect(write()).NotTo(Equal(stmt.CodeDone))
+				caller.ask("ROLLBACK", stmt.KindRollback)
+				f.set(quota.Grant{}, done(5))
+				return []stmt.Code{write(), write()}
+			}
+			if c.returns {
+				// The token may expire before it is spent if the machine is busy.
+				Eventually(next).Should(Equal([]stmt.Code{stmt.CodeDone, stmt.CodeBusy}))
+			} else {
+				Expect(next()).To(Equal([]stmt.Code{stmt.CodeBusy, stmt.CodeBusy}))
+			}
+		})
+	}
+
 	Context("in a transaction", func() {
 		It("begins on a server with its first statement and stays there", func() {
 			c := connect("latest")
--- a/io/entry/fake_test.go
+++ b/io/entry/fake_test.go
@@ -37,9 +37,18 @@
 }
 
 func (f *fakeFleet) Draw(time.Time, model.AccountID, int, time.Duration) (quota.Grant, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.grant, f.held
 }
 
+// set changes what draws grant and what orders result in.
+func (f *fakeFleet) set(grant quota.Grant, result stmt.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.grant, f.run = grant, func(plan.Server, *stmt.Order) stmt.Result { return result }
+}
+
 func (f *fakeFleet) NewestPoint(now time.Time, _ model.ServiceID) (time.Time, model.Point, bool) {
 	return now, f.newestPoint, !f.newestPoint.IsZero()
 }
--- a/io/entry/in_transaction.go
+++ b/io/entry/in_transaction.go
@@ -52,7 +52,7 @@
 			return stmt.Refuse(stmt.CodeUnauthorized, stmt.StateIdle, "key was withdrawn")
 		}
 	}
-	a := s.newAttempts(now, tx.route, tx.account, statement)
+	a := s.newAttempts(now, tx.admission, statement)
 	a.order.Unit = tx.unit
 	var result stmt.Result
 	if tx.begun {
@@ -67,13 +67,14 @@
 			tx.wrote = true
 		}
 		result, tx.server = a.run()
+		a.returnTokenIfNotSent()
 		tx.begun = !result.NotSent
 	}
 	if s.writes(statement) {
 		tx.wrote = true
 	}
 	answer := s.transactionAnswer(statement, result)
-	s.report(now, tx.route, tx.account, &a.order, result, answer)
+	s.report(now, tx.admission, &a.order, result, answer)
 	return answer
 }
 
--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -39,11 +39,19 @@
 	suspectDuration = time.Second
 )
 
+// admission is what an operation was admitted with.
+type admission struct {
+	route plan.Route
+	// account is empty for a caller without a known key.
+	account model.AccountID
+	// token is the token of the account's rate that pays for the operation.
+	token quota.Token
+}
+
 // attempts makes the attempts of one statement.
 type attempts struct {
 	session *session
-	route   plan.Route
-	account model.AccountID
+	admission
 	// received is when the statement was received.
 	received time.Time
 	order    stmt.Order
@@ -53,6 +61,8 @@
 	allowsStale bool
 	// failed is true once an attempt ran and failed.
 	failed bool
+	// sent is true once an attempt may have reached a server.
+	sent bool
 	// excluded are the servers that have been tried. It is cleared when no server is left.
 	excluded map[model.ServerID]bool
 }
@@ -60,24 +70,27 @@
 // begin opens a transaction. It reaches a server with its first statement that needs
 // one.
 func (s *session) begin(now time.Time, statement stmt.Statement) stmt.Answer {
-	route, account, refusal := s.admitOperation(now, statement)
+	admitted, refusal := s.admitOperation(now, statement)
 	if refusal != nil {
 		return *refusal
 	}
 	begin := stmt.OpBegin
-	if statement.Kind == stmt.KindBeginRead && route.Freshness != plan.FreshLatest {
+	if statement.Kind == stmt.KindBeginRead && admitted.route.Freshness != plan.FreshLatest {
 		begin = stmt.OpBeginRead
 	}
-	s.tx = &transaction{unit: s.entry.lastUnit.Add(1), route: route, account: account, begin: begin}
+	s.tx = &transaction{unit: s.entry.lastUnit.Add(1), admission: admitted, begin: begin}
 	return stmt.Answer{State: stmt.StateOpen}
 }
 
 // admitOperation admits a new statement or transaction and takes a token of its account.
 // It returns the answer to the caller if that is refused.
-func (s *session) admitOperation(now time.Time, statement stmt.Statement) (plan.Route, model.AccountID, *stmt.Answer) {
+func (s *session) admitOperation(now time.Time, statement stmt.Statement) (admission, *stmt.Answer) {
 	route, account, refusal := s.admit(now)
+	var token quota.Token
 	if refusal == nil && account != "" {
-		if reason, ok := s.entry.drawToken(now, account, now.Add(min(route.TargetLatency/holdDivisor, quota.MaxWait(route.Priority)))); !ok {
+		var reason string
+		var ok bool
+		if token, reason, ok = s.entry.drawToken(now, account, now.Add(min(route.TargetLatency/holdDivisor, quota.MaxWait(route.Priority)))); !ok {
 			answer := stmt.Refuse(stmt.CodeBusy, stmt.StateIdle, reason)
 			refusal = &answer
 		}
@@ -89,7 +102,7 @@
 			slog.String("account", string(account)), slog.String("code", refusal.Code.String()), slog.String("reason", refusal.Text),
 			slog.Uint64("config_version", version), slog.Duration("config_age", age))
 	}
-	return route, account, refusal
+	return admission{route: route, account: account, token: token}, refusal
 }
 
 // configStatus returns the version of the configuration in force, or zero without one,
@@ -114,11 +127,12 @@
 
 // runSingle runs a statement outside a transaction.
 func (s *session) runSingle(now time.Time, statement stmt.Statement) stmt.Answer {
-	route, account, refusal := s.admitOperation(now, statement)
+	admitted, refusal := s.admitOperation(now, statement)
 	if refusal != nil {
 		return *refusal
 	}
-	a := s.newAttempts(now, route, account, statement)
+	route := admitted.route
+	a := s.newAttempts(now, admitted, statement)
 	a.primary = s.writes(statement)
 	a.allowsStale = !a.primary && route.Freshness != plan.FreshLatest
 	if !a.allowsStale {
@@ -126,6 +140,7 @@
 		a.order.Prove = !s.writes(statement)
 	}
 	result, _ := a.run()
+	a.returnTokenIfNotSent()
 	answer := result.Answer
 	answer.State = stmt.StateIdle
 	if answer.Code == stmt.CodeDone && s.writes(statement) {
@@ -136,7 +151,7 @@
 	} else if answer.Code == stmt.CodeConnectionLost {
 		answer = stmt.Refuse(stmt.CodeAborted, stmt.StateIdle, "the read got no answer")
 	}
-	s.report(now, route, account, &a.order, result, answer)
+	s.report(now, admitted, &a.order, result, answer)
 	return answer
 }
 
@@ -149,23 +164,23 @@
 }
 
 // report logs and counts the answer to a statement.
-func (s *session) report(now time.Time, route plan.Route, account model.AccountID, order *stmt.Order, result stmt.Result, answer stmt.Answer) {
+func (s *session) report(now time.Time, admitted admission, order *stmt.Order, result stmt.Result, answer stmt.Answer) {
 	statement := order.Statement
 	done := clock.Now()
 	took := done.Sub(now)
-	s.entry.config.Meter.Statement(route.Name, answer.Code, took)
+	s.entry.config.Meter.Statement(admitted.route.Name, answer.Code, took)
 	version, age := s.configStatus(done)
-	s.log(slog.LevelInfo, "statement answered", slog.String("request", statement.ID), slog.String("route", route.Name), slog.String("account", string(account)),
+	s.log(slog.LevelInfo, "statement answered", slog.String("request", statement.ID), slog.String("route", admitted.route.Name), slog.String("account", string(admitted.account)),
 		slog.String("kind", statement.Kind.String()), slog.String("server", string(order.Server)), slog.String("code", answer.Code.String()),
 		slog.String("reason", answer.Text), slog.Bool("not_sent", result.NotSent), slog.Duration("took", took), slog.Duration("server_wait", result.Wait),
 		slog.Uint64("unit", order.Unit), slog.String("after", order.After.String()), slog.Bool("proved", order.Prove),
 		slog.String("point", answer.Point.String()), slog.Uint64("config_version", version), slog.Duration("config_age", age))
 }
 
-func (s *session) newAttempts(now time.Time, route plan.Route, account model.AccountID, statement stmt.Statement) *attempts {
-	a := &attempts{session: s, route: route, account: account, received: now, excluded: map[model.ServerID]bool{}}
+func (s *session) newAttempts(now time.Time, admitted admission, statement stmt.Statement) *attempts {
+	a := &attempts{session: s, admission: admitted, received: now, excluded: map[model.ServerID]bool{}}
 	a.order = stmt.Order{
-		Entry: s.entry.config.RunID, Begin: stmt.OpPass, Account: account, Class: route.Name, Priority: route.Priority,
+		Entry: s.entry.config.RunID, Begin: stmt.OpPass, Account: admitted.account, Class: admitted.route.Name, Priority: admitted.route.Priority,
 		Values: s.values, Statement: statement,
 	}
 	if statement.Kind == stmt.KindExecute {
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/stmt"
 )
@@ -10,11 +9,10 @@
 // statement that needs one.
 type transaction struct {
 	// unit is the number of the transaction, which is unique at this entry.
-	unit    uint64
-	route   plan.Route
-	account model.AccountID
-	begin   stmt.Op
-	server  plan.Server
+	unit uint64
+	admission
+	begin  stmt.Op
+	server plan.Server
 	// begun is true while the transaction may be open on the server.
 	begun bool
 	// wrote is true if a write may have taken effect in it.
