Let statements wait for the next primary if its promotion is forecast to end in time

Cause: while a service had no primary, its writes were rejected after a quarter of the target with 300 ms to retry, at each attempt, and most callers gave up before the promotion had ended. Change: core/hold forecasts the end of a gap from former gaps, for the time until a server is appointed and for its promotion apart. A statement waits if it can start in three quarters of its timeout after those that wait before it; others are rejected at once, with the time at which the new primary has worked off those. Ruled out: a longer time to retry alone (tried with 1,500 ms: the callers there come back after their own pauses).

--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -15,9 +15,9 @@
 // last result and the server that was tried last.
 func (a *attempts) run() (stmt.Result, plan.Server) {
 	e := a.session.entry
-	last := stmt.Result{Answer: stmt.Refuse(stmt.CodeBusy, stmt.StateIdle, withRetryAfter("no server can take the statement", noServerRetryAfter)), NotSent: true}
+	last := refuseWithoutServer(noServerRetryAfter)
 	var server plan.Server
-	holdUntil := a.received.Add(min(a.route.TargetLatency/holdDivisor, a.route.Timeout))
+	defer a.leaveLine()
 	for tries := 0; tries < maxAttempts; {
 		now := clock.Now()
 		if !now.Before(a.received.Add(a.route.Timeout)) {
@@ -25,13 +25,16 @@
 		}
 		chosen, ok := a.chooseServer(now)
 		if !ok {
-			if now.After(holdUntil) {
+			if !a.awaitServer(now) {
+				if a.retryAfter > 0 {
+					last = refuseWithoutServer(a.retryAfter)
+				}
 				break
 			}
-			time.Sleep(serverRetryPause)
 			clear(a.excluded)
 			continue
 		}
+		a.leaveLine()
 		tries++
 		server = chosen
 		a.order.Server, a.order.Epoch = chosen.ID, chosen.Epoch
@@ -39,6 +42,9 @@
 		a.order.Timeout = a.received.Add(a.route.Timeout).Sub(now)
 		last = e.runOrder(now, chosen, &a.order)
 		a.sent = a.sent || !last.NotSent
+		if a.primary && last.Answer.Code == stmt.CodeDone {
+			e.recordWork(a.route.Service, now, last.Wait)
+		}
 		if !a.mayRetry(last) {
 			break
 		}
@@ -62,6 +68,11 @@
 	}
 }
 
+// refuseWithoutServer returns the result of a statement that no server can take.
+func refuseWithoutServer(retryAfter time.Duration) stmt.Result {
+	return stmt.Result{Answer: stmt.Refuse(stmt.CodeBusy, stmt.StateIdle, "no server can take the statement"), NotSent: true, RetryAfter: retryAfter}
+}
+
 // mayRetry reports whether the statement may be tried once more after the given result.
 // It also notes that an attempt failed, because a failed read is tried only once more.
 func (a *attempts) mayRetry(result stmt.Result) bool {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -13,6 +13,7 @@
 	"pomelofork/core/fresh"
 	"pomelofork/core/model"
 	"pomelofork/core/quota"
+	"pomelofork/io/view"
 )
 
 // Config holds the settings of an entry and what it depends on.
@@ -48,7 +49,11 @@
 	tokenCaches map[model.AccountID]*quota.TokenCache
 	histories   map[model.ServiceID]*fresh.History
 	servers     map[model.ServerID]*serverStats
-	closing     bool
+	gaps        map[model.ServiceID]*primaryGap
+	// vacancies are those of the last state. stateChanged is closed and replaced with each state.
+	vacancies    map[model.ServiceID]view.Vacancy
+	stateChanged chan struct{}
+	closing      bool
 	// isolated is the last value given to SetIsolated.
 	isolated bool
 }
@@ -79,6 +84,7 @@
 	return &Entry{
 		config: c, sessions: map[*session]struct{}{}, tokenCaches: map[model.AccountID]*quota.TokenCache{},
 		histories: map[model.ServiceID]*fresh.History{}, servers: map[model.ServerID]*serverStats{},
+		gaps: map[model.ServiceID]*primaryGap{}, stateChanged: make(chan struct{}),
 	}
 }
 
--- /dev/null
+++ b/io/entry/hold.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"time"
+
+	"pomelofork/core/hold"
+	"pomelofork/core/model"
+	"pomelofork/core/plan"
+	"pomelofork/io/clock"
+	"pomelofork/io/view"
+)
+
+// gapPoll is the longest time after which a statement that waits for a primary is checked again.
+const gapPoll = 100 * time.Millisecond
+
+// primaryGap is what the entry knows of the times without a primary of one service.
+type primaryGap struct {
+	forecast hold.Forecast
+	line     hold.Line
+}
+
+// gap returns what is known of a service's gaps. The caller holds the lock.
+func (e *Entry) gap(service model.ServiceID) *primaryGap {
+	g, ok := e.gaps[service]
+	if !ok {
+		g = &primaryGap{}
+		e.gaps[service] = g
+	}
+	return g
+}
+
+// gapOf converts a vacancy.
+func gapOf(v view.Vacancy) hold.Gap { return hold.Gap{Promoting: v.Promoting, Since: v.Since} }
+
+// StateChanged wakes the statements that wait for a server, and learns from the gaps that have ended.
+func (e *Entry) StateChanged(now time.Time, s *view.State) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.stateChanged)
+	e.stateChanged = make(chan struct{})
+	for service, former := range e.vacancies {
+		present, vacant := s.Vacancies[service]
+		if vacant && present == former {
+			continue
+		}
+		g := e.gap(service)
+		if !vacant {
+			g.line.GapEnded()
+		}
+		if (vacant && present.Promoting) || (!vacant && former.Promoting) {
+			g.forecast.Observe(now, gapOf(former))
+		}
+	}
+	e.vacancies = s.Vacancies
+}
+
+// awaitServer waits until another server may be able to run the statement. It returns false if the
+// statement is to be rejected, because none is expected in time.
+func (a *attempts) awaitServer(now time.Time) bool {
+	e := a.session.entry
+	state := e.config.View.State()
+	vacancy, vacant := state.Vacancies[a.route.Service]
+	if !vacant {
+		if now.After(a.received.Add(min(a.route.TargetLatency/holdDivisor, a.route.Timeout))) {
+			return false
+		}
+		time.Sleep(serverRetryPause)
+		return true
+	}
+	request := hold.Request{Received: a.received, Timeout: a.route.Timeout, Slots: slots(state.Services[a.route.Service]), Instances: len(state.Instances)}
+	e.mu.Lock()
+	g := e.gap(a.route.Service)
+	end := g.forecast.End(now, gapOf(vacancy))
+	var ok bool
+	if a.waits {
+		ok = g.line.Stays(end, request)
+	} else {
+		a.retryAfter, ok = g.line.Enter(now, end, request)
+		a.waits = ok
+	}
+	changed := e.stateChanged
+	e.mu.Unlock()
+	if !ok {
+		return false
+	}
+	timer := time.NewTimer(gapPoll)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	}
+	return true
+}
+
+// leaveLine records that the statement no longer waits for a primary.
+func (a *attempts) leaveLine() {
+	if !a.waits {
+		return
+	}
+	a.waits = false
+	e := a.session.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gap(a.route.Service).line.Leave()
+}
+
+// slots returns the smallest number of slots of a service's servers, any of which may be the next
+// primary.
+func slots(servers []plan.Server) int {
+	least := 0
+	for _, s := range servers {
+		if least == 0 || s.Slots < least {
+			least = s.Slots
+		}
+	}
+	return least
+}
+
+// recordWork records how long a statement used a slot of a primary.
+func (e *Entry) recordWork(service model.ServiceID, sent time.Time, wait time.Duration) {
+	took := clock.Now().Sub(sent) - wait
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gap(service).line.Measure(max(took, 0))
+}
--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -63,6 +63,10 @@
 	failed bool
 	// sent is true once an attempt may have reached a server.
 	sent bool
+	// waits is true while the statement waits for the next primary of its service.
+	waits bool
+	// retryAfter is the time after which to retry if it may not wait for that, or zero.
+	retryAfter time.Duration
 	// excluded are the servers that have been tried. It is cleared when no server is left.
 	excluded map[model.ServerID]bool
 }
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -177,6 +177,9 @@
 	for _, pool := range closing {
 		pool.Close()
 	}
+	if applied.Servers != s.ChangeCounts.Servers {
+		n.entry.StateChanged(clock.Now(), s)
+	}
 	if applied.Appointments != s.ChangeCounts.Appointments {
 		for service, appointment := range s.Appointments {
 			n.withdrawLocally(service, appointment.Epoch)
--- a/io/view/builder.go
+++ b/io/view/builder.go
@@ -117,7 +117,7 @@
 		b.setServer(a.Apply(s))
 	}
 	if _, vacant := b.next.Vacancies[service]; vacant && a.Server != "" {
-		b.setVacancy(service, Vacancy{Since: b.now})
+		b.setVacancy(service, Vacancy{Promoting: true, Since: b.now})
 	}
 }
 
--- a/io/view/state.go
+++ b/io/view/state.go
@@ -26,8 +26,9 @@
 	// Former is the primary before. It is empty if it isn't known, or if another server has been
 	// appointed since.
 	Former model.ServerID
-	// Since is when the primary was lost, or when another server was appointed that doesn't
-	// report the role yet.
+	// Promoting says that another server has been appointed that doesn't report the role yet.
+	Promoting bool
+	// Since is when the primary was lost, or when the server was appointed if Promoting.
 	Since time.Time
 }
 
