Handle a store that comes back from an older copy

Cause: nothing read the store's era. A view stayed at the entries of the former history, conditions and leases met other ones with the same numbers, and an instance acquired a right that the copy lacked while its holder went on. Change: store.Restorable gives each revision its era, so that everything that compares revisions (epochs, fences, views, conditions) stays ordered, and sends nothing of a former era to the store. Entries of instances name the era that their writer knew. After a restore a view keeps what it knew, confirms nothing and frees no right until all instances have registered again or their leases have ended; holders write their rights, appointments and registration again at once.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -41,6 +41,10 @@
 	RegisterWrites = 3
 )
 
+// LeaseSlack is the time beyond the lifetime of a lease after which it has certainly ended by the
+// clocks of all instances.
+const LeaseSlack = 300 * time.Millisecond
+
 // Lease is the lifetime of a lease and the interval between its renewals.
 type Lease struct {
 	// TTL is the time after its last renewal at which the lease expires.
--- a/core/plan/server.go
+++ b/core/plan/server.go
@@ -30,6 +30,8 @@
 	// Revision is the store's revision of the registration. Later registrations have
 	// higher revisions.
 	Revision uint64
+	// Report orders this registration among those of the server.
+	Report Report
 	// DrainingSince is the time at which this process learned that the server is
 	// draining.
 	DrainingSince time.Time
--- a/emul/kvsim/client.go
+++ b/emul/kvsim/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"strings"
 	"sync"
 	"time"
@@ -12,19 +13,34 @@
 
 // Client is the connection of one process to the service, with its own fault.
 type Client struct {
+	*store.Restorable
+	raw *RawClient
+}
+
+// Client returns a new client without a fault.
+func (t *Table) Client() *Client {
+	raw := t.RawClient()
+	return &Client{Restorable: store.NewRestorable(raw, slog.New(slog.DiscardHandler)), raw: raw}
+}
+
+// SetFault sets the fault of the calls that this client begins from now on.
+func (c *Client) SetFault(f Fault) { c.raw.SetFault(f) }
+
+// RawClient is the same with the service's own numbers for revisions and leases.
+type RawClient struct {
 	table *Table
 
 	mu    sync.Mutex
 	fault Fault
 }
 
-var _ store.Table = (*Client)(nil)
+var _ store.RawTable = (*RawClient)(nil)
 
-// Client returns a new client without a fault.
-func (t *Table) Client() *Client { return &Client{table: t} }
+// RawClient returns a new raw client without a fault.
+func (t *Table) RawClient() *RawClient { return &RawClient{table: t} }
 
 // SetFault sets the fault of the calls that this client begins from now on.
-func (c *Client) SetFault(f Fault) {
+func (c *RawClient) SetFault(f Fault) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.fault = f
@@ -32,7 +48,7 @@
 
 // beginCall counts a call, ends expired leases and injects the faults that prevent a call
 // from taking effect. It returns the client's fault for endCall.
-func (c *Client) beginCall(ctx context.Context) (Fault, error) {
+func (c *RawClient) beginCall(ctx context.Context) (Fault, error) {
 	c.mu.Lock()
 	fault := c.fault
 	c.mu.Unlock()
@@ -60,21 +76,21 @@
 	return err
 }
 
-// List implements store.Table.
-func (c *Client) List(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
+// List implements store.RawTable.
+func (c *RawClient) List(ctx context.Context, prefix string) ([]store.Entry, uint64, uint64, error) {
 	if _, err := c.beginCall(ctx); err != nil {
-		return nil, 0, err
+		return nil, 0, 0, err
 	}
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.list(prefix), t.revision, nil
+	return t.list(prefix), t.revision, t.era, nil
 }
 
-// Changes implements store.Table.
-func (c *Client) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Entry, uint64, error) {
+// Changes implements store.RawTable.
+func (c *RawClient) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Entry, uint64, uint64, error) {
 	if _, err := c.beginCall(ctx); err != nil {
-		return nil, 0, err
+		return nil, 0, 0, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -82,7 +98,7 @@
 	for timedOut := false; ; {
 		t.mu.Lock()
 		t.expire()
-		changed, revision, compacted := t.changed, t.revision, after < t.compactedTo
+		changed, revision, era, compacted := t.changed, t.revision, t.era, after < t.compactedTo || after > t.revision
 		var out []store.Entry
 		for _, e := range t.changes {
 			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
@@ -91,14 +107,14 @@
 		}
 		t.mu.Unlock()
 		if compacted {
-			return nil, 0, store.ErrCompacted
+			return nil, 0, era, store.ErrCompacted
 		}
 		if len(out) > 0 || timedOut {
-			return out, revision, nil
+			return out, revision, era, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
+			return nil, 0, 0, fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
 		case <-changed:
 		case <-timer.C:
 			timedOut = true
@@ -106,64 +122,65 @@
 	}
 }
 
-// Commit implements store.Table.
-func (c *Client) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
+// Commit implements store.RawTable.
+func (c *RawClient) Commit(ctx context.Context, txn store.Txn) (uint64, uint64, error) {
 	fault, err := c.beginCall(ctx)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	revision, err := c.table.commit(txn)
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	revision, err := t.commit(txn)
 	if fault == FaultLoseTxnAnswer {
 		fault = FaultLoseAnswer
 	}
-	return revision, endCall(fault, err)
+	return revision, t.era, endCall(fault, err)
 }
 
-// Grant implements store.Table.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, time.Duration, error) {
+// Grant implements store.RawTable.
+func (c *RawClient) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, time.Duration, uint64, error) {
 	fault, err := c.beginCall(ctx)
 	if err != nil {
-		return 0, 0, err
+		return 0, 0, 0, err
 	}
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lastLeaseID++
 	t.leases[t.lastLeaseID] = lease{ttl, time.Now().Add(ttl)}
-	return t.lastLeaseID, ttl, endCall(fault, nil)
+	return t.lastLeaseID, ttl, t.era, endCall(fault, nil)
 }
 
-// Renew implements store.Table.
-func (c *Client) Renew(ctx context.Context, id store.LeaseID) error {
+// Renew implements store.RawTable.
+func (c *RawClient) Renew(ctx context.Context, id store.LeaseID) (uint64, error) {
 	fault, err := c.beginCall(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l, ok := t.leases[id]
 	if !ok {
-		return store.ErrNotFound
+		return t.era, store.ErrNotFound
 	}
 	t.leases[id] = lease{l.ttl, time.Now().Add(l.ttl)}
-	return endCall(fault, nil)
+	return t.era, endCall(fault, nil)
 }
 
-// End implements store.Table.
-func (c *Client) End(ctx context.Context, id store.LeaseID) error {
+// End implements store.RawTable.
+func (c *RawClient) End(ctx context.Context, id store.LeaseID) (uint64, error) {
 	fault, err := c.beginCall(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, ok := t.leases[id]; !ok {
-		return store.ErrNotFound
+		return t.era, store.ErrNotFound
 	}
 	t.endLease(id)
-	return endCall(fault, nil)
+	return t.era, endCall(fault, nil)
 }
--- a/emul/kvsim/store.go
+++ b/emul/kvsim/store.go
@@ -41,6 +41,8 @@
 	changes     []store.Entry
 	revision    uint64
 	compactedTo uint64
+	// era is the number of restores.
+	era uint64
 	leases      map[store.LeaseID]lease
 	lastLeaseID store.LeaseID
 	// changed is closed and replaced at each change.
--- a/io/lead/gateways.go
+++ b/io/lead/gateways.go
@@ -12,6 +12,7 @@
 	"pomelofork/core/plan"
 	"pomelofork/core/promo"
 	"pomelofork/io/clock"
+	"pomelofork/io/store"
 )
 
 const (
@@ -80,6 +81,10 @@
 	for first := true; ; {
 		// The revision is read before the instances, so that these are at least as recent.
 		known := m.config.View.Revision()
+		if store.Era(known) != store.Era(withdrawal) {
+			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "store was restored from an older copy, the withdrawal begins again", slog.String("service", string(m.config.Service)))
+			return false
+		}
 		gateways := m.gatewaysOf(decision.Primary, servers)
 		w.Observe(known >= withdrawal, slices.Sorted(maps.Keys(gateways)))
 		m.tellPending(w, gateways, withdrawal)
--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -131,8 +131,9 @@
 		It(name, func() {
 			table := kvsim.New()
 			client := table.Client()
-			lease, _, err := client.Grant(context.Background(), time.Minute)
+			granted, err := client.Grant(context.Background(), time.Minute)
 			Expect(err).NotTo(HaveOccurred())
+			lease := granted.ID
 			_, err = client.Commit(context.Background(), store.Txn{Puts: []store.Put{
 				{Key: "own/instance/i", Value: []byte(`{"address":"h:1"}`), Lease: lease}, {Key: "own/right/r", Value: []byte(`{"instance":"i"}`), Lease: lease},
 			}})
--- a/io/proxy/monitors.go
+++ b/io/proxy/monitors.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"strings"
 	"time"
 
@@ -48,11 +49,12 @@
 			return ok
 		},
 		Appoint: func(ctx context.Context, server model.ServerID) (uint64, error) {
-			value, err := view.AppointmentValue(server)
+			era := n.view.Era()
+			value, err := view.AppointmentValue(server, era)
 			if err != nil {
 				return 0, err
 			}
-			return n.rights.NewFence(ctx, name, store.Put{Key: n.view.AppointmentKey(service), Value: value})
+			return n.rights.NewFence(ctx, era, name, store.Put{Key: n.view.AppointmentKey(service), Value: value})
 		},
 		Allows:   func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, service, epoch) },
 		Gateways: gateways{n},
@@ -60,3 +62,23 @@
 	})
 	return cancel
 }
+
+// dependentEntries returns the entries that this instance has to write again with a right, in a new
+// era of the store: the monitor of a service's primary writes its appointment.
+func (n *Node) dependentEntries(right string, era uint64) []store.Put {
+	name, ok := strings.CutPrefix(right, monitorRightPrefix)
+	if !ok {
+		return nil
+	}
+	service := model.ServiceID(name)
+	appointment, ok := n.view.State().Appointments[service]
+	if !ok {
+		return nil
+	}
+	value, err := view.FormerAppointmentValue(appointment, era)
+	if err != nil {
+		n.config.Log.LogAttrs(context.Background(), slog.LevelError, "cannot encode the appointment of a primary", slog.String("service", name), slog.String("error", err.Error()))
+		return nil
+	}
+	return []store.Put{{Key: n.view.AppointmentKey(service), Value: value}}
+}
--- a/io/right/former.go
+++ b/io/right/former.go
@@ -23,13 +23,14 @@
 // uses them until the lease ends.
 func (mgr *Manager) formerRights(state *view.State) []formerRight {
 	former, ok := state.Instances[mgr.config.Self.ID]
-	if !ok || former.Lease == 0 {
+	if !ok || former.Lease == 0 || store.Era(former.Revision) != mgr.config.View.Era() {
+		// An entry that was restored from an older copy of the store proves nothing.
 		return nil
 	}
 	var rights []formerRight
 	for _, spec := range mgr.config.Wanted(state) {
 		right, ok := state.Rights[spec.Name]
-		if ok && right.Instance == mgr.config.Self.ID && uint64(right.Lease) == former.Lease && len(rights) < maxRights-1 {
+		if ok && !right.Restored && right.Instance == mgr.config.Self.ID && uint64(right.Lease) == former.Lease && len(rights) < maxRights-1 {
 			rights = append(rights, formerRight{spec, right.Revision})
 		}
 	}
@@ -47,13 +48,15 @@
 	if !ok || former.Lease == 0 || former.LeaseLife < terms.TTL || mgr.unregistered.id != 0 || mgr.holdsRights(state) {
 		return false
 	}
-	value, err := mgr.registration(former.LeaseLife)
+	era := mgr.config.View.Era()
+	value, err := mgr.registration(former.LeaseLife, era)
 	if err != nil {
 		mgr.config.Log.LogAttrs(ctx, slog.LevelError, "cannot encode the registration of this instance", slog.String("error", err.Error()))
 		return false
 	}
 	key := mgr.config.View.InstanceKey(mgr.config.Self.ID)
 	_, err = mgr.config.Table.Commit(ctx, store.Txn{
+		Era:      era,
 		Expected: []store.Condition{{Key: key, Revision: former.Revision}},
 		Puts:     []store.Put{{Key: key, Value: value, Lease: store.LeaseID(former.Lease)}},
 	})
@@ -64,7 +67,7 @@
 		mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "lease of the former run not reused", slog.Uint64("lease", former.Lease), slog.String("error", err.Error()))
 		return false
 	}
-	mgr.recordRegistration(now, mgr.startedAt, grantedLease{id: store.LeaseID(former.Lease), until: now.Add(terms.TTL), terms: terms}, nil, 0)
+	mgr.recordRegistration(now, mgr.startedAt, grantedLease{id: store.LeaseID(former.Lease), era: era, until: now.Add(terms.TTL), terms: terms}, nil, 0)
 	mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "registered under the lease of the former run", slog.Uint64("lease", former.Lease))
 	return true
 }
@@ -82,7 +85,7 @@
 // keepRights moves the rights of the former run to a new lease, in one transaction with the puts of
 // txn. It fails with store.ErrConflict if one of them isn't held by the former run any more.
 func (mgr *Manager) keepRights(ctx context.Context, txn store.Txn, kept []formerRight, lease grantedLease) (uint64, error) {
-	value, err := view.RightValue(mgr.config.Self.ID)
+	value, err := view.RightValue(mgr.config.Self.ID, txn.Era)
 	if err != nil {
 		return 0, err
 	}
@@ -99,7 +102,7 @@
 // instance runs again and uses the lease.
 func (mgr *Manager) EndLease(ctx context.Context, inst plan.Instance) error {
 	key := mgr.config.View.InstanceKey(inst.ID)
-	txn := store.Txn{Expected: []store.Condition{{Key: key, Revision: inst.Revision}}, Deletes: []string{key}}
+	txn := store.Txn{Era: mgr.config.View.Era(), Expected: []store.Condition{{Key: key, Revision: inst.Revision}}, Deletes: []string{key}}
 	for name, right := range mgr.config.View.State().Rights {
 		if right.Instance == inst.ID && uint64(right.Lease) == inst.Lease && len(txn.Deletes) < maxRights {
 			key := mgr.config.View.RightKey(name)
@@ -119,7 +122,7 @@
 // endFormerLease ends the lease of the former run of this instance, so that its rights are free.
 func (mgr *Manager) endFormerLease(ctx context.Context, state *view.State) {
 	former, ok := state.Instances[mgr.config.Self.ID]
-	if !ok || former.Lease == 0 || former.Lease == uint64(mgr.unregistered.id) {
+	if !ok || former.Lease == 0 || former.Lease == uint64(mgr.unregistered.id) || store.Era(former.Revision) != mgr.config.View.Era() {
 		return
 	}
 	if err := mgr.config.Table.End(ctx, store.LeaseID(former.Lease)); err != nil && !errors.Is(err, store.ErrNotFound) {
--- a/io/right/lease.go
+++ b/io/right/lease.go
@@ -16,7 +16,8 @@
 
 // grantedLease is a lease that the store has granted and that no key is attached to yet.
 type grantedLease struct {
-	id store.LeaseID
+	id  store.LeaseID
+	era uint64
 	// until is when the lease may expire.
 	until time.Time
 	terms pace.Lease
@@ -86,11 +87,12 @@
 // writeRegistration writes this instance's registration, and the rights to keep, under a lease. It
 // returns the rights that are kept and the revision of the entries.
 func (mgr *Manager) writeRegistration(ctx context.Context, state *view.State, kept []formerRight, lease grantedLease) ([]formerRight, uint64, error) {
-	value, err := mgr.registration(lease.terms.TTL)
+	era := lease.era
+	value, err := mgr.registration(lease.terms.TTL, era)
 	if err != nil {
 		return nil, 0, err
 	}
-	txn := store.Txn{Puts: []store.Put{{Key: mgr.config.View.InstanceKey(mgr.config.Self.ID), Value: value, Lease: lease.id}}}
+	txn := store.Txn{Era: era, Puts: []store.Put{{Key: mgr.config.View.InstanceKey(mgr.config.Self.ID), Value: value, Lease: lease.id}}}
 	revision, err := mgr.keepRights(ctx, txn, kept, lease)
 	if errors.Is(err, store.ErrConflict) {
 		// Another instance has acquired one of the rights, so it may acquire the others as well.
@@ -106,7 +108,7 @@
 func (mgr *Manager) recordRegistration(now, since time.Time, lease grantedLease, kept []formerRight, revision uint64) {
 	mgr.mu.Lock()
 	defer mgr.mu.Unlock()
-	mgr.lease, mgr.validUntil, mgr.terms, mgr.shortLease = lease.id, lease.until, lease.terms, lease.short
+	mgr.lease, mgr.leaseEra, mgr.validUntil, mgr.terms, mgr.shortLease = lease.id, lease.era, lease.until, lease.terms, lease.short
 	mgr.registeredSince = since
 	if len(kept) == 0 {
 		return
@@ -117,11 +119,12 @@
 	}
 }
 
-// registration encodes the registration of this instance under a lease of the given lifetime.
-func (mgr *Manager) registration(life time.Duration) ([]byte, error) {
+// registration encodes the registration of this instance under a lease of the given lifetime, for
+// an era of the store.
+func (mgr *Manager) registration(life time.Duration, era uint64) ([]byte, error) {
 	self := mgr.config.Self
 	self.LeaseLife = life
-	return view.InstanceValue(self)
+	return view.InstanceValue(self, era)
 }
 
 // obtainLease obtains a lease to register under, unless one from an earlier attempt is still
@@ -135,13 +138,13 @@
 	if short {
 		terms = pace.HolderLease()
 	}
-	id, life, err := mgr.config.Table.Grant(ctx, terms.TTL)
+	granted, err := mgr.config.Table.Grant(ctx, terms.TTL)
 	if err != nil {
 		mgr.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot obtain a lease", slog.String("error", err.Error()))
 		return false
 	}
-	terms.TTL = life
-	mgr.unregistered = grantedLease{id, now.Add(life), terms, short}
+	terms.TTL = granted.TTL
+	mgr.unregistered = grantedLease{granted.ID, granted.Era, now.Add(granted.TTL), terms, short}
 	return true
 }
 
@@ -155,17 +158,18 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	id, life, err := mgr.config.Table.Grant(callCtx, terms.TTL)
+	granted, err := mgr.config.Table.Grant(callCtx, terms.TTL)
 	if err != nil {
 		mgr.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot obtain a lease to replace the present one", slog.Bool("holder", shortLease), slog.String("error", err.Error()))
 		return false
 	}
-	entry, err := mgr.registration(life)
+	id, life, era := granted.ID, granted.TTL, granted.Era
+	entry, err := mgr.registration(life, era)
 	if err != nil {
 		mgr.config.Log.LogAttrs(ctx, slog.LevelError, "cannot encode the registration of this instance", slog.String("error", err.Error()))
 		return false
 	}
-	right, err := view.RightValue(mgr.config.Self.ID)
+	right, err := view.RightValue(mgr.config.Self.ID, era)
 	if err != nil {
 		mgr.config.Log.LogAttrs(ctx, slog.LevelError, "cannot encode the holder of a right", slog.String("error", err.Error()))
 		return false
@@ -174,19 +178,19 @@
 	// The registration takes the place of one right in the first transaction.
 	first := names[:min(len(names), maxRights-1)]
 	put := store.Put{Key: mgr.config.View.InstanceKey(mgr.config.Self.ID), Value: entry, Lease: id}
-	if err := mgr.moveRights(callCtx, first, right, id, put); err != nil {
+	if err := mgr.moveRights(callCtx, first, right, granted, put); err != nil {
 		mgr.config.Log.LogAttrs(ctx, slog.LevelWarn, "registration and rights not moved to a new lease", slog.Bool("holder", shortLease), slog.String("error", err.Error()))
 		return false
 	}
 	mgr.mu.Lock()
 	terms.TTL = life
-	mgr.lease, mgr.validUntil, mgr.terms, mgr.shortLease = id, now.Add(life), terms, shortLease
+	mgr.lease, mgr.leaseEra, mgr.validUntil, mgr.terms, mgr.shortLease = id, era, now.Add(life), terms, shortLease
 	if shortLease {
 		mgr.lastUrgent = now
 	}
 	mgr.mu.Unlock()
 	for more := range slices.Chunk(names[len(first):], maxRights) {
-		if err := mgr.moveRights(callCtx, more, right, id); err != nil {
+		if err := mgr.moveRights(callCtx, more, right, granted); err != nil {
 			// These rights end with the former lease, which is no longer renewed.
 			mgr.config.Log.LogAttrs(ctx, slog.LevelWarn, "rights not moved to the new lease; they end with the former lease", slog.Any("rights", more), slog.String("error", err.Error()))
 			for _, name := range more {
@@ -201,12 +205,12 @@
 
 // moveRights moves held rights to a new lease of this instance, in one transaction with the
 // given puts.
-func (mgr *Manager) moveRights(ctx context.Context, names []string, value []byte, lease store.LeaseID, puts ...store.Put) error {
-	txn := store.Txn{Puts: puts}
+func (mgr *Manager) moveRights(ctx context.Context, names []string, value []byte, lease store.Lease, puts ...store.Put) error {
+	txn := store.Txn{Era: lease.Era, Puts: puts}
 	mgr.mu.Lock()
 	for _, name := range names {
 		if h, ok := mgr.held[name]; ok {
-			mgr.putRight(&txn, name, h, value, lease)
+			mgr.putRight(&txn, name, h, value, lease.ID)
 		}
 	}
 	mgr.mu.Unlock()
--- a/io/right/maintain.go
+++ b/io/right/maintain.go
@@ -15,7 +15,7 @@
 func (mgr *Manager) maintainLease(ctx context.Context, now time.Time, renewed *time.Time) {
 	size := len(mgr.config.View.State().Instances)
 	mgr.mu.Lock()
-	lease, terms, shortLease := mgr.lease, mgr.terms, mgr.shortLease
+	lease, era, terms, shortLease := mgr.lease, mgr.leaseEra, mgr.terms, mgr.shortLease
 	if mgr.holdsUrgent(size) {
 		mgr.lastUrgent = now
 	}
@@ -26,6 +26,10 @@
 	// lease can wait until its next renewal is due.
 	outgrown := due && !needsShort && terms.RenewsTooOften(size)
 	switch {
+	case lease != 0 && era < mgr.config.View.Era():
+		if mgr.pauseUnless(mgr.registerAgain(ctx, now)) {
+			*renewed = now
+		}
 	case lease == 0:
 		if mgr.register(ctx, now) {
 			*renewed = now
--- a/io/right/manager.go
+++ b/io/right/manager.go
@@ -65,6 +65,9 @@
 	// StoreWrites is the number of writes a second that the store accepts from all instances
 	// together. Zero means that it isn't known.
 	StoreWrites float64
+	// Dependent returns further entries to write with a right that is written again after a restore
+	// of the store, given the era. It may be nil.
+	Dependent func(name string, era uint64) []store.Put
 	// Wanted returns the rights that some instance should hold.
 	Wanted func(*view.State) []Spec
 	// Changed is called after this instance has acquired, received or lost rights, with the
@@ -89,6 +92,8 @@
 	registeredSince time.Time
 	// lease is zero when there is none.
 	lease store.LeaseID
+	// leaseEra is the era of the store in which the lease was granted.
+	leaseEra uint64
 	// shortLease says that the lease is the short one of a holder of urgent rights.
 	shortLease bool
 	// terms are the lifetime and the renewal interval of the lease.
@@ -193,9 +198,10 @@
 }
 
 // NewFence writes a held right to the store again, in one transaction with the given puts, and
-// returns its new revision, which is higher than every former fence of the right. It fails when
-// this instance doesn't hold the right, and with the errors of store.Table.Commit.
-func (mgr *Manager) NewFence(ctx context.Context, name string, puts ...store.Put) (uint64, error) {
+// returns its new revision, which is higher than every former fence of the right. It is given the
+// era that the puts were encoded for. It fails when this instance doesn't hold the right, and with
+// the errors of store.Table.Commit.
+func (mgr *Manager) NewFence(ctx context.Context, era uint64, name string, puts ...store.Put) (uint64, error) {
 	mgr.mu.Lock()
 	h, ok := mgr.held[name]
 	lease := mgr.lease
@@ -203,7 +209,7 @@
 	if !ok {
 		return 0, errors.New("right is not held by this instance")
 	}
-	value, err := view.RightValue(mgr.config.Self.ID)
+	value, err := view.RightValue(mgr.config.Self.ID, era)
 	if err != nil {
 		return 0, err
 	}
@@ -211,6 +217,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	revision, err := mgr.config.Table.Commit(callCtx, store.Txn{
+		Era:      era,
 		Expected: []store.Condition{{Key: key, Revision: h.revision}},
 		Puts:     append([]store.Put{{Key: key, Value: value, Lease: lease}}, puts...),
 	})
--- a/io/right/manager_test.go
+++ b/io/right/manager_test.go
@@ -175,7 +175,7 @@
 		a := join(t, "a")
 		onlyHolder(a)
 		_, first, _ := a.manager.Holds(clock.Now(), "r")
-		second, err := a.manager.NewFence(context.Background(), "r")
+		second, err := a.manager.NewFence(context.Background(), 0, "r")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(second).To(BeNumerically(">", first))
 		a.manager.Leave(context.Background())
@@ -183,7 +183,7 @@
 		onlyHolder(b)
 		_, third, _ := b.manager.Holds(clock.Now(), "r")
 		Expect(third).To(BeNumerically(">", second))
-		_, err = a.manager.NewFence(context.Background(), "r")
+		_, err = a.manager.NewFence(context.Background(), 0, "r")
 		Expect(err).To(HaveOccurred())
 	})
 
--- a/io/right/takeover.go
+++ b/io/right/takeover.go
@@ -20,13 +20,16 @@
 func (mgr *Manager) acquireFree(ctx context.Context, now time.Time) {
 	state := mgr.config.View.State()
 	mgr.mu.Lock()
-	lease := mgr.lease
+	lease, era := mgr.lease, mgr.leaseEra
 	valid := now.Before(mgr.validUntil) && !mgr.leaving
 	mgr.mu.Unlock()
 	if !valid || state.Plan == nil {
 		return
 	}
 	mgr.updateFree(ctx, now, state, lease)
+	if !mgr.config.View.Settled() || era != mgr.config.View.Era() {
+		return
+	}
 	due := mgr.due(now, state)
 	if len(due) == 0 {
 		return
@@ -153,8 +156,10 @@
 // the store reported a conflict; after other errors it pauses the calls and returns true.
 func (mgr *Manager) acquire(ctx context.Context, now time.Time, lease store.LeaseID, free ...freeRight) bool {
 	var names []string
-	txn := store.Txn{}
-	value, err := view.RightValue(mgr.config.Self.ID)
+	// The entries of rights that are free may be older copies.
+	stale := mgr.config.View.State().StaleRights
+	txn := store.Txn{Era: mgr.config.View.Era()}
+	value, err := view.RightValue(mgr.config.Self.ID, txn.Era)
 	if err != nil {
 		mgr.config.Log.LogAttrs(ctx, slog.LevelError, "cannot encode the holder of a right", slog.String("error", err.Error()))
 		return true
@@ -162,7 +167,7 @@
 	for _, f := range free {
 		names = append(names, f.spec.Name)
 		key := mgr.config.View.RightKey(f.spec.Name)
-		txn.Expected = append(txn.Expected, store.Condition{Key: key})
+		txn.Expected = append(txn.Expected, store.Condition{Key: key, Revision: stale[f.spec.Name]})
 		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value, Lease: lease})
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/io/right/transfer.go
+++ b/io/right/transfer.go
@@ -33,7 +33,7 @@
 // recipients' leases, and the rights in it. Rights that this instance doesn't hold are left
 // out. The caller holds mgr.mu.
 func (mgr *Manager) transferTxn(names []string, recipients map[string]plan.Instance) (store.Txn, map[string]heldRight) {
-	var txn store.Txn
+	txn := store.Txn{Era: mgr.config.View.Era()}
 	moved := map[string]heldRight{}
 	for _, name := range names {
 		h, ok := mgr.held[name]
@@ -41,7 +41,7 @@
 			continue
 		}
 		next := recipients[name]
-		value, err := view.RightValue(next.ID)
+		value, err := view.RightValue(next.ID, txn.Era)
 		if err != nil {
 			mgr.config.Log.LogAttrs(context.Background(), slog.LevelError, "cannot encode the holder of a right", slog.String("error", err.Error()))
 			continue
@@ -60,11 +60,12 @@
 	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value, Lease: lease})
 }
 
-// others returns the other instances that have a lease to hold a right by.
+// others returns the other instances that have a lease to hold a right by, granted in the present
+// era of the store.
 func (mgr *Manager) others(state *view.State) []plan.Instance {
 	var out []plan.Instance
 	for id, inst := range state.Instances {
-		if id != mgr.config.Self.ID && inst.Lease != 0 {
+		if id != mgr.config.Self.ID && inst.Lease != 0 && store.Era(inst.Revision) == mgr.config.View.Era() {
 			out = append(out, inst)
 		}
 	}
--- a/io/store/meter.go
+++ b/io/store/meter.go
@@ -61,10 +61,10 @@
 }
 
 // Grant implements Table.
-func (m Metered) Grant(ctx context.Context, ttl time.Duration) (LeaseID, time.Duration, error) {
-	id, granted, err := m.Table.Grant(ctx, ttl)
+func (m Metered) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	lease, err := m.Table.Grant(ctx, ttl)
 	m.Count("grant", Outcome(err))
-	return id, granted, err
+	return lease, err
 }
 
 // Renew implements Table.
--- a/io/store/meter_test.go
+++ b/io/store/meter_test.go
@@ -19,9 +19,10 @@
 		counts := map[string]int{}
 		m := store.Metered{Table: client, Count: func(call, outcome string) { counts[call+" "+outcome]++ }}
 		ctx := context.Background()
-		id, granted, err := m.Grant(ctx, time.Second)
+		granted, err := m.Grant(ctx, time.Second)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(granted).To(Equal(time.Second))
+		Expect(granted.TTL).To(Equal(time.Second))
+		id := granted.ID
 		txn := store.Txn{Expected: []store.Condition{{Key: "k"}}, Puts: []store.Put{{Key: "k", Value: []byte("v"), Lease: id}}}
 		revision, err := m.Commit(ctx, txn)
 		Expect(err).NotTo(HaveOccurred())
@@ -37,7 +38,7 @@
 		Expect(m.End(ctx, id)).To(Succeed())
 		Expect(m.Renew(ctx, id)).To(MatchError(store.ErrNotFound))
 		client.SetFault(kvsim.FaultLoseAnswer)
-		_, _, err = m.Grant(ctx, time.Second)
+		_, err = m.Grant(ctx, time.Second)
 		Expect(err).To(HaveOccurred())
 		client.SetFault(kvsim.FaultRefuse)
 		Expect(m.Renew(ctx, id)).NotTo(Succeed())
--- a/io/store/table.go
+++ b/io/store/table.go
@@ -36,6 +36,9 @@
 // Txn is a transaction. If all conditions are met, all its changes take effect, and
 // otherwise none.
 type Txn struct {
+	// Era is the era of the store's history that the caller knows, on which it has decided to make
+	// the change.
+	Era uint64
 	// Expected are the conditions.
 	Expected []Condition
 	// Puts are the items to write.
@@ -58,6 +61,16 @@
 	Removed bool
 }
 
+// Lease is a lease as it was granted.
+type Lease struct {
+	// ID is the store's own number of the lease. It may be given out again in a later era.
+	ID LeaseID
+	// TTL is the actual time to live.
+	TTL time.Duration
+	// Era is the era in which the lease was granted.
+	Era uint64
+}
+
 // Table is a key-value service with transactions over several keys, watches by prefix and
 // leases.
 //
@@ -74,11 +87,13 @@
 	// has all changes after the revision.
 	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error)
 	// Commit makes a transaction and returns its revision. It returns ErrConflict if a
-	// condition is not met, and ErrNotFound if a lease has ended.
+	// condition is not met, ErrNotFound if a lease has ended, and ErrRestored if the store is
+	// in a later era than the caller knows.
 	Commit(ctx context.Context, txn Txn) (uint64, error)
-	// Grant returns a new lease and its actual time to live.
-	Grant(ctx context.Context, ttl time.Duration) (LeaseID, time.Duration, error)
-	// Renew restarts a lease's time to live, or returns ErrNotFound.
+	// Grant returns a new lease.
+	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
+	// Renew restarts a lease's time to live, or returns ErrNotFound. It returns ErrRestored for a
+	// lease that was granted in a former era, as Commit and End do.
 	Renew(ctx context.Context, id LeaseID) error
 	// End ends a lease at once and removes its items, or returns ErrNotFound.
 	End(ctx context.Context, id LeaseID) error
--- a/io/view/builder.go
+++ b/io/view/builder.go
@@ -8,6 +8,7 @@
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
+	"pomelofork/io/store"
 )
 
 // stateBuilder builds the next state from the present one. It copies a map only when that map
@@ -20,6 +21,12 @@
 	former ChangeCounts
 	// servicesCopied says that next.Services is a copy, which may be changed.
 	servicesCopied bool
+	// era is the era of the update, and listing says that it is the whole content. restored says
+	// that it is the first content of an era after another one.
+	era               uint64
+	listing, restored bool
+	// hasFormer says that the update has entries of instances that were written in a former era.
+	hasFormer bool
 	// initial says that the builder started from an empty state.
 	initial bool
 }
@@ -165,3 +172,43 @@
 	b.next.Rights = writable(b.next.Rights, b.former.Rights, &b.next.ChangeCounts.Rights)
 	delete(b.next.Rights, name)
 }
+
+// isFormer reports whether an instance's entry was written in a former era and may still be in
+// force, so that its absence from the store doesn't end it.
+func (b *stateBuilder) isFormer(revision uint64) bool { return store.Era(revision) < b.era }
+
+// dropFormer removes the instances and rights that haven't been written in the present era, and
+// returns their numbers.
+func (b *stateBuilder) dropFormer() (instances, rights int) {
+	former := b.next
+	for id, inst := range former.Instances {
+		if b.isFormer(inst.Revision) {
+			b.removeInstance(id)
+			instances++
+		}
+	}
+	for name, right := range former.Rights {
+		if b.isFormer(right.Revision) {
+			b.removeRight(name)
+			b.setStaleRight(name, right.RestoredRevision)
+			rights++
+		}
+	}
+	return instances, rights
+}
+
+// setStaleRight sets the revision of the entry of a right that nobody holds. Zero means that there is
+// no entry.
+func (b *stateBuilder) setStaleRight(name string, revision uint64) {
+	if b.next.StaleRights[name] == revision {
+		return
+	}
+	if b.next.StaleRights = maps.Clone(b.next.StaleRights); b.next.StaleRights == nil {
+		b.next.StaleRights = map[string]uint64{}
+	}
+	if revision == 0 {
+		delete(b.next.StaleRights, name)
+	} else {
+		b.next.StaleRights[name] = revision
+	}
+}
--- a/io/view/state.go
+++ b/io/view/state.go
@@ -19,6 +19,11 @@
 	Revision uint64
 	// Lease is the holder's lease, with which the right ends.
 	Lease store.LeaseID
+	// Restored says that the right was held before the store was restored from an older copy, and
+	// hasn't been written again. The entry in the store then has RestoredRevision, or none if that
+	// is zero.
+	Restored         bool
+	RestoredRevision uint64
 }
 
 // Vacancy says since when a service has had no server to be used as its primary.
@@ -58,6 +63,9 @@
 	Instances map[model.InstanceID]plan.Instance
 	// Rights are the held rights by name.
 	Rights map[string]Right
+	// StaleRights are the revisions of entries of rights that nobody holds: they were restored from
+	// an older copy of the store, or written on the knowledge of one.
+	StaleRights map[string]uint64
 	// ChangeCounts counts the changes.
 	ChangeCounts ChangeCounts
 }
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -79,10 +80,13 @@
 	freshAsOf atomic.Int64
 	// revision is the revision up to which the state has every change.
 	revision atomic.Uint64
+	// settled is the result of Settled.
+	settled atomic.Bool
 
 	mu sync.Mutex
 	// lastFailure is when a query last failed.
 	lastFailure time.Time
+	restore     restore
 	feed        feed
 }
 
@@ -90,6 +94,7 @@
 func New(ctx context.Context, c Config) *View {
 	v := &View{config: c, feed: newFeed()}
 	v.state.Store(&State{})
+	v.settled.Store(true)
 	go func() { v.watch(ctx) }()
 	return v
 }
@@ -146,7 +151,7 @@
 			after, synced = update.Revision, true
 			v.revision.Store(after)
 		}
-		if at := sent.Add(update.Waited - update.Age).UnixNano(); at > v.freshAsOf.Load() {
+		if at := sent.Add(update.Waited - update.Age).UnixNano(); at > v.freshAsOf.Load() && store.Era(update.Revision) == store.Era(after) && v.mayConfirm(clock.Now()) {
 			v.freshAsOf.Store(at)
 		}
 		if len(update.Entries) > 0 {
@@ -170,12 +175,19 @@
 func (v *View) applyUpdate(ctx context.Context, update Update) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	former := v.feed.revision
 	v.feed.add(update)
 	if len(update.Entries) == 0 && !update.All {
 		return
 	}
 	now := clock.Now()
 	b := newStateBuilder(now, v.state.Load())
+	b.era = store.Era(update.Revision)
+	b.restored = former != 0 && b.era > store.Era(former)
+	if b.restored {
+		v.beginEra(ctx, now, b)
+	}
+	b.listing = update.All
 	present := map[string]bool{}
 	for _, e := range update.Entries {
 		present[e.Key] = !e.Removed
@@ -184,6 +196,9 @@
 	if update.All {
 		v.removeMissing(ctx, now, b, present)
 	}
+	if b.initial && b.hasFormer {
+		v.beginEra(ctx, now, b)
+	}
 	if b.initial {
 		v.config.Log.LogAttrs(ctx, slog.LevelInfo, "initial content read", slog.Int("servers", len(b.next.Servers)), slog.Int("instances", len(b.next.Instances)),
 			slog.Int("rights", len(b.next.Rights)), slog.Uint64("revision", update.Revision))
@@ -216,6 +231,10 @@
 			b.removeServer(id)
 			return
 		}
+		if b.restored && v.isOutdated(b, server) {
+			v.config.Log.LogAttrs(ctx, slog.LevelInfo, "entry of a backend server in the restored store is older than the known one; it is passed over", slog.String("server", string(id)))
+			return
+		}
 		server.ReportsPrimary = server.Primary
 		server = b.next.Appointments[server.Service].Apply(server)
 		if previous, ok := b.next.Servers[id]; ok && previous.Draining {
@@ -238,7 +257,10 @@
 	case !ok:
 	case err != nil:
 		v.config.Log.LogAttrs(ctx, slog.LevelError, "cannot decode the configuration; the former one stays", slog.Uint64("revision", e.Revision), slog.String("error", err.Error()))
-	case b.next.Plan == nil || next.Version() > b.next.Plan.Version():
+	case b.next.Plan != nil && next.Version() <= b.next.Plan.Version():
+		v.restore.planWritten = v.restore.planWritten || (!b.listing && next.Version() == b.next.Plan.Version())
+	default:
+		v.restore.planWritten = true
 		v.config.Log.LogAttrs(ctx, slog.LevelInfo, "configuration in force", slog.Uint64("version", next.Version()), slog.Uint64("revision", e.Revision))
 		b.next.Plan = next
 	}
@@ -257,6 +279,7 @@
 		time.AfterFunc(expiryGrace, func() { v.removeIfUnchanged(ctx, id, server.Revision) })
 		return
 	}
+	v.rememberGone(now, server)
 	v.config.Log.LogAttrs(ctx, slog.LevelInfo, "server gone: its entry was removed", slog.String("server", string(id)), slog.String("service", string(server.Service)))
 	b.removeServer(id)
 }
@@ -270,7 +293,9 @@
 	if server, ok := current.Servers[id]; !ok || server.Revision != revision {
 		return
 	}
-	b := newStateBuilder(clock.Now(), current)
+	now := clock.Now()
+	b := newStateBuilder(now, current)
+	v.rememberGone(now, current.Servers[id])
 	b.removeServer(id)
 	v.config.Log.LogAttrs(ctx, slog.LevelInfo, "server gone: its entry was removed and not written again", slog.String("server", string(id)))
 	v.state.Store(&b.next)
@@ -288,12 +313,14 @@
 	}
 	for id := range former.Instances {
 		if !present[v.InstanceKey(id)] {
-			b.removeInstance(id)
+			v.removeInstance(ctx, b, id)
 		}
 	}
 	for name := range former.Rights {
 		if !present[v.RightKey(name)] {
-			b.removeRight(name)
+			v.removeRight(b, name)
 		}
 	}
+	b.next.StaleRights = maps.Clone(b.next.StaleRights)
+	maps.DeleteFunc(b.next.StaleRights, func(name string, _ uint64) bool { return !present[v.RightKey(name)] })
 }
--- a/io/view/view_test.go
+++ b/io/view/view_test.go
@@ -28,7 +28,7 @@
 }
 
 // decoder decodes the one byte under "config" as a version, and the text under "server/ID" as a
-// state and the name of a service.
+// state and the name of a service, and perhaps a third word as long as the number of the report.
 type decoder struct{}
 
 func (decoder) Plan(e store.Entry) (*plan.Plan, bool, error) {
@@ -46,8 +46,9 @@
 	if string(e.Value) == "bad" {
 		return plan.Server{}, ok, errors.New("bad entry")
 	}
-	state, service, _ := strings.Cut(string(e.Value), " ")
-	return plan.Server{ID: model.ServerID(id), Service: model.ServiceID(service), Draining: state == "draining", Revision: e.Revision}, ok, nil
+	state, rest, _ := strings.Cut(string(e.Value), " ")
+	service, report, _ := strings.Cut(rest, " ")
+	return plan.Server{Report: plan.Report{Number: uint64(len(report))}, ID: model.ServerID(id), Service: model.ServiceID(service), Draining: state == "draining", Revision: e.Revision}, ok, nil
 }
 
 func (decoder) ServerID(key string) (model.ServerID, bool) {
@@ -137,10 +138,10 @@
 	})
 
 	It("decodes instances and rights", func() {
-		value, err := view.InstanceValue(plan.Instance{Address: "h:1", Domain: "d", Weight: 2, LeaseLife: 9 * time.Second})
+		value, err := view.InstanceValue(plan.Instance{Address: "h:1", Domain: "d", Weight: 2, LeaseLife: 9 * time.Second}, 0)
 		Expect(err).NotTo(HaveOccurred())
 		registered := t.Set(v.InstanceKey("i"), value)
-		value, err = view.RightValue("i")
+		value, err = view.RightValue("i", 0)
 		Expect(err).NotTo(HaveOccurred())
 		revision := t.Set(v.RightKey("r"), value)
 		Eventually(func() view.Right { return v.State().Rights["r"] }).WithTimeout(waitTimeout).Should(Equal(view.Right{Instance: "i", Revision: revision}))
