--- /dev/null
+++ b/core/trial/trial.go
@@ -0,0 +1,103 @@
+// Package trial names the mechanisms of an instance that can be switched off one by one, to measure
+// what each is worth. Nothing that a promise to callers rests on can be switched off.
+package trial
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Switch is the name of a mechanism.
+type Switch string
+
+// The mechanisms.
+const (
+	// ReturnedTokens returns the tokens of operations that were not sent.
+	ReturnedTokens Switch = "returned_tokens"
+	// PrefetchedTokens draws tokens for operations to come.
+	PrefetchedTokens Switch = "prefetched_tokens"
+	// TokenWait lets an operation wait for a token that accrues soon.
+	TokenWait Switch = "token_wait"
+	// SharedIssuers divides the rate of an account among several issuers.
+	SharedIssuers Switch = "shared_issuers"
+	// RestartTokens starts the bucket of a kept right with a few tokens.
+	RestartTokens Switch = "restart_tokens"
+	// KeptRights lets an instance keep the rights of its former run.
+	KeptRights Switch = "kept_rights"
+	// PromotionWait lets statements wait for the next primary.
+	PromotionWait Switch = "promotion_wait"
+	// EarlyRejection rejects at once what can't be served in time.
+	EarlyRejection Switch = "early_rejection"
+	// TargetOrder serves first what can still meet its target, instead of what arrived first.
+	TargetOrder Switch = "target_order"
+	// Priority orders statements and the wait for tokens by the priority of the route.
+	Priority Switch = "priority"
+	// ReadRetry repeats a failed read once on another server.
+	ReadRetry Switch = "read_retry"
+	// SilentServers lets reads leave a server that has stopped answering.
+	SilentServers Switch = "silent_servers"
+	// DomainPlacement prefers servers of the own failure domain.
+	DomainPlacement Switch = "domain_placement"
+	// WaitPlacement prefers servers with a short wait.
+	WaitPlacement Switch = "wait_placement"
+	// LatencyPlacement avoids servers that were slow or failed.
+	LatencyPlacement Switch = "latency_placement"
+	// Followers lets most instances follow the store through a peer.
+	Followers Switch = "followers"
+	// Isolation ends the sessions of an isolated instance.
+	Isolation Switch = "isolation"
+	// WithdrawalAnswers ends a withdrawal when all gateways have acknowledged it, instead of after
+	// the full wait.
+	WithdrawalAnswers Switch = "withdrawal_answers"
+	// VacancyTakeover counts the time without a primary from its loss when another instance takes
+	// over the monitoring.
+	VacancyTakeover Switch = "vacancy_takeover"
+)
+
+// All returns all switches in a fixed order.
+func All() []Switch {
+	return []Switch{
+		ReturnedTokens, PrefetchedTokens, TokenWait, SharedIssuers, RestartTokens, KeptRights, PromotionWait, EarlyRejection, TargetOrder, Priority,
+		ReadRetry, SilentServers, DomainPlacement, WaitPlacement, LatencyPlacement, Followers, Isolation, WithdrawalAnswers, VacancyTakeover,
+	}
+}
+
+// Disabled are the mechanisms that are switched off. The zero value has none.
+type Disabled struct {
+	switches map[Switch]bool
+}
+
+// Parse returns the given mechanisms. It fails if one of them doesn't exist or is named twice.
+func Parse(names []string) (Disabled, error) {
+	d := Disabled{switches: map[Switch]bool{}}
+	for _, name := range names {
+		s := Switch(name)
+		if !slices.Contains(All(), s) {
+			return Disabled{}, fmt.Errorf("unknown mechanism %q, want one of %s", name, join(All()))
+		}
+		if d.switches[s] {
+			return Disabled{}, fmt.Errorf("mechanism %q is named twice", name)
+		}
+		d.switches[s] = true
+	}
+	return d, nil
+}
+
+// Has reports whether a mechanism is switched off.
+func (d Disabled) Has(s Switch) bool { return d.switches[s] }
+
+// Empty reports whether nothing is switched off.
+func (d Disabled) Empty() bool { return len(d.switches) == 0 }
+
+// String returns the names in alphabetical order.
+func (d Disabled) String() string { return join(slices.Sorted(maps.Keys(d.switches))) }
+
+func join(switches []Switch) string {
+	names := make([]string, 0, len(switches))
+	for _, s := range switches {
+		names = append(names, string(s))
+	}
+	return strings.Join(names, ", ")
+}
--- a/core/wait/queue.go
+++ b/core/wait/queue.go
@@ -47,11 +47,20 @@
 	Deadline time.Time
 }
 
+// Policy says what a Queue leaves out, to measure what it is worth.
+type Policy struct {
+	// ArrivalOrder serves the items in the order of their arrival.
+	ArrivalOrder bool
+	// AcceptAll queues also what can't be served in time.
+	AcceptAll bool
+}
+
 // Queue holds the items that wait for one server. It is not safe for concurrent use.
 type Queue[T any] struct {
-	slots int
-	items []Item[T]
-	costs map[string]time.Duration
+	policy Policy
+	slots  int
+	items  []Item[T]
+	costs  map[string]time.Duration
 	// onTimeWork is the slot time of recent items that could meet their target, as of
 	// onTimeWorkAt. It fades to zero within loadWindow.
 	onTimeWork   time.Duration
@@ -59,8 +68,11 @@
 }
 
 // New returns an empty queue for a server with this number of slots, at least 1.
-func New[T any](slots int) *Queue[T] {
-	return &Queue[T]{slots: max(slots, 1), costs: map[string]time.Duration{}}
+func New[T any](slots int) *Queue[T] { return NewWithPolicy[T](slots, Policy{}) }
+
+// NewWithPolicy returns the same with a policy.
+func NewWithPolicy[T any](slots int, policy Policy) *Queue[T] {
+	return &Queue[T]{policy: policy, slots: max(slots, 1), costs: map[string]time.Duration{}}
 }
 
 // Len returns the number of waiting items.
@@ -123,7 +135,7 @@
 // item may be refused although it could meet its deadline: if it has to wait, it must be
 // done soon after its target. running is the number of items that run.
 func (q *Queue[T]) Add(now time.Time, item Item[T], running int) (Refusal, bool) {
-	if !item.InTransaction {
+	if !item.InTransaction && !q.policy.AcceptAll {
 		cost := q.Cost(item.Class)
 		ahead := q.aheadOf(now, item, running)
 		latest := item.Deadline
@@ -161,6 +173,9 @@
 
 // before reports whether a goes before b.
 func (q *Queue[T]) before(now time.Time, a, b Item[T]) bool {
+	if q.policy.ArrivalOrder {
+		return false
+	}
 	if a.InTransaction != b.InTransaction {
 		return a.InTransaction
 	}
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -8,6 +8,7 @@
 	"pomelofork/core/place"
 	"pomelofork/core/plan"
 	"pomelofork/core/stmt"
+	"pomelofork/core/trial"
 	"pomelofork/io/clock"
 )
 
@@ -82,7 +83,7 @@
 	case code == stmt.CodeFailed:
 		// A server may fail statements that others run, although its health check passes.
 		// One more attempt does no harm for a read, so there is one, but no more.
-		retry := a.allowsStale && a.order.Unit == 0 && !a.failed
+		retry := a.allowsStale && a.order.Unit == 0 && !a.failed && !a.session.entry.config.Disabled.Has(trial.ReadRetry)
 		a.failed = true
 		return retry
 	case code == stmt.CodeBusy && result.NotSent && result.RetryAfter > 0:
@@ -139,6 +140,7 @@
 		})
 	}
 	e.mu.Unlock()
+	e.disablePlacement(candidates)
 	i, ok := place.Choose(now, required, candidates)
 	if !ok {
 		return plan.Server{}, false
@@ -146,6 +148,25 @@
 	return candidates[i].Server, true
 }
 
+// disablePlacement makes candidates equal in what isn't to count.
+func (e *Entry) disablePlacement(candidates []place.Candidate) {
+	if e.config.Disabled.Empty() {
+		return
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		if e.config.Disabled.Has(trial.DomainPlacement) {
+			c.SameDomain = true
+		}
+		if e.config.Disabled.Has(trial.WaitPlacement) {
+			c.Wait, c.InFlight = 0, 0
+		}
+		if e.config.Disabled.Has(trial.LatencyPlacement) {
+			c.Latency, c.FailureRate = 0, 0
+		}
+	}
+}
+
 // requiredPoint returns the point that a read's server must have reached. It returns
 // false if no known point is recent enough for the route.
 func (a *attempts) requiredPoint(now time.Time) (model.Point, bool) {
--- a/io/entry/draw.go
+++ b/io/entry/draw.go
@@ -5,6 +5,7 @@
 
 	"pomelofork/core/model"
 	"pomelofork/core/quota"
+	"pomelofork/core/trial"
 	"pomelofork/io/clock"
 )
 
@@ -23,6 +24,9 @@
 		return token, "", true
 	}
 	prefetch := cache.PrefetchCount()
+	if e.config.Disabled.Has(trial.PrefetchedTokens) {
+		prefetch = 0
+	}
 	e.mu.Unlock()
 	for {
 		sent := clock.Now()
@@ -47,7 +51,7 @@
 func (e *Entry) returnToken(now time.Time, account model.AccountID, token quota.Token) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if cache, ok := e.tokenCaches[account]; ok {
+	if cache, ok := e.tokenCaches[account]; ok && !e.config.Disabled.Has(trial.ReturnedTokens) {
 		cache.Return(now, token)
 	}
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -13,6 +13,7 @@
 	"pomelofork/core/fresh"
 	"pomelofork/core/model"
 	"pomelofork/core/quota"
+	"pomelofork/core/trial"
 	"pomelofork/io/view"
 )
 
@@ -33,6 +34,8 @@
 	Fleet Fleet
 	// Codec returns the Caller that speaks the platform's protocol on a new connection.
 	Codec func(net.Conn) Caller
+	// Disabled are the mechanisms that are switched off.
+	Disabled trial.Disabled
 	// Meter counts answers and retries.
 	Meter Meter
 	// Log receives one record for each decision about a request.
--- a/io/entry/hold.go
+++ b/io/entry/hold.go
@@ -6,6 +6,7 @@
 	"pomelofork/core/hold"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
+	"pomelofork/core/trial"
 	"pomelofork/io/clock"
 	"pomelofork/io/view"
 )
@@ -60,7 +61,7 @@
 	e := a.session.entry
 	state := e.config.View.State()
 	vacancy, vacant := state.Vacancies[a.route.Service]
-	if !vacant {
+	if !vacant || e.config.Disabled.Has(trial.PromotionWait) {
 		if now.After(a.received.Add(min(a.route.TargetLatency/holdDivisor, a.route.Timeout))) {
 			return false
 		}
--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -9,6 +9,7 @@
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
 	"pomelofork/core/stmt"
+	"pomelofork/core/trial"
 	"pomelofork/io/clock"
 )
 
@@ -94,7 +95,7 @@
 	if refusal == nil && account != "" {
 		var reason string
 		var ok bool
-		if token, reason, ok = s.entry.drawToken(now, account, now.Add(min(route.TargetLatency/holdDivisor, quota.MaxWait(route.Priority)))); !ok {
+		if token, reason, ok = s.entry.drawToken(now, account, now.Add(s.entry.maxTokenWait(route))); !ok {
 			answer := stmt.Refuse(stmt.CodeBusy, stmt.StateIdle, reason)
 			refusal = &answer
 		}
@@ -109,6 +110,22 @@
 	return admission{route: route, account: account, token: token}, refusal
 }
 
+// maxTokenWait returns the time for which an operation waits for a token.
+func (e *Entry) maxTokenWait(route plan.Route) time.Duration {
+	if e.config.Disabled.Has(trial.TokenWait) {
+		return 0
+	}
+	return min(route.TargetLatency/holdDivisor, quota.MaxWait(e.priority(route)))
+}
+
+// priority returns the priority of a route.
+func (e *Entry) priority(route plan.Route) int {
+	if e.config.Disabled.Has(trial.Priority) {
+		return 0
+	}
+	return route.Priority
+}
+
 // configStatus returns the version of the configuration in force, or zero without one,
 // and the time since it was last confirmed to be the newest.
 func (s *session) configStatus(now time.Time) (uint64, time.Duration) {
@@ -184,7 +201,7 @@
 func (s *session) newAttempts(now time.Time, admitted admission, statement stmt.Statement) *attempts {
 	a := &attempts{session: s, admission: admitted, received: now, excluded: map[model.ServerID]bool{}}
 	a.order = stmt.Order{
-		Entry: s.entry.config.RunID, Begin: stmt.OpPass, Account: admitted.account, Class: admitted.route.Name, Priority: admitted.route.Priority,
+		Entry: s.entry.config.RunID, Begin: stmt.OpPass, Account: admitted.account, Class: admitted.route.Name, Priority: s.entry.priority(admitted.route),
 		Values: s.values, Statement: statement,
 	}
 	if statement.Kind == stmt.KindExecute {
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -11,6 +11,7 @@
 	"pomelofork/core/plan"
 	"pomelofork/core/promo"
 	"pomelofork/core/stmt"
+	"pomelofork/core/trial"
 	"pomelofork/io/clock"
 	"pomelofork/io/pooler"
 	"pomelofork/io/view"
@@ -76,6 +77,8 @@
 	// before. As a fencing token it keeps a promotion that is carried out late from undoing a
 	// later one.
 	Appoint func(ctx context.Context, server model.ServerID) (uint64, error)
+	// Disabled are the mechanisms that are switched off.
+	Disabled trial.Disabled
 	// Allows reports whether answers of a primary that was appointed under an epoch may be used.
 	Allows func(now time.Time, epoch uint64) bool
 	// Gateways are the instances through which callers use the servers.
@@ -121,6 +124,9 @@
 			}
 			if m.machine == nil {
 				vacancy := c.View.State().Vacancies[c.Service]
+				if c.Disabled.Has(trial.VacancyTakeover) {
+					vacancy = view.Vacancy{}
+				}
 				m.machine = promo.New(now, vacancy.Since, vacancy.Former)
 			}
 			m.check(ctx, now)
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -11,6 +11,7 @@
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/stmt"
+	"pomelofork/core/trial"
 	"pomelofork/core/wait"
 )
 
@@ -60,6 +61,8 @@
 type Config struct {
 	// Server is the backend server.
 	Server plan.Server
+	// Disabled are the mechanisms that are switched off.
+	Disabled trial.Disabled
 	// Connections is the number of connections that the server accepts from all instances
 	// together. Zero means 16.
 	Connections int
@@ -104,6 +107,8 @@
 	latest  func(model.ServiceID) (time.Time, model.Point, bool)
 	allows  func(now time.Time, epoch uint64) bool
 	log     *slog.Logger
+	// disabled are the mechanisms that are switched off.
+	disabled trial.Disabled
 
 	mu sync.Mutex
 	// limit is the maximum number of open and opening connections.
@@ -146,8 +151,10 @@
 		c.Allows = func(time.Time, uint64) bool { return true }
 	}
 	return &Pool{
-		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, log: c.Log,
-		limit: max(limit-max(minFreeConns, limit/freeDivisor), 1), queue: wait.New[*request](c.Server.Slots),
+		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, log: c.Log, disabled: c.Disabled,
+		limit: max(limit-max(minFreeConns, limit/freeDivisor), 1), queue: wait.NewWithPolicy[*request](c.Server.Slots, wait.Policy{
+			ArrivalOrder: c.Disabled.Has(trial.TargetOrder), AcceptAll: c.Disabled.Has(trial.EarlyRejection),
+		}),
 		conns: map[*serverConn]struct{}{}, transactions: map[txKey]*serverConn{}, opening: map[model.AccountID]int{},
 	}
 }
@@ -268,7 +275,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.queue.Len() > 0 {
-		p.releaseReads(now)
+		if !p.disabled.Has(trial.SilentServers) {
+			p.releaseReads(now)
+		}
 		p.dispatch(now)
 	}
 	if holder {
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -7,6 +7,7 @@
 
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
+	"pomelofork/core/trial"
 	"pomelofork/io/entry"
 	"pomelofork/io/lead"
 	"pomelofork/io/pooler"
@@ -58,6 +59,8 @@
 	AccountCap quota.Cap
 	// Grace is the time from the request to stop until the process ends in any case.
 	Grace time.Duration
+	// Disabled are the mechanisms that are switched off.
+	Disabled trial.Disabled
 	// Log receives a record of each of the instance's decisions.
 	Log *slog.Logger
 }
--- a/io/proxy/draw.go
+++ b/io/proxy/draw.go
@@ -9,6 +9,7 @@
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
+	"pomelofork/core/trial"
 	"pomelofork/io/relay"
 )
 
@@ -60,7 +61,7 @@
 	if !ok {
 		return quota.Grant{}, false
 	}
-	d := tokenDraw{node: n, account: account, count: quota.IssuerCount(limits.PerSecond)}
+	d := tokenDraw{node: n, account: account, count: n.issuerCount(limits)}
 	n.mu.Lock()
 	if d.issuers = n.issuers[account]; d.issuers == nil {
 		d.issuers = &quota.IssuerStatus{}
@@ -150,7 +151,7 @@
 		return quota.Grant{}, false
 	}
 	limits, ok := p.Account(request.Account)
-	if !ok || request.Mint >= quota.IssuerCount(limits.PerSecond) {
+	if !ok || request.Mint >= n.issuerCount(limits) {
 		return quota.Grant{}, false
 	}
 	n.mu.Lock()
@@ -158,6 +159,22 @@
 	return n.issuerBucket(now, limits, request.Mint, since).Draw(now, request.Need, request.Ahead, request.Patience), true
 }
 
+// issuerCount returns the number of an account's issuers.
+func (n *Node) issuerCount(limits plan.Account) int {
+	if n.config.Disabled.Has(trial.SharedIssuers) {
+		return 1
+	}
+	return quota.IssuerCount(limits.PerSecond)
+}
+
+// issuerShare returns one issuer's part of an account's rate and burst.
+func (n *Node) issuerShare(limits plan.Account) (perSecond, burst float64) {
+	if n.config.Disabled.Has(trial.SharedIssuers) {
+		return limits.PerSecond, limits.Burst
+	}
+	return quota.IssuerShare(limits.PerSecond, limits.Burst)
+}
+
 // issuerKey identifies one issuer of one account.
 type issuerKey struct {
 	account model.AccountID
@@ -169,12 +186,12 @@
 // empty one, or by one with a few tokens if the right was kept over a restart. The caller
 // holds the lock.
 func (n *Node) issuerBucket(now time.Time, limits plan.Account, issuer int, since time.Time) *quota.Bucket {
-	perSecond, burst := quota.IssuerShare(limits.PerSecond, limits.Burst)
+	perSecond, burst := n.issuerShare(limits)
 	key := issuerKey{limits.ID, issuer}
 	b, ok := n.buckets[key]
 	if !ok || !b.since.Equal(since) {
 		tokens := 0
-		if n.rights.Kept(accountIssuerRight(limits.ID, issuer)) {
+		if n.rights.Kept(accountIssuerRight(limits.ID, issuer)) && !n.config.Disabled.Has(trial.RestartTokens) {
 			tokens = n.config.AccountCap.RestartTokens(limits.PerSecond, limits.Burst)
 		}
 		b = &bucket{quota: quota.NewRestartedBucket(since, perSecond, burst, tokens), since: since}
--- a/io/proxy/isolation.go
+++ b/io/proxy/isolation.go
@@ -6,6 +6,7 @@
 
 	"pomelofork/core/plan"
 	"pomelofork/core/reach"
+	"pomelofork/core/trial"
 )
 
 const (
@@ -24,7 +25,7 @@
 // and tells the entry. Only one goroutine calls it.
 func (n *Node) updateIsolation(now time.Time) {
 	confirmed, ok := n.view.FreshAsOf()
-	if !ok {
+	if !ok || n.config.Disabled.Has(trial.Isolation) {
 		return
 	}
 	n.isolation.UpdateFreshness(now, confirmed)
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -121,14 +121,14 @@
 		},
 	})
 	n.rights = right.NewManager(ctx, right.Config{
-		Table: c.Table, View: n.view, Self: c.Self, StoreWrites: c.StoreWrites, Wanted: n.wantedRights, Dependent: n.dependentEntries, Log: c.Log,
+		Table: c.Table, View: n.view, Self: c.Self, StoreWrites: c.StoreWrites, Wanted: n.wantedRights, Dependent: n.dependentEntries, Disabled: c.Disabled, Log: c.Log,
 		Changed: func(held []string) {
 			<-ready
 			n.updateMonitors(ctx, held)
 		},
 	})
 	n.entry = entry.New(entry.Config{
-		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Log: c.Log,
+		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Disabled: c.Disabled, Log: c.Log,
 	})
 	close(ready)
 	n.entry.Serve(c.Callers)
@@ -234,7 +234,7 @@
 		connections = state.Plan.Connections(server.Service)
 	}
 	pool := pooler.NewPool(pooler.Config{
-		Server: server, Connections: connections, Dialer: n.config.Dialer, Observe: n.entry.Observe, Latest: n.entry.Latest, Log: n.config.Log,
+		Server: server, Connections: connections, Dialer: n.config.Dialer, Observe: n.entry.Observe, Latest: n.entry.Latest, Disabled: n.config.Disabled, Log: n.config.Log,
 		Allows: func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, server.Service, epoch) },
 	})
 	n.pools[id] = pool
--- a/io/proxy/primary.go
+++ b/io/proxy/primary.go
@@ -11,6 +11,7 @@
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/stmt"
+	"pomelofork/core/trial"
 	"pomelofork/io/clock"
 	"pomelofork/io/lead"
 	"pomelofork/io/relay"
@@ -153,6 +154,9 @@
 		n.withdrawLocally(service, withdrawal)
 		return true
 	}
+	if n.config.Disabled.Has(trial.WithdrawalAnswers) {
+		return false
+	}
 	err := n.peer(inst).Withdraw(now, &relay.WithdrawRequest{Service: service, Epoch: withdrawal}, withdrawTimeout)
 	return err == nil || errors.Is(err, relay.ErrConnRefused)
 }
--- a/io/proxy/source.go
+++ b/io/proxy/source.go
@@ -13,6 +13,7 @@
 	"pomelofork/core/pace"
 	"pomelofork/core/plan"
 	"pomelofork/core/rank"
+	"pomelofork/core/trial"
 	"pomelofork/io/clock"
 	"pomelofork/io/relay"
 	"pomelofork/io/store"
@@ -74,6 +75,9 @@
 // rankSources computes the result of sources.
 func (n *Node) rankSources(s *view.State) []view.Source {
 	direct := view.StoreSource{Table: n.config.Table, Prefix: n.config.Prefix}
+	if n.config.Disabled.Has(trial.Followers) {
+		return []view.Source{direct}
+	}
 	domains := map[model.Domain][]plan.Instance{}
 	for _, inst := range s.Instances {
 		domains[inst.Domain] = append(domains[inst.Domain], inst)
--- a/io/right/former.go
+++ b/io/right/former.go
@@ -8,6 +8,7 @@
 
 	"pomelofork/core/pace"
 	"pomelofork/core/plan"
+	"pomelofork/core/trial"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
@@ -23,7 +24,7 @@
 // uses them until the lease ends.
 func (mgr *Manager) formerRights(state *view.State) []formerRight {
 	former, ok := state.Instances[mgr.config.Self.ID]
-	if !ok || former.Lease == 0 || store.Era(former.Revision) != mgr.config.View.Era() {
+	if !ok || former.Lease == 0 || store.Era(former.Revision) != mgr.config.View.Era() || mgr.config.Disabled.Has(trial.KeptRights) {
 		// An entry that was restored from an older copy of the store proves nothing.
 		return nil
 	}
--- a/io/right/manager.go
+++ b/io/right/manager.go
@@ -12,6 +12,7 @@
 	"pomelofork/core/model"
 	"pomelofork/core/pace"
 	"pomelofork/core/plan"
+	"pomelofork/core/trial"
 	"pomelofork/io/clock"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
@@ -73,6 +74,8 @@
 	// Changed is called after this instance has acquired, received or lost rights, with the
 	// sorted names of all that it holds. It may be nil.
 	Changed func(held []string)
+	// Disabled are the mechanisms that are switched off.
+	Disabled trial.Disabled
 	// Log receives a record of each right that is acquired, transferred or lost, and of each
 	// failed call.
 	Log *slog.Logger
