Let the monitor of a primary endorse its appointment, and permits live for two seconds

Change: a permit lives for 2 s. A gateway whose copy isn't confirmed for 1.2 s, and that uses a primary, asks the instance that holds the right to monitor it, which alone may withdraw the appointment. That one endorses it while its right is certain, its copy has its own last write, and no appointment of its own is under way. The model of core/epoch has endorsements lost, delayed and given by a promoter about to withdraw; it fails if they are given during a withdrawal. Ruled out: permits that only the monitor gives (its loss would stop writes).

--- a/core/epoch/guard.go
+++ b/core/epoch/guard.go
@@ -3,10 +3,9 @@
 import "time"
 
 const (
-	// PermitLife is the age of an instance's copy of the store's content from which it uses no
-	// primary. It is as long as keys are accepted without a confirmation, so that an outage of
-	// the store stops nothing sooner than it would anyway.
-	PermitLife = 3800 * time.Millisecond
+	// PermitLife is the time after the last confirmation from which an instance uses no primary. A
+	// follower's copy of the store's content is confirmed more often, unless the store fails.
+	PermitLife = 2 * time.Second
 	// ClockSlack is the time that a withdrawal waits beyond PermitLife.
 	ClockSlack = 100 * time.Millisecond
 )
@@ -14,7 +13,8 @@
 // Permit is what entitles an instance to use primaries. An instance without contact to the store
 // loses it by itself.
 type Permit struct {
-	// Confirmed is the time as of which the instance's copy of the store's content was complete.
+	// Confirmed is the time as of which the instance's copy of the store's content was complete, or
+	// as of which the instance that alone may withdraw the appointment said that it is in force.
 	Confirmed time.Time
 	// Registered is the time since which the instance has been registered without a gap.
 	Registered time.Time
--- a/core/epoch/model_test.go
+++ b/core/epoch/model_test.go
@@ -35,9 +35,12 @@
 	users    []model.InstanceID
 	observed uint64
 	// mustWait is false in the variant that promotes without waiting for the withdrawal.
-	mustWait   bool
-	promotions int
-	violation  string
+	mustWait bool
+	// endorsesAlways is true in the variant whose promoter endorses a withdrawn appointment as the
+	// former one.
+	endorsesAlways bool
+	promotions     int
+	violation      string
 }
 
 // modelInstance is an instance with its copy of the store's entry and the work in flight.
@@ -55,6 +58,16 @@
 	inFlight []modelAnswer
 	// inbox are withdrawals under way to the instance.
 	inbox []modelMessage
+	// endorsements are answers of the promoter under way, and endorsed is when the instance sent the
+	// question of the latest one that has arrived.
+	endorsements []modelEndorsement
+	endorsed     time.Time
+}
+
+// modelEndorsement is an answer that the appointment of an epoch is in force.
+type modelEndorsement struct {
+	asked, arrives time.Time
+	epoch          uint64
 }
 
 type modelAnswer struct {
@@ -141,19 +154,51 @@
 			}
 		}
 	}
+	m.endorse(inst)
 	inst.inbox = keep(inst.inbox, func(message modelMessage) bool { return m.now.Before(message.arrives) })
-	if m.chance(3) && inst.guard.Allows(m.now, inst.permit, inst.known) && inst.server >= 0 && m.serving[inst.server] {
+	if m.chance(3) && inst.guard.Allows(m.now, inst.currentPermit(), inst.known) && inst.server >= 0 && m.serving[inst.server] {
 		inst.inFlight = append(inst.inFlight, modelAnswer{inst.known, inst.server, m.now.Add(m.delay())})
 	}
 	for _, answer := range inst.inFlight {
 		// The server commits when it answers, at the latest when the answer arrives.
-		if !m.now.Before(answer.arrives) && inst.guard.Allows(m.now, inst.permit, answer.epoch) && answer.server != m.primary {
+		if !m.now.Before(answer.arrives) && inst.guard.Allows(m.now, inst.currentPermit(), answer.epoch) && answer.server != m.primary {
 			m.violation = fmt.Sprintf("at %s instance %d passed on an answer of server %d under epoch %d, while server %d is the primary", m.now.Sub(start), i, answer.server, answer.epoch, m.primary)
 		}
 	}
 	inst.inFlight = keep(inst.inFlight, func(answer modelAnswer) bool { return m.now.Before(answer.arrives) })
 }
 
+// endorse lets an instance ask the promoter whether the appointment is in force, and takes the answers
+// that have arrived. The promoter doesn't answer while a withdrawal may be under way, except in the
+// variant of the model that is meant to fail.
+func (m *fleetModel) endorse(inst *modelInstance) {
+	if m.chance(30) && (m.server >= 0 || m.endorsesAlways) {
+		present := m.epoch
+		if m.server < 0 {
+			present--
+		}
+		inst.endorsements = append(inst.endorsements, modelEndorsement{m.now.Add(-m.delay() / 5), m.now.Add(m.delay()), present})
+	}
+	for _, e := range inst.endorsements {
+		if !m.now.Before(e.arrives) {
+			inst.guard.Raise(e.epoch)
+			if e.asked.After(inst.endorsed) {
+				inst.endorsed = e.asked
+			}
+		}
+	}
+	inst.endorsements = keep(inst.endorsements, func(e modelEndorsement) bool { return m.now.Before(e.arrives) })
+}
+
+// currentPermit returns the permit with the latest confirmation.
+func (i *modelInstance) currentPermit() epoch.Permit {
+	p := i.permit
+	if i.endorsed.After(p.Confirmed) {
+		p.Confirmed = i.endorsed
+	}
+	return p
+}
+
 // renew renews the registration of an instance, or registers it again after a gap. The call
 // reaches the store some time after it was made.
 func (m *fleetModel) renew(inst *modelInstance) {
--- /dev/null
+++ b/io/proxy/endorse.go
@@ -0,0 +1,120 @@
+package proxy
+
+import (
+	"log/slog"
+	"time"
+
+	"pomelofork/core/epoch"
+	"pomelofork/core/model"
+	"pomelofork/io/clock"
+	"pomelofork/io/relay"
+)
+
+const (
+	// endorseAge is the age of the view's confirmation from which the monitor of a primary in use is
+	// asked whether the appointment is in force.
+	endorseAge = epoch.PermitLife * 6 / 10
+	// endorseInterval is the time between two such questions about a service.
+	endorseInterval = epoch.PermitLife / 8
+	// endorseTimeout bounds such a question: some tens of round trips.
+	endorseTimeout = 150 * time.Millisecond
+	// primaryUseMemory is the time for which a primary counts as in use.
+	primaryUseMemory = 2 * time.Second
+)
+
+// primaryUse is what this instance knows of a service's primary as one of its gateways.
+type primaryUse struct {
+	guard epoch.Guard
+	// usedAt is when work of the primary was last to be passed on.
+	usedAt time.Time
+	// endorsedAt is the time as of which the monitor said that the appointment is in force.
+	endorsedAt time.Time
+	// askedAt is when the monitor was last asked.
+	askedAt time.Time
+}
+
+// endorseInUse asks the monitors of the primaries in use whether the appointments are in force, if
+// the view wasn't confirmed for a while.
+func (n *Node) endorseInUse(now time.Time) {
+	confirmed, ok := n.view.FreshAsOf()
+	if !ok || now.Sub(confirmed) < endorseAge {
+		return
+	}
+	n.guardsMu.Lock()
+	defer n.guardsMu.Unlock()
+	for service, use := range n.primaryUses {
+		if now.Sub(use.usedAt) < primaryUseMemory && now.Sub(use.askedAt) >= endorseInterval && now.Sub(use.endorsedAt) >= endorseInterval {
+			use.askedAt = now
+			go func() { n.askMonitor(clock.Now(), service) }()
+		}
+	}
+}
+
+// askMonitor asks the monitor of a service's primary whether the appointment is in force.
+func (n *Node) askMonitor(now time.Time, service model.ServiceID) {
+	state := n.view.State()
+	right, ok := state.Rights[monitorRight(service)]
+	if !ok {
+		return
+	}
+	var response relay.EndorseResponse
+	if right.Instance == n.config.Self.ID {
+		response = n.endorseLocally(now, service)
+	} else if inst, ok := state.Instances[right.Instance]; ok {
+		var err error
+		if response, err = n.peer(inst).Endorse(now, &relay.EndorseRequest{Service: service}, endorseTimeout); err != nil {
+			n.config.Log.Debug("monitor of a primary did not answer", slog.String("service", string(service)), slog.String("instance", string(inst.ID)), slog.String("error", err.Error()))
+			return
+		}
+	}
+	if !response.Endorsed {
+		return
+	}
+	n.withdrawLocally(service, response.Epoch)
+	n.guardsMu.Lock()
+	defer n.guardsMu.Unlock()
+	if use := n.primaryUse(service); now.After(use.endorsedAt) {
+		use.endorsedAt = now
+	}
+}
+
+// endorseLocally reports whether the appointment of a service's primary is in force, if this
+// instance certainly holds the right to monitor it: no other instance can have withdrawn it then,
+// and this one has neither begun to nor any appointment under way.
+func (n *Node) endorseLocally(now time.Time, service model.ServiceID) relay.EndorseResponse {
+	_, fence, ok := n.rights.Holds(now, monitorRight(service))
+	if !ok || !n.view.Settled() || n.view.Revision() < fence {
+		return relay.EndorseResponse{}
+	}
+	n.guardsMu.Lock()
+	defer n.guardsMu.Unlock()
+	if n.appointing[service] == fence {
+		return relay.EndorseResponse{}
+	}
+	appointment, appointed := n.view.State().Appointments[service]
+	if appointed && appointment.Server == "" {
+		return relay.EndorseResponse{}
+	}
+	return relay.EndorseResponse{Endorsed: true, Epoch: appointment.Epoch}
+}
+
+// beginAppointment records that an appointment is about to be written under the fence of the right
+// to monitor a service. It counts as under way until the right is written again, or failed says that
+// it certainly has no effect.
+func (n *Node) beginAppointment(now time.Time, service model.ServiceID) (failed func()) {
+	_, fence, _ := n.rights.Holds(now, monitorRight(service))
+	n.guardsMu.Lock()
+	defer n.guardsMu.Unlock()
+	n.appointing[service] = fence
+	return func() {
+		n.guardsMu.Lock()
+		defer n.guardsMu.Unlock()
+		delete(n.appointing, service)
+	}
+}
+
+// Endorse implements relay.Handler.
+func (h *handler) Endorse(args *relay.EndorseRequest, result *relay.EndorseResponse) error {
+	*result = h.node.endorseLocally(clock.Now(), args.Service)
+	return nil
+}
--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -24,6 +24,16 @@
 	"pomelofork/io/view"
 )
 
+// planDecoder takes the entry "config" for a configuration. There are no servers.
+type planDecoder struct{}
+
+func (planDecoder) Plan(e store.Entry) (*plan.Plan, bool, error) {
+	return plan.New(plan.Config{Version: 1}), e.Key == "config", nil
+}
+func (planDecoder) Server(store.Entry) (plan.Server, bool, error) { return plan.Server{}, false, nil }
+func (planDecoder) ServerID(string) (model.ServerID, bool)        { return "", false }
+func (planDecoder) ServerKey(model.ServerID) string               { return "none" }
+
 // lostGateway is an instance whose server has stopped answering. It counts the orders.
 type lostGateway struct {
 	handler
@@ -38,9 +48,10 @@
 }
 
 // newNodeWithGateways returns a node whose view has the given number of other instances, all of
-// which are lost gateways, and the count of their orders.
-func newNodeWithGateways(count int) (*Node, *atomic.Int64) {
+// which are lost gateways, and the count of their orders. The node acquires the given rights.
+func newNodeWithGateways(count int, wanted ...right.Spec) (*Node, *atomic.Int64) {
 	table := kvsim.New()
+	table.Set("config", nil)
 	orders := &atomic.Int64{}
 	log := slog.New(slog.DiscardHandler)
 	for i := range count {
@@ -50,25 +61,25 @@
 		Expect(relay.NewServer(relay.ServerConfig{Listener: listener, Handler: &lostGateway{orders: orders}, Disconnected: func(uint64) {}, Log: log})).To(Succeed())
 		table.Set(fmt.Sprint("own/instance/g", i), []byte(fmt.Sprintf(`{"address":%q,"domain":"d","weight":1}`, listener.Addr())))
 	}
-	return newNodeFor(table, count), orders
+	return newNodeFor(table, count, wanted...), orders
 }
 
 // newNodeFor returns a node whose view shows the content of a store with the given number of
-// instances.
-func newNodeFor(table *kvsim.Table, count int) *Node {
+// instances. The node acquires the given rights.
+func newNodeFor(table *kvsim.Table, count int, wanted ...right.Spec) *Node {
 	log := slog.New(slog.DiscardHandler)
 	n := &Node{
 		config: Config{Self: plan.Instance{ID: "self"}, Table: table.Client(), Log: log}, peers: map[string]*relay.Peer{}, holderOrder: map[model.ServerID][]plan.Instance{},
-		pathRetryAt: map[serverPath]time.Time{}, guards: map[model.ServiceID]*epoch.Guard{}, endedLeases: map[uint64]bool{},
+		pathRetryAt: map[serverPath]time.Time{}, primaryUses: map[model.ServiceID]*primaryUse{}, appointing: map[model.ServiceID]uint64{}, endedLeases: map[uint64]bool{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	n.view = view.New(ctx, view.Config{
-		OwnPrefix: "own/", Sources: func(*view.State) []view.Source { return []view.Source{view.StoreSource{Table: table.Client()}} }, Changed: func(view.State) {}, Log: log,
+		OwnPrefix: "own/", Decoder: planDecoder{}, Sources: func(*view.State) []view.Source { return []view.Source{view.StoreSource{Table: table.Client()}} }, Changed: func(view.State) {}, Log: log,
 	})
 	Eventually(func() int { return len(n.view.State().Instances) }).Should(Equal(count))
 	n.rights = right.NewManager(ctx, right.Config{
-		Table: table.Client(), View: n.view, Self: n.config.Self, Wanted: func(*view.State) []right.Spec { return nil }, Log: log,
+		Table: table.Client(), View: n.view, Self: n.config.Self, Wanted: func(*view.State) []right.Spec { return wanted }, Log: log,
 	})
 	return n
 }
@@ -117,6 +128,54 @@
 	})
 })
 
+var _ = Describe("The appointment of a service's primary", func() {
+	// newMonitor returns a node that holds the right to monitor the service.
+	newMonitor := func() *Node {
+		n, _ := newNodeWithGateways(1, right.Spec{Name: monitorRight("s")})
+		Eventually(func() bool { return n.endorseLocally(clock.Now(), "s").Endorsed }).WithTimeout(20 * time.Second).Should(BeTrue())
+		return n
+	}
+
+	It("is endorsed by the holder of the right to monitor it, and by nobody else", func() {
+		Expect(newMonitor().endorseLocally(clock.Now(), "other").Endorsed).To(BeFalse())
+		n, _ := newNodeWithGateways(1)
+		Expect(n.endorseLocally(clock.Now(), "s").Endorsed).To(BeFalse())
+	})
+
+	It("isn't endorsed from when its withdrawal begins", func() {
+		n := newMonitor()
+		failed := n.beginAppointment(clock.Now(), "s")
+		Expect(n.endorseLocally(clock.Now(), "s").Endorsed).To(BeFalse())
+		failed()
+		Expect(n.endorseLocally(clock.Now(), "s").Endorsed).To(BeTrue())
+	})
+
+	It("isn't endorsed while no server is appointed, but again after the next appointment", func() {
+		n := newMonitor()
+		appoint := func(server model.ServerID) {
+			value, err := view.AppointmentValue(server, 0)
+			Expect(err).NotTo(HaveOccurred())
+			n.beginAppointment(clock.Now(), "s")
+			_, err = n.rights.NewFence(context.Background(), 0, monitorRight("s"), store.Put{Key: n.view.AppointmentKey("s"), Value: value})
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(func() model.ServerID { return n.view.State().Appointments["s"].Server }).WithTimeout(20 * time.Second).Should(Equal(server))
+		}
+		appoint("")
+		Expect(n.endorseLocally(clock.Now(), "s").Endorsed).To(BeFalse())
+		appoint("p")
+		Eventually(func() bool { return n.endorseLocally(clock.Now(), "s").Endorsed }).WithTimeout(20 * time.Second).Should(BeTrue())
+		Expect(n.endorseLocally(clock.Now(), "s").Epoch).To(Equal(n.view.State().Appointments["s"].Epoch))
+	})
+
+	It("keeps the primary in use while the store doesn't answer", func() {
+		n := newMonitor()
+		later := clock.Now().Add(epoch.PermitLife * 3 / 2)
+		Expect(n.allowsPrimary(later, "s", 0)).To(BeFalse())
+		n.askMonitor(later, "s")
+		Expect(n.allowsPrimary(later, "s", 0)).To(BeTrue())
+	})
+})
+
 // All instances lose power and start again, one a little sooner than the other.
 var _ = Describe("The lease of an instance whose address refuses connections", func() {
 	for name, c := range map[string]struct {
--- a/io/proxy/monitors.go
+++ b/io/proxy/monitors.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"strings"
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/io/clock"
 	"pomelofork/io/lead"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
@@ -54,7 +56,12 @@
 			if err != nil {
 				return 0, err
 			}
-			return n.rights.NewFence(ctx, era, name, store.Put{Key: n.view.AppointmentKey(service), Value: value})
+			failed := n.beginAppointment(clock.Now(), service)
+			fence, err := n.rights.NewFence(ctx, era, name, store.Put{Key: n.view.AppointmentKey(service), Value: value})
+			if errors.Is(err, store.ErrUnavailable) {
+				failed()
+			}
+			return fence, err
 		},
 		Allows:   func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, service, epoch) },
 		Gateways: gateways{n},
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"pomelofork/core/epoch"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
@@ -74,10 +73,13 @@
 	// endedLeases are the leases of ended instances that this instance has ended or is
 	// ending.
 	endedLeases map[uint64]bool
-	// guards decide, for each service, whether the work of its primary may be passed on.
-	// guardsMu guards them. It is held while no other lock is taken.
-	guardsMu sync.Mutex
-	guards   map[model.ServiceID]*epoch.Guard
+	// primaryUses decide, for each service, whether the work of its primary may be passed on.
+	// guardsMu guards them and appointing. It is held while no other lock is taken.
+	guardsMu    sync.Mutex
+	primaryUses map[model.ServiceID]*primaryUse
+	// appointing are the fences of the rights under which this instance has begun to write an
+	// appointment.
+	appointing map[model.ServiceID]uint64
 	// applied are the change counts of the state that applyChange was last given.
 	applied view.ChangeCounts
 
@@ -107,7 +109,7 @@
 	n := &Node{
 		config: c, startedAt: clock.Now(), meter: meter, pools: map[model.ServerID]*pooler.Pool{}, peers: map[string]*relay.Peer{},
 		holderOrder: map[model.ServerID][]plan.Instance{}, monitors: map[model.ServiceID]context.CancelFunc{}, buckets: map[issuerKey]*bucket{}, issuers: map[model.AccountID]*quota.IssuerStatus{},
-		transactions: map[uint64]plan.Instance{}, endedLeases: map[uint64]bool{}, pathRetryAt: map[serverPath]time.Time{}, encoded: newEncodedValues(), guards: map[model.ServiceID]*epoch.Guard{},
+		transactions: map[uint64]plan.Instance{}, endedLeases: map[uint64]bool{}, pathRetryAt: map[serverPath]time.Time{}, encoded: newEncodedValues(), primaryUses: map[model.ServiceID]*primaryUse{}, appointing: map[model.ServiceID]uint64{},
 	}
 	if err := relay.NewServer(relay.ServerConfig{Listener: c.Peers, Handler: &handler{n}, Disconnected: n.rollBackEntry, Log: c.Log}); err != nil {
 		return nil, fmt.Errorf("start answering peers: %w", err)
--- a/io/proxy/primary.go
+++ b/io/proxy/primary.go
@@ -37,40 +37,46 @@
 // be passed on.
 func (n *Node) allowsPrimary(now time.Time, service model.ServiceID, requested uint64) bool {
 	// The state is read after the permit, so that it is at least as recent.
-	permit := n.primaryPermit()
+	permit := n.primaryPermit(service)
 	known := n.view.State().Appointments[service].Epoch
 	n.guardsMu.Lock()
 	defer n.guardsMu.Unlock()
-	guard := n.guard(service)
-	guard.Raise(known)
-	return guard.Allows(now, permit, requested)
+	use := n.primaryUse(service)
+	use.usedAt = now
+	use.guard.Raise(known)
+	return use.guard.Allows(now, permit, requested)
 }
 
-// primaryPermit returns what entitles this instance to use primaries. It is not valid before the
-// first confirmation of the state.
-func (n *Node) primaryPermit() epoch.Permit {
+// primaryPermit returns what entitles this instance to use the primary of a service. It is not valid
+// before the first confirmation of the state.
+func (n *Node) primaryPermit(service model.ServiceID) epoch.Permit {
 	confirmed, ok := n.view.FreshAsOf()
 	if !ok {
 		return epoch.Permit{}
 	}
+	n.guardsMu.Lock()
+	if endorsed := n.primaryUse(service).endorsedAt; endorsed.After(confirmed) {
+		confirmed = endorsed
+	}
+	n.guardsMu.Unlock()
 	permit := epoch.Permit{Confirmed: confirmed}
 	permit.Registered, permit.ValidUntil = n.rights.Registration()
 	return permit
 }
 
-// guard returns the guard of a service. The caller holds guardsMu.
-func (n *Node) guard(service model.ServiceID) *epoch.Guard {
-	g, ok := n.guards[service]
+// primaryUse returns what is known of a service's primary. The caller holds guardsMu.
+func (n *Node) primaryUse(service model.ServiceID) *primaryUse {
+	use, ok := n.primaryUses[service]
 	if !ok {
-		g = &epoch.Guard{}
-		n.guards[service] = g
+		use = &primaryUse{}
+		n.primaryUses[service] = use
 	}
-	return g
+	return use
 }
 
 // mayHoldPrimary reports whether this instance may use the server as a primary now.
 func (n *Node) mayHoldPrimary(now time.Time, server plan.Server) bool {
-	if !n.primaryPermit().Valid(now) {
+	if !n.primaryPermit(server.Service).Valid(now) {
 		return false
 	}
 	return slices.ContainsFunc(primaryHolders(n.holders(server)), func(inst plan.Instance) bool { return inst.ID == n.config.Self.ID })
@@ -84,7 +90,7 @@
 // withdrawLocally stops the work of a service's primary under epochs below the given one.
 func (n *Node) withdrawLocally(service model.ServiceID, withdrawal uint64) {
 	n.guardsMu.Lock()
-	raised := n.guard(service).Raise(withdrawal)
+	raised := n.primaryUse(service).guard.Raise(withdrawal)
 	n.guardsMu.Unlock()
 	if !raised {
 		return
--- a/io/proxy/tick.go
+++ b/io/proxy/tick.go
@@ -34,6 +34,7 @@
 // tickPools lets each connection pool do its periodic work. A pool is told whether this
 // instance is the one that should hold its server's connections.
 func (n *Node) tickPools(now time.Time) {
+	n.endorseInUse(now)
 	for _, pool := range n.openPools() {
 		order := n.holders(pool.Server())
 		pool.Tick(now, len(order) == 0 || order[0].ID == n.config.Self.ID)
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -116,6 +116,11 @@
 	return call[LookResponse](p, now, "Look", &LookRequest{Service: service}, timeout)
 }
 
+// Endorse asks the peer, as the monitor of a service's primary, whether its appointment is in force.
+func (p *Peer) Endorse(now time.Time, request *EndorseRequest, timeout time.Duration) (EndorseResponse, error) {
+	return call[EndorseResponse](p, now, "Endorse", request, timeout)
+}
+
 // Confirm asks the peer when a server was last known to be the primary of its service.
 func (p *Peer) Confirm(now time.Time, request *ConfirmRequest, timeout time.Duration) (ConfirmResponse, error) {
 	return call[ConfirmResponse](p, now, "Confirm", request, timeout)
--- a/io/relay/primary_message.go
+++ b/io/relay/primary_message.go
@@ -33,6 +33,35 @@
 // WithdrawResponse is the result of Withdraw: the peer passes on no such work any more.
 type WithdrawResponse struct{}
 
+// EndorseRequest asks the instance that monitors the primary of a service whether the appointment
+// of the primary is in force.
+type EndorseRequest struct {
+	// Service is the service.
+	Service model.ServiceID
+}
+
+// EndorseResponse is the result of Endorse.
+type EndorseResponse struct {
+	// Endorsed says that no appointment since Epoch was made or withdrawn when the peer answered.
+	Endorsed bool
+	// Epoch is the epoch of the appointment, or zero if there was none.
+	Epoch uint64
+}
+
+func (m *EndorseRequest) encode(w *writer) { w.text(string(m.Service)) }
+
+func (m *EndorseRequest) decode(r *reader) { m.Service = model.ServiceID(r.text()) }
+
+func (m *EndorseResponse) encode(w *writer) {
+	w.bool(m.Endorsed)
+	w.uint(m.Epoch)
+}
+
+func (m *EndorseResponse) decode(r *reader) {
+	m.Endorsed = r.bool()
+	m.Epoch = r.uint()
+}
+
 func (m *ConfirmRequest) encode(w *writer) {
 	w.text(string(m.Server))
 	w.bool(m.Probe)
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -67,6 +67,11 @@
 	return nil
 }
 
+func (h *handler) Endorse(args *relay.EndorseRequest, result *relay.EndorseResponse) error {
+	result.Endorsed, result.Epoch = args.Service == "s", 7
+	return nil
+}
+
 func (h *handler) Withdraw(args *relay.WithdrawRequest, _ *relay.WithdrawResponse) error {
 	if args.Epoch != 9 {
 		return errors.New("other epoch")
@@ -145,6 +150,9 @@
 		confirmed, err := peer.Confirm(clock.Now(), &relay.ConfirmRequest{Server: "p12", Probe: true}, time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(confirmed).To(Equal(relay.ConfirmResponse{Confirmed: true, Age: 3}))
+		endorsed, err := peer.Endorse(clock.Now(), &relay.EndorseRequest{Service: "s"}, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(endorsed).To(Equal(relay.EndorseResponse{Endorsed: true, Epoch: 7}))
 		Expect(peer.Withdraw(clock.Now(), &relay.WithdrawRequest{Service: "s", Epoch: 9}, time.Second)).To(Succeed())
 		Expect(peer.Withdraw(clock.Now(), &relay.WithdrawRequest{Service: "s", Epoch: 8}, time.Second)).NotTo(Succeed())
 		_, err = peer.Look(clock.Now(), "bad", time.Second)
