--- a/cmd/pomelofork/explain.go
+++ b/cmd/pomelofork/explain.go
@@ -15,15 +15,30 @@
 
 // Run prints the lines of the request and the state changes around it, ordered by time.
 func (c *explainCommand) Run() error {
-	readers := make([]io.Reader, 0, len(c.Logs))
-	for _, name := range c.Logs {
+	readers, closeAll, err := openLogs(c.Logs)
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	return logs.Explain(os.Stdout, c.Request, readers...)
+}
+
+// openLogs opens log files for reading. The caller calls closeAll.
+func openLogs(names []string) (readers []io.Reader, closeAll func(), err error) {
+	var files []*os.File
+	closeAll = func() {
+		for _, file := range files {
+			// An error of Close loses no data, since the file is only read.
+			_ = file.Close()
+		}
+	}
+	for _, name := range names {
 		file, err := os.Open(name)
 		if err != nil {
-			return err
+			closeAll()
+			return nil, nil, err
 		}
-		// An error of Close loses no data, since the file is only read.
-		defer func() { _ = file.Close() }()
-		readers = append(readers, file)
+		files, readers = append(files, file), append(readers, file)
 	}
-	return logs.Explain(os.Stdout, c.Request, readers...)
+	return readers, closeAll, nil
 }
--- a/cmd/pomelofork/main.go
+++ b/cmd/pomelofork/main.go
@@ -18,6 +18,7 @@
 	Admin    adminCommand    `cmd:"" help:"Read and change the configuration of a running fleet."`
 	Events   eventsCommand   `cmd:"" help:"Print the catalogue of the events that instances log."`
 	Explain  explainCommand  `cmd:"" help:"Show what instances logged about one request."`
+	Reasons  reasonsCommand  `cmd:"" help:"Count why operations were refused, from the logs of instances."`
 	Report   reportCommand   `cmd:"" help:"Report on the metrics of a running fleet or on recorded metrics."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -12,7 +12,6 @@
 
 	"pomelofork/core/fresh"
 	"pomelofork/core/model"
-	"pomelofork/core/quota"
 	"pomelofork/core/trial"
 	"pomelofork/io/view"
 )
@@ -47,12 +46,12 @@
 	config   Config
 	lastUnit atomic.Uint64
 
-	mu          sync.Mutex
-	sessions    map[*session]struct{}
-	tokenCaches map[model.AccountID]*quota.TokenCache
-	histories   map[model.ServiceID]*fresh.History
-	servers     map[model.ServerID]*serverStats
-	gaps        map[model.ServiceID]*primaryGap
+	mu            sync.Mutex
+	sessions      map[*session]struct{}
+	accountTokens map[model.AccountID]*accountTokens
+	histories     map[model.ServiceID]*fresh.History
+	servers       map[model.ServerID]*serverStats
+	gaps          map[model.ServiceID]*primaryGap
 	// vacancies are those of the last state. stateChanged is closed and replaced with each state.
 	vacancies    map[model.ServiceID]view.Vacancy
 	stateChanged chan struct{}
@@ -85,7 +84,7 @@
 // New returns an entry that serves no callers yet.
 func New(c Config) *Entry {
 	return &Entry{
-		config: c, sessions: map[*session]struct{}{}, tokenCaches: map[model.AccountID]*quota.TokenCache{},
+		config: c, sessions: map[*session]struct{}{}, accountTokens: map[model.AccountID]*accountTokens{},
 		histories: map[model.ServiceID]*fresh.History{}, servers: map[model.ServerID]*serverStats{},
 		gaps: map[model.ServiceID]*primaryGap{}, stateChanged: make(chan struct{}),
 	}
--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -193,7 +193,8 @@
 	version, age := s.configStatus(done)
 	s.log(slog.LevelInfo, "statement answered", slog.String("request", statement.ID), slog.String("route", admitted.route.Name), slog.String("account", string(admitted.account)),
 		slog.String("kind", statement.Kind.String()), slog.String("server", string(order.Server)), slog.String("code", answer.Code.String()),
-		slog.String("reason", answer.Text), slog.Bool("not_sent", result.NotSent), slog.Duration("took", took), slog.Duration("server_wait", result.Wait),
+		slog.String("reason", answer.Text), slog.Bool("not_sent", result.NotSent), slog.Duration("took", took),
+		slog.Bool("late", took > admitted.route.TargetLatency), slog.Duration("server_wait", result.Wait),
 		slog.Uint64("unit", order.Unit), slog.String("after", order.After.String()), slog.Bool("proved", order.Prove),
 		slog.String("point", answer.Point.String()), slog.Uint64("config_version", version), slog.Duration("config_age", age))
 }
