Write a right under the present lease if it came under a replaced one

Cause: after a loss of everything the first instance to start acquires all rights and transfers some to the next one, under the lease with which that one has registered. In the same moment the recipient replaces it by the short lease of a holder. The rights then named it as the holder, but under a lease that it no longer had: it didn't take them, and nobody else could for the 9 s of that lease. Change: a right that names this instance under another lease is due at once, on the condition of its revision.

--- a/io/right/manager.go
+++ b/io/right/manager.go
@@ -144,6 +144,9 @@
 type freeRight struct {
 	spec  Spec
 	since time.Time
+	// misplaced says that the right was transferred to this instance, under a lease that it has
+	// replaced since. Nobody else may use it, and the entry ends with that lease.
+	misplaced bool
 }
 
 // heldRight is a right that this instance holds.
--- a/io/right/takeover.go
+++ b/io/right/takeover.go
@@ -69,29 +69,41 @@
 	mgr.free = map[string]freeRight{}
 	for _, spec := range wanted {
 		mgr.wanted[spec.Name] = spec
-		if right, ok := state.Rights[spec.Name]; ok {
+		right, held := state.Rights[spec.Name]
+		if held {
 			mgr.applyHolder(ctx, now, spec, right, lease)
+		}
+		misplaced := held && !right.Restored && right.Instance == mgr.config.Self.ID && right.Lease != lease
+		if held && !misplaced {
 			continue
 		}
 		f, ok := previous[spec.Name]
-		if !ok {
+		if !ok || f.misplaced != misplaced {
 			f.since = now
 		}
-		f.spec = spec
+		f.spec, f.misplaced = spec, misplaced
 		mgr.free[spec.Name] = f
 	}
 }
 
-// due returns the free rights that this instance may acquire now, at most as many as fit in one
-// transaction. A right is due once it has been free for one rankDelay for each instance that
+// due returns the rights that this instance may acquire now, at most as many as fit in one
+// transaction. Misplaced ones are due at once. A free right is due once it has been free for one rankDelay for each instance that
 // ranks before this one.
 func (mgr *Manager) due(now time.Time, state *view.State) []freeRight {
 	if len(mgr.free) == 0 {
 		return nil
 	}
+	var due []freeRight
+	for name, f := range mgr.free {
+		if f.misplaced && !mgr.isHeld(name) && len(due) < maxRights {
+			due = append(due, f)
+		}
+	}
+	if len(due) > 0 {
+		return due
+	}
 	members := state.Members()
 	_, registered := state.Instances[mgr.config.Self.ID]
-	var due []freeRight
 	for name, f := range mgr.free {
 		delays := int(now.Sub(f.since) / rankDelay)
 		if registered {
@@ -152,12 +164,20 @@
 	}
 }
 
-// acquire acquires rights in one transaction, if all of them are still free. It returns false if
+// expectedRevision returns the revision that the entry of a right has which this instance may
+// acquire, or zero if there is no entry. The entry of a free right may be an older copy.
+func expectedRevision(state *view.State, f freeRight) uint64 {
+	if f.misplaced {
+		return state.Rights[f.spec.Name].Revision
+	}
+	return state.StaleRights[f.spec.Name]
+}
+
+// acquire acquires rights in one transaction, if all of them are still free or misplaced. It returns false if
 // the store reported a conflict; after other errors it pauses the calls and returns true.
 func (mgr *Manager) acquire(ctx context.Context, now time.Time, lease store.LeaseID, free ...freeRight) bool {
 	var names []string
-	// The entries of rights that are free may be older copies.
-	stale := mgr.config.View.State().StaleRights
+	state := mgr.config.View.State()
 	txn := store.Txn{Era: mgr.config.View.Era()}
 	value, err := view.RightValue(mgr.config.Self.ID, txn.Era)
 	if err != nil {
@@ -167,7 +187,7 @@
 	for _, f := range free {
 		names = append(names, f.spec.Name)
 		key := mgr.config.View.RightKey(f.spec.Name)
-		txn.Expected = append(txn.Expected, store.Condition{Key: key, Revision: stale[f.spec.Name]})
+		txn.Expected = append(txn.Expected, store.Condition{Key: key, Revision: expectedRevision(state, f)})
 		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value, Lease: lease})
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -177,7 +197,7 @@
 		mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "rights not acquired", slog.Any("rights", names), slog.String("error", err.Error()))
 		for _, f := range free {
 			// The rankDelay before the next attempt starts now.
-			mgr.free[f.spec.Name] = freeRight{f.spec, now}
+			mgr.free[f.spec.Name] = freeRight{spec: f.spec, since: now, misplaced: f.misplaced}
 		}
 		if errors.Is(err, store.ErrConflict) {
 			return false
