--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -56,7 +56,10 @@
 			if got := names(node(id, domain), state(fleet)); got[0] == "store" {
 				watchers[domain]++
 			} else {
-				Expect(got[1]).To(Equal("store"))
+				Expect(fleet[model.InstanceID(got[0])]).To(Equal(domain))
+				Expect(fleet).To(HaveKey(model.InstanceID(got[1])), "a watcher of another domain comes before the store")
+				Expect(fleet[model.InstanceID(got[1])]).NotTo(Equal(domain))
+				Expect(got[2]).To(Equal("store"))
 			}
 		}
 		Expect(watchers).To(Equal(map[model.Domain]int{"a": 1, "b": 1, "c": 1}))
--- a/io/proxy/source.go
+++ b/io/proxy/source.go
@@ -38,8 +38,8 @@
 )
 
 // sources returns the sources of the store's content, best first. For a watcher that is
-// the store itself, and for the other instances the watchers of their failure domain.
-// The store and watchers of other failure domains come after them. The peers are also
+// the store itself, and for the other instances the watchers of their failure domain, then
+// one of another domain, the store, and one more. The peers are also
 // listed while this instance's own registration has expired, because that happens when the
 // store rejects its calls.
 //
@@ -103,15 +103,18 @@
 		shift := int(xxhash.Sum64String(string(n.config.Self.ID)) % uint64(len(near)))
 		near = append(near[shift:], near[:shift]...)
 	}
-	sources := append(near, directSource{direct, n})
-	if watches {
-		sources = append([]view.Source{direct}, near...)
-	}
+	var spare []view.Source
 	far = rank.Order("spare-"+string(n.config.Self.ID), "", far)
 	for _, inst := range far[:min(spareSources, len(far))] {
-		sources = append(sources, peerSource{n, inst})
+		spare = append(spare, peerSource{n, inst})
+	}
+	if watches {
+		return slices.Concat([]view.Source{direct}, near, spare)
 	}
-	return sources
+	// If the watchers of a domain are lost, all of its instances would turn to the store. One of
+	// another domain comes first, and only one, because each that is lost as well takes time.
+	first := min(1, len(spare))
+	return slices.Concat(near, spare[:first], []view.Source{directSource{direct, n}}, spare[first:])
 }
 
 // peerSource is a peer as a source of the store's content.
