Remove the handover of token buckets

After an outage of the store the first seconds aren't owed anyway, and a hot account has spent its bucket.

--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -51,21 +51,6 @@
 	return b
 }
 
-// Level returns the tokens that are available at now.
-func (b *Bucket) Level(now time.Time) int { return max(int(b.limiter.TokensAt(now)), 0) }
-
-// Add adds tokens that were left in the bucket of a former holder, who can't issue them any more. The
-// bucket holds no more than its burst.
-//
-// Load pattern: the store is away for longer than the rights last, and all buckets change hands while
-// the callers of the outage return.
-func (b *Bucket) Add(now time.Time, tokens int) {
-	level := min(b.limiter.TokensAt(now)+float64(tokens), float64(b.limiter.Burst()))
-	next := rate.NewLimiter(b.limiter.Limit(), b.limiter.Burst())
-	next.ReserveN(now, int(math.Ceil(float64(next.Burst())-level)))
-	b.limiter = next
-}
-
 // SetLimits changes the rate and the burst from now on.
 func (b *Bucket) SetLimits(now time.Time, perSecond, burst float64) {
 	if float64(b.limiter.Limit()) != perSecond {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -51,17 +51,6 @@
 		Expect(b.Draw(at(30*time.Millisecond), 1, 10, 0).Tokens).To(BeNumerically("<=", 2))
 	})
 
-	It("takes over what was left in another one, up to its burst", func() {
-		b := quota.NewBucket(start, 10, 20)
-		b.Add(at(second), 4)
-		Expect(b.Level(at(second))).To(Equal(14))
-		b.Add(at(second), 50)
-		Expect(b.Level(at(second))).To(Equal(20))
-		Expect(b.Level(at(second + 500*time.Millisecond))).To(Equal(20))
-		Expect(b.Draw(at(second), 20, 0, 0).Tokens).To(Equal(20))
-		Expect(b.Level(at(second))).To(BeZero())
-	})
-
 	It("applies a change of the rate and the burst", func() {
 		b := quota.NewBucket(start, 1, 1)
 		b.SetLimits(start, 1000, 50)
@@ -134,9 +123,8 @@
 }
 
 // TestRateHoldsOverHolders draws from several entries for one account while its bucket
-// moves between holders, each of which starts with an empty bucket or with what was left in
-// the former one, and checks every window. It guards against a holder change that issues a
-// burst twice.
+// moves between holders, each of which starts with an empty bucket, and checks every
+// window. It guards against a holder change that issues a burst twice.
 func TestRateHoldsOverHolders(t *testing.T) {
 	if err := seed.Fix(); err != nil {
 		t.Fatal(err)
@@ -146,24 +134,16 @@
 		burst := float64(rapid.IntRange(1, 120).Draw(t, "burst"))
 		caches := make([]quota.TokenCache, rapid.IntRange(1, 8).Draw(t, "entries"))
 		moves := map[time.Duration]bool{}
-		carries := map[time.Duration]bool{}
 		for range rapid.IntRange(0, 6).Draw(t, "moves") {
-			move := time.Duration(rapid.IntRange(0, 2400).Draw(t, "move")) * 5 * time.Millisecond
-			moves[move], carries[move] = true, rapid.Bool().Draw(t, "carry")
+			moves[time.Duration(rapid.IntRange(0, 2400).Draw(t, "move"))*5*time.Millisecond] = true
 		}
-		lastUse := time.Duration(0)
 		bucket := quota.NewBucket(start, perSecond, burst)
 		var used []time.Duration
 		for now := time.Duration(0); now < 12*time.Second; now += 5 * time.Millisecond {
 			if moves[now] {
-				left := bucket.Level(at(lastUse))
 				bucket = quota.NewBucket(at(now), perSecond, burst)
-				if carries[now] {
-					bucket.Add(at(now), left)
-				}
 			}
 			c := &caches[int(now/(5*time.Millisecond))%len(caches)]
-			lastUse = now
 			if spends(c, now) {
 				used = append(used, now)
 				continue
@@ -251,30 +231,6 @@
 	})
 })
 
-var _ = Describe("An account whose issuer loses its right in an outage of the store", func() {
-	// serve sends 60 operations at once when another instance has acquired the right, and returns the
-	// fraction granted.
-	serve := func(carry bool) float64 {
-		former := quota.NewRestartedBucket(start, 40, 40, 40)
-		former.Draw(at(second), 5, 0, 0)
-		next := quota.NewBucket(at(5*second), 40, 40)
-		if carry {
-			next.Add(at(5*second), former.Level(at(second)))
-		}
-		granted := 0
-		for range 60 {
-			if next.Draw(at(5*second+100*time.Millisecond), 1, 0, 0).Tokens > 0 {
-				granted++
-			}
-		}
-		return float64(granted) / 60
-	}
-	It("gets its burst after it if the bucket is handed over, and otherwise only what accrues", func() {
-		Expect(serve(true)).To(BeNumerically(">=", 0.6))
-		Expect(serve(false)).To(BeNumerically("<", 0.1))
-	})
-})
-
 var _ = Describe("An account far above its rate", func() {
 	// serve sends operations of two priorities to one bucket, of which priority 1 alone
 	// stays below the rate, and returns the fraction granted of each.
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -22,8 +22,6 @@
 	TokenWait Switch = "token_wait"
 	// SharedIssuers divides the rate of an account among several issuers.
 	SharedIssuers Switch = "shared_issuers"
-	// BucketTransfer hands over what is left in a bucket when its right changes hands.
-	BucketTransfer Switch = "bucket_transfer"
 	// RestartTokens starts the bucket of a kept right with a few tokens.
 	RestartTokens Switch = "restart_tokens"
 	// KeptRights lets an instance keep the rights of its former run.
@@ -61,7 +59,7 @@
 // All returns all switches in a fixed order.
 func All() []Switch {
 	return []Switch{
-		ReturnedTokens, PrefetchedTokens, TokenWait, SharedIssuers, BucketTransfer, RestartTokens, KeptRights, PromotionWait, EarlyRejection, TargetOrder, Priority,
+		ReturnedTokens, PrefetchedTokens, TokenWait, SharedIssuers, RestartTokens, KeptRights, PromotionWait, EarlyRejection, TargetOrder, Priority,
 		ReadRetry, SilentServers, DomainPlacement, WaitPlacement, LatencyPlacement, Followers, Isolation, WithdrawalAnswers, VacancyTakeover,
 	}
 }
--- a/io/proxy/draw.go
+++ b/io/proxy/draw.go
@@ -35,9 +35,7 @@
 }
 
 // issuerRight names the right to act as one of the issuers of a group of accounts.
-func issuerRight(group, issuer int) string {
-	return fmt.Sprintf("%s%d-%d", issuerRightPrefix, group, issuer)
-}
+func issuerRight(group, issuer int) string { return fmt.Sprintf("rate-%d-%d", group, issuer) }
 
 // tokenDraw is one draw of tokens from an account's issuers.
 type tokenDraw struct {
@@ -184,22 +182,21 @@
 }
 
 // issuerBucket returns the token bucket of an issuer whose right this instance has held
-// since the given time. A bucket from an earlier time as the holder is replaced by one with
-// what is left in it. If the right was kept over a restart, it starts with a few tokens. The
-// caller holds the lock.
+// since the given time. A bucket from an earlier time as the holder is replaced by an
+// empty one, or by one with a few tokens if the right was kept over a restart. The caller
+// holds the lock.
 func (n *Node) issuerBucket(now time.Time, limits plan.Account, issuer int, since time.Time) *quota.Bucket {
 	perSecond, burst := n.issuerShare(limits)
 	key := issuerKey{limits.ID, issuer}
 	b, ok := n.buckets[key]
 	if !ok || !b.since.Equal(since) {
-		tokens := n.former(key)
+		tokens := 0
 		if n.rights.Kept(accountIssuerRight(limits.ID, issuer)) && !n.config.Disabled.Has(trial.RestartTokens) {
-			tokens += n.config.AccountCap.RestartTokens(limits.PerSecond, limits.Burst)
+			tokens = n.config.AccountCap.RestartTokens(limits.PerSecond, limits.Burst)
 		}
 		b = &bucket{quota: quota.NewRestartedBucket(since, perSecond, burst, tokens), since: since}
 		n.buckets[key] = b
 	}
-	b.usedAt = now
 	b.quota.SetLimits(now, perSecond, burst)
 	return b.quota
 }
--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -24,11 +24,11 @@
 	"pomelofork/io/view"
 )
 
-// planDecoder takes the entry "config" for a configuration with the account "a". There are no servers.
+// planDecoder takes the entry "config" for a configuration. There are no servers.
 type planDecoder struct{}
 
 func (planDecoder) Plan(e store.Entry) (*plan.Plan, bool, error) {
-	return plan.New(plan.Config{Version: 1, Accounts: map[model.AccountID]plan.Account{"a": {ID: "a", PerSecond: 3, Burst: 50}}}), e.Key == "config", nil
+	return plan.New(plan.Config{Version: 1}), e.Key == "config", nil
 }
 func (planDecoder) Server(store.Entry) (plan.Server, bool, error) { return plan.Server{}, false, nil }
 func (planDecoder) ServerID(string) (model.ServerID, bool)        { return "", false }
@@ -71,7 +71,6 @@
 	n := &Node{
 		config: Config{Self: plan.Instance{ID: "self"}, Table: table.Client(), Log: log}, peers: map[string]*relay.Peer{}, holderOrder: map[model.ServerID][]plan.Instance{},
 		pathRetryAt: map[serverPath]time.Time{}, primaryUses: map[model.ServiceID]*primaryUse{}, appointing: map[model.ServiceID]uint64{}, endedLeases: map[uint64]bool{},
-		buckets: map[issuerKey]*bucket{}, lastHolders: map[string]model.InstanceID{}, issuing: map[string]bool{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
@@ -177,62 +176,6 @@
 	})
 })
 
-var _ = Describe("The token bucket of an account", func() {
-	name := accountIssuerRight("a", 0)
-	// holder returns a node that holds the right to issue tokens of the account, with the given
-	// number of them.
-	holder := func(tokens int) *Node {
-		n, _ := newNodeWithGateways(1, right.Spec{Name: name})
-		Eventually(func() bool { _, _, ok := n.rights.Holds(clock.Now(), name); return ok }).WithTimeout(20 * time.Second).Should(BeTrue())
-		n.addTokens(clock.Now(), name, []relay.BucketLevel{{Account: "a", Tokens: tokens}, {Account: "unknown", Tokens: 5}})
-		return n
-	}
-	take := func(n *Node) []relay.BucketLevel {
-		var response relay.TakeBucketsResponse
-		Expect((&handler{n}).TakeBuckets(&relay.TakeBucketsRequest{Right: name}, &response)).To(Succeed())
-		return response.Levels
-	}
-
-	It("is handed over once, when the right is no longer held", func() {
-		n := holder(40)
-		Expect(take(n)).To(BeEmpty())
-		n.rights.Leave(context.Background())
-		levels := take(n)
-		Expect(levels).To(HaveLen(1))
-		Expect(levels[0].Account).To(Equal(model.AccountID("a")))
-		Expect(levels[0].Tokens).To(BeNumerically(">=", 40))
-		Expect(take(n)).To(BeEmpty())
-	})
-
-	It("is filled with what the former holder had left", func() {
-		n := holder(40)
-		grant, ok := n.drawLocally(clock.Now(), &relay.DrawRequest{Account: "a", Need: 40})
-		Expect(ok).To(BeTrue())
-		Expect(grant.Tokens).To(Equal(40))
-	})
-
-	It("keeps what was left when this instance holds the right again", func() {
-		n := holder(40)
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		limits, _ := n.view.State().Plan.Account("a")
-		Expect(n.issuerBucket(clock.Now(), limits, 0, clock.Now()).Level(clock.Now())).To(BeNumerically(">=", 40))
-	})
-
-	It("is asked for at the instance that held the right before", func() {
-		n := holder(0)
-		state := n.view.State()
-		n.recordHolders(&view.State{Rights: map[string]view.Right{name: {Instance: "g0"}, "lead-s": {Instance: "g0"}}})
-		Expect(n.lastHolders).To(Equal(map[string]model.InstanceID{name: "g0"}))
-		Expect(state.Instances).To(HaveKey(model.InstanceID("g0")))
-		n.takeBuckets([]string{name})
-		Expect(n.issuing).To(HaveKey(name))
-		Expect(n.lastHolders).To(BeEmpty())
-		n.takeBuckets(nil)
-		Expect(n.issuing).To(BeEmpty())
-	})
-})
-
 // All instances lose power and start again, one a little sooner than the other.
 var _ = Describe("The lease of an instance whose address refuses connections", func() {
 	for name, c := range map[string]struct {
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -61,10 +61,6 @@
 	holderOrder map[model.ServerID][]plan.Instance
 	monitors    map[model.ServiceID]context.CancelFunc
 	buckets     map[issuerKey]*bucket
-	// lastHolders are the other instances that last held the rights to issue tokens, and issuing
-	// the rights of that kind that this instance holds.
-	lastHolders map[string]model.InstanceID
-	issuing     map[string]bool
 	// issuers records which of an account's issuers are worth asking now.
 	issuers map[model.AccountID]*quota.IssuerStatus
 	// transactions maps the units of this entry's open transactions to the instances that
@@ -103,8 +99,6 @@
 type bucket struct {
 	quota *quota.Bucket
 	since time.Time
-	// usedAt is when tokens were last drawn.
-	usedAt time.Time
 }
 
 // Start starts an instance. Its background work ends with the context; call Stop before,
@@ -114,7 +108,7 @@
 	c.Table = store.Metered{Table: c.Table, Count: meter.StoreCall}
 	n := &Node{
 		config: c, startedAt: clock.Now(), meter: meter, pools: map[model.ServerID]*pooler.Pool{}, peers: map[string]*relay.Peer{},
-		holderOrder: map[model.ServerID][]plan.Instance{}, monitors: map[model.ServiceID]context.CancelFunc{}, buckets: map[issuerKey]*bucket{}, lastHolders: map[string]model.InstanceID{}, issuing: map[string]bool{}, issuers: map[model.AccountID]*quota.IssuerStatus{},
+		holderOrder: map[model.ServerID][]plan.Instance{}, monitors: map[model.ServiceID]context.CancelFunc{}, buckets: map[issuerKey]*bucket{}, issuers: map[model.AccountID]*quota.IssuerStatus{},
 		transactions: map[uint64]plan.Instance{}, endedLeases: map[uint64]bool{}, pathRetryAt: map[serverPath]time.Time{}, encoded: newEncodedValues(), primaryUses: map[model.ServiceID]*primaryUse{}, appointing: map[model.ServiceID]uint64{},
 	}
 	if err := relay.NewServer(relay.ServerConfig{Listener: c.Peers, Handler: &handler{n}, Disconnected: n.rollBackEntry, Log: c.Log}); err != nil {
@@ -133,7 +127,6 @@
 		Changed: func(held []string) {
 			<-ready
 			n.updateMonitors(ctx, held)
-			n.takeBuckets(held)
 		},
 	})
 	n.entry = entry.New(entry.Config{
@@ -178,9 +171,6 @@
 	if applied.Instances != s.ChangeCounts.Instances {
 		clear(n.holderOrder)
 	}
-	if applied.Rights != s.ChangeCounts.Rights {
-		n.recordHolders(s)
-	}
 	var closing []*pooler.Pool
 	if applied.Servers != s.ChangeCounts.Servers {
 		closing = n.updatePools(s)
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -116,11 +116,6 @@
 	return call[LookResponse](p, now, "Look", &LookRequest{Service: service}, timeout)
 }
 
-// TakeBuckets asks the peer for the token buckets of a right that it has held.
-func (p *Peer) TakeBuckets(now time.Time, request *TakeBucketsRequest, timeout time.Duration) (TakeBucketsResponse, error) {
-	return call[TakeBucketsResponse](p, now, "TakeBuckets", request, timeout)
-}
-
 // Endorse asks the peer, as the monitor of a service's primary, whether its appointment is in force.
 func (p *Peer) Endorse(now time.Time, request *EndorseRequest, timeout time.Duration) (EndorseResponse, error) {
 	return call[EndorseResponse](p, now, "Endorse", request, timeout)
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -67,11 +67,6 @@
 	return nil
 }
 
-func (h *handler) TakeBuckets(args *relay.TakeBucketsRequest, result *relay.TakeBucketsResponse) error {
-	result.Levels = []relay.BucketLevel{{Account: "a", Tokens: len(args.Right)}, {Account: "b", Tokens: 70}}
-	return nil
-}
-
 func (h *handler) Endorse(args *relay.EndorseRequest, result *relay.EndorseResponse) error {
 	result.Endorsed, result.Epoch = args.Service == "s", 7
 	return nil
@@ -155,9 +150,6 @@
 		confirmed, err := peer.Confirm(clock.Now(), &relay.ConfirmRequest{Server: "p12", Probe: true}, time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(confirmed).To(Equal(relay.ConfirmResponse{Confirmed: true, Age: 3}))
-		buckets, err := peer.TakeBuckets(clock.Now(), &relay.TakeBucketsRequest{Right: "r1"}, time.Second)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(buckets.Levels).To(Equal([]relay.BucketLevel{{Account: "a", Tokens: 2}, {Account: "b", Tokens: 70}}))
 		endorsed, err := peer.Endorse(clock.Now(), &relay.EndorseRequest{Service: "s"}, time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(endorsed).To(Equal(relay.EndorseResponse{Endorsed: true, Epoch: 7}))
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -18,8 +18,6 @@
 	Follow(args *FollowRequest, result *FollowResponse) error
 	// Look returns a service's newest point and the configuration age.
 	Look(args *LookRequest, result *LookResponse) error
-	// TakeBuckets hands over the token buckets of a right that this instance has held.
-	TakeBuckets(args *TakeBucketsRequest, result *TakeBucketsResponse) error
 	// Endorse says whether the appointment of a service's primary is in force.
 	Endorse(args *EndorseRequest, result *EndorseResponse) error
 	// Confirm says when a server was last known to be the primary of its service.
