--- a/emul/kvsim/store.go
+++ b/emul/kvsim/store.go
@@ -42,7 +42,7 @@
 	revision    uint64
 	compactedTo uint64
 	// era is the number of restores.
-	era uint64
+	era         uint64
 	leases      map[store.LeaseID]lease
 	lastLeaseID store.LeaseID
 	// changed is closed and replaced at each change.
