--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -128,6 +128,19 @@
 	})
 })
 
+var _ = Describe("Work of a primary whose appointment was withdrawn", func() {
+	It("is not passed on as soon as the view shows that, whoever else was told", func() {
+		n, _ := newNodeWithGateways(1)
+		Eventually(func() bool { return n.allowsPrimary(clock.Now(), "s", 0) }).WithTimeout(10 * time.Second).Should(BeTrue())
+		value, err := view.AppointmentValue("", 0)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = n.config.Table.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: n.view.AppointmentKey("s"), Value: value}}})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() bool { return n.allowsPrimary(clock.Now(), "s", 0) }).WithTimeout(10 * time.Second).Should(BeFalse())
+		Expect(n.allowsPrimary(clock.Now(), "s", n.view.State().Appointments["s"].Epoch)).To(BeTrue())
+	})
+})
+
 var _ = Describe("The appointment of a service's primary", func() {
 	// newMonitor returns a node that holds the right to monitor the service.
 	newMonitor := func() *Node {
