--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -36,6 +36,8 @@
 	// StoreWrites is the number of writes a second that the store accepts from all instances
 	// together. Zero means that it isn't known.
 	StoreWrites float64
+	// Established says that the fleet ran before this process started.
+	Established bool
 	// Prefix is the prefix of the keys that are watched in the store.
 	Prefix string
 	// OwnPrefix is the prefix of the keys under which the instances write their registrations
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -116,7 +116,7 @@
 	}
 	ready := make(chan struct{})
 	n.view = view.New(ctx, view.Config{
-		OwnPrefix: c.OwnPrefix, Decoder: c.Decoder, Sources: n.sources, Log: c.Log,
+		OwnPrefix: c.OwnPrefix, Established: c.Established, Decoder: c.Decoder, Sources: n.sources, Log: c.Log,
 		Changed: func(s view.State) {
 			<-ready
 			n.applyChange(&s)
--- a/io/view/restore.go
+++ b/io/view/restore.go
@@ -36,6 +36,9 @@
 	// quarantine is the time after seenAt at which no right is used any more that was held before.
 	quarantine time.Duration
 	settled    bool
+	// blind says that nothing is known from before the restore, so that an instance may hold a right
+	// which isn't known here.
+	blind bool
 	// planWritten says that the configuration was written in this era.
 	planWritten bool
 	// gone are the servers that were removed recently.
@@ -55,13 +58,20 @@
 // store was restored from an older copy, the entry of such a right may be missing.
 func (v *View) Settled() bool { return v.settled.Load() }
 
+// mayBeRestored reports whether the first content that this process reads may be that of a restored
+// store, before those who ran before have written their entries again: some of them were written in
+// a former era, or there are none although the fleet ran before.
+func (v *View) mayBeRestored(b *stateBuilder) bool {
+	return b.initial && (b.hasFormer || (v.config.Established && b.era > 0 && len(b.next.Instances) == 0))
+}
+
 // beginEra begins to track a restore. The state still has what was known before.
 func (v *View) beginEra(ctx context.Context, now time.Time, b *stateBuilder) {
 	quarantine := pace.HolderLease().TTL
 	for _, right := range b.next.Rights {
 		quarantine = max(quarantine, b.next.Instances[right.Instance].LeaseLife)
 	}
-	v.restore = restore{era: b.era, seenAt: now, quarantine: quarantine + pace.LeaseSlack, gone: v.restore.gone}
+	v.restore = restore{era: b.era, seenAt: now, quarantine: quarantine + pace.LeaseSlack, blind: b.initial, gone: v.restore.gone}
 	// The entries of running servers may be missing as after an outage.
 	v.lastFailure = now
 	v.settled.Store(false)
@@ -84,7 +94,7 @@
 	}
 	current := v.state.Load()
 	passed := now.Sub(v.restore.seenAt)
-	if passed < minSettleTime || (passed < v.restore.quarantine && !allRegistered(current, era)) {
+	if passed < minSettleTime || (passed < v.restore.quarantine && (v.restore.blind || !allRegistered(current, era))) {
 		return false
 	}
 	b := newStateBuilder(now, current)
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -61,6 +61,8 @@
 	OwnPrefix string
 	// Decoder decodes the platform's entries.
 	Decoder Decoder
+	// Established says that the fleet ran before this process started.
+	Established bool
 	// Sources returns the sources to query, the preferred one first. It returns at least one.
 	Sources func(*State) []Source
 	// Changed is called with the new state after each change, while the View is locked against
@@ -196,7 +198,7 @@
 	if update.All {
 		v.removeMissing(ctx, now, b, present)
 	}
-	if b.initial && b.hasFormer {
+	if v.mayBeRestored(b) {
 		v.beginEra(ctx, now, b)
 	}
 	if b.initial {
