--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -174,7 +174,7 @@
 			Eventually(func() model.ServerID { return n.view.State().Appointments["s"].Server }).WithTimeout(20 * time.Second).Should(Equal(server))
 		}
 		appoint("")
-		Expect(n.endorseLocally(clock.Now(), "s").Endorsed).To(BeFalse())
+		Consistently(func() bool { return n.endorseLocally(clock.Now(), "s").Endorsed }).WithTimeout(300 * time.Millisecond).Should(BeFalse())
 		appoint("p")
 		Eventually(func() bool { return n.endorseLocally(clock.Now(), "s").Endorsed }).WithTimeout(20 * time.Second).Should(BeTrue())
 		Expect(n.endorseLocally(clock.Now(), "s").Epoch).To(Equal(n.view.State().Appointments["s"].Epoch))
