After a restore, count on the known instances only if the state was recent

So that keys don't wait for it, the confirmation of the configuration and that of the instances' entries are apart now; primaries go by the latter, or by the monitor's endorsement. Nothing of this is reached where the store reports no era.

--- a/io/proxy/endorse.go
+++ b/io/proxy/endorse.go
@@ -36,7 +36,7 @@
 // endorseInUse asks the monitors of the primaries in use whether the appointments are in force, if
 // the view wasn't confirmed for a while.
 func (n *Node) endorseInUse(now time.Time) {
-	confirmed, ok := n.view.FreshAsOf()
+	confirmed, ok := n.view.CompleteAsOf()
 	if !ok || now.Sub(confirmed) < endorseAge {
 		return
 	}
--- a/io/proxy/primary.go
+++ b/io/proxy/primary.go
@@ -50,7 +50,7 @@
 // primaryPermit returns what entitles this instance to use the primary of a service. It is not valid
 // before the first confirmation of the state.
 func (n *Node) primaryPermit(service model.ServiceID) epoch.Permit {
-	confirmed, ok := n.view.FreshAsOf()
+	confirmed, ok := n.view.CompleteAsOf()
 	if !ok {
 		return epoch.Permit{}
 	}
--- a/io/right/manager_test.go
+++ b/io/right/manager_test.go
@@ -49,6 +49,11 @@
 
 // joinFor starts an instance that tries to hold the given rights.
 func joinFor(t *kvsim.Table, id model.InstanceID, wanted []right.Spec) *member {
+	return joinWanting(t, id, func() []right.Spec { return wanted })
+}
+
+// joinWanting starts an instance that tries to hold the rights that a function returns.
+func joinWanting(t *kvsim.Table, id model.InstanceID, wanted func() []right.Spec) *member {
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	client := t.Client()
@@ -59,7 +64,7 @@
 	})
 	return &member{client, right.NewManager(ctx, right.Config{
 		Table: client, View: v, Self: plan.Instance{ID: id, Weight: 1}, Log: log,
-		Wanted: func(*view.State) []right.Spec { return wanted },
+		Wanted: func(*view.State) []right.Spec { return wanted() },
 	}), cancel}
 }
 
--- a/io/right/restore_test.go
+++ b/io/right/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,6 +11,7 @@
 	"pomelofork/core/pace"
 	"pomelofork/emul/kvsim"
 	"pomelofork/io/clock"
+	"pomelofork/io/right"
 	"pomelofork/io/store"
 )
 
@@ -103,6 +105,36 @@
 		})
 	}
 
+	It("lets nobody acquire a right that it doesn't know of, before its holder has written it again", func() {
+		var aWants, bWants atomic.Bool
+		wanting := func(wants *atomic.Bool) func() []right.Spec {
+			return func() []right.Spec {
+				if wants.Load() {
+					return []right.Spec{{Name: "r"}}
+				}
+				return nil
+			}
+		}
+		a, b := joinWanting(t, "a", wanting(&aWants)), joinWanting(t, "b", wanting(&bWants))
+		for _, key := range []string{"own/instance/a", "own/instance/b"} {
+			Eventually(func() bool { _, ok := t.Get(key); return ok }).WithTimeout(waitTimeout).Should(BeTrue())
+		}
+		older := t.Copy()
+		b.client.SetFault(kvsim.FaultTimeout)
+		aWants.Store(true)
+		t.Set("own/instance/c", []byte("{}"))
+		onlyHolder(a)
+		bWants.Store(true)
+		// The other instance has heard nothing for longer than a watch takes.
+		time.Sleep(2 * time.Second)
+		a.client.SetFault(kvsim.FaultTimeout)
+		t.Restore(older)
+		b.client.SetFault(kvsim.FaultNone)
+		Expect(neverBoth(a, b, 2*time.Second)).To(Equal(1.0))
+		a.client.SetFault(kvsim.FaultNone)
+		Expect(neverBoth(a, b, 2*time.Second)).To(BeNumerically(">", 0))
+	})
+
 	It("may lose the same right more than once", func() {
 		empty := t.Copy()
 		a, b := join(t, "a"), join(t, "b")
--- a/io/view/restore.go
+++ b/io/view/restore.go
@@ -17,8 +17,12 @@
 	// again what was lost.
 	rewriteGrace = expiryGrace
 	// minSettleTime is the least time after a restore until rights that nobody has written again
-	// count as free. It covers an instance that registered shortly before and isn't known here.
+	// count as free. It covers an instance that registered shortly before and isn't known here, as
+	// long as the state was confirmed shortly before.
 	minSettleTime = time.Second
+	// outdatedAfter is the age of the last confirmation before a restore from which instances may have
+	// registered that aren't known here.
+	outdatedAfter = watchWait + 300*time.Millisecond
 	// settlePoll is the interval at which it is checked whether the instances have registered again.
 	settlePoll = 100 * time.Millisecond
 	// goneMemory is the time for which a removed server is remembered. An older copy of the store
@@ -36,8 +40,8 @@
 	// quarantine is the time after seenAt at which no right is used any more that was held before.
 	quarantine time.Duration
 	settled    bool
-	// blind says that nothing is known from before the restore, so that an instance may hold a right
-	// which isn't known here.
+	// blind says that nothing recent is known from before the restore, so that an instance which
+	// isn't known here may hold a right.
 	blind bool
 	// planWritten says that the configuration was written in this era.
 	planWritten bool
@@ -71,7 +75,7 @@
 	for _, right := range b.next.Rights {
 		quarantine = max(quarantine, b.next.Instances[right.Instance].LeaseLife)
 	}
-	v.restore = restore{era: b.era, seenAt: now, quarantine: quarantine + pace.LeaseSlack, blind: b.initial, gone: v.restore.gone}
+	v.restore = restore{era: b.era, seenAt: now, quarantine: quarantine + pace.LeaseSlack, blind: b.initial || v.outdated(now), gone: v.restore.gone}
 	// The entries of running servers may be missing as after an outage.
 	v.lastFailure = now
 	v.settled.Store(false)
@@ -84,6 +88,13 @@
 	}()
 }
 
+// outdated reports whether the state was last confirmed so long ago that instances may have
+// registered since.
+func (v *View) outdated(now time.Time) bool {
+	confirmed, ok := v.FreshAsOf()
+	return !ok || now.Sub(confirmed) > outdatedAfter
+}
+
 // settle drops what belongs to former eras, once the instances have registered again or can't use
 // their rights any more. It returns whether that is done, or a later era has begun.
 func (v *View) settle(ctx context.Context, now time.Time, era uint64) bool {
@@ -119,13 +130,20 @@
 	return true
 }
 
-// mayConfirm reports whether an answer of the store confirms the state. After a restore it doesn't
-// until the lost changes have been written again, which may not be known here.
-func (v *View) mayConfirm(now time.Time) bool {
+// confirm records that the state was complete as of at. After a restore that isn't so before the lost
+// changes have been written again, which may not be known here: those of the operator, for the
+// configuration, and those of instances, for the rest.
+func (v *View) confirm(now, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	r := &v.restore
-	return r.seenAt.IsZero() || (r.settled && (r.planWritten || now.Sub(r.seenAt) >= rewriteGrace))
+	if !r.seenAt.IsZero() && !r.planWritten && now.Sub(r.seenAt) < rewriteGrace {
+		return
+	}
+	v.freshAsOf.Store(max(v.freshAsOf.Load(), at.UnixNano()))
+	if r.seenAt.IsZero() || r.settled {
+		v.completeAsOf.Store(max(v.completeAsOf.Load(), at.UnixNano()))
+	}
 }
 
 // rememberGone records the last report of a removed server.
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -80,6 +80,9 @@
 	// freshAsOf is the time as of which the state is known to be complete, in Unix nanoseconds
 	// of package clock. Zero means never.
 	freshAsOf atomic.Int64
+	// completeAsOf is the same, but doesn't count what an instance may not have written again since
+	// the store was restored.
+	completeAsOf atomic.Int64
 	// revision is the revision up to which the state has every change.
 	revision atomic.Uint64
 	// settled is the result of Settled.
@@ -111,6 +114,14 @@
 	return time.Unix(0, at), at != 0
 }
 
+// CompleteAsOf returns the time as of which the state is known to contain every entry of instances
+// too: after the store was restored from an older copy, it stays until Settled. It returns false
+// before the first update.
+func (v *View) CompleteAsOf() (time.Time, bool) {
+	at := v.completeAsOf.Load()
+	return time.Unix(0, at), at != 0
+}
+
 // Revision returns the store's revision up to which the state has every change, and what
 // Config.Changed does with these changes is done. It is zero before the first update.
 func (v *View) Revision() uint64 { return v.revision.Load() }
@@ -153,8 +164,8 @@
 			after, synced = update.Revision, true
 			v.revision.Store(after)
 		}
-		if at := sent.Add(update.Waited - update.Age).UnixNano(); at > v.freshAsOf.Load() && store.Era(update.Revision) == store.Era(after) && v.mayConfirm(clock.Now()) {
-			v.freshAsOf.Store(at)
+		if store.Era(update.Revision) == store.Era(after) {
+			v.confirm(clock.Now(), sent.Add(update.Waited-update.Age))
 		}
 		if len(update.Entries) > 0 {
 			// Changes often come in groups. One more call for each would load the store.
