io/right: adopt a misplaced right at the revision at which it named this instance

Found in the last reading: the condition was read from the newest view, after a call to the store of up to a second. If the lease under which the entry stood had ended meanwhile and another instance had acquired the right, the write would have met that one's revision and taken the right from it.

--- a/io/right/manager.go
+++ b/io/right/manager.go
@@ -146,6 +146,9 @@
 	// misplaced says that the right was transferred to this instance, under a lease that it has
 	// replaced since. Nobody else may use it, and the entry ends with that lease.
 	misplaced bool
+	// revision is that of a misplaced right's entry, as of when it was found to name this instance.
+	// Another instance may have acquired the right since.
+	revision uint64
 }
 
 // heldRight is a right that this instance holds.
--- a/io/right/takeover.go
+++ b/io/right/takeover.go
@@ -81,7 +81,7 @@
 		if !ok || f.misplaced != misplaced {
 			f.since = now
 		}
-		f.spec, f.misplaced = spec, misplaced
+		f.spec, f.misplaced, f.revision = spec, misplaced, right.Revision
 		mgr.free[spec.Name] = f
 	}
 }
@@ -168,7 +168,7 @@
 // acquire, or zero if there is no entry. The entry of a free right may be an older copy.
 func expectedRevision(state *view.State, f freeRight) uint64 {
 	if f.misplaced {
-		return state.Rights[f.spec.Name].Revision
+		return f.revision
 	}
 	return state.StaleRights[f.spec.Name]
 }
@@ -197,7 +197,7 @@
 		mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "rights not acquired", slog.Any("rights", names), slog.String("error", err.Error()))
 		for _, f := range free {
 			// The rankDelay before the next attempt starts now.
-			mgr.free[f.spec.Name] = freeRight{spec: f.spec, since: now, misplaced: f.misplaced}
+			mgr.free[f.spec.Name] = freeRight{spec: f.spec, since: now, misplaced: f.misplaced, revision: f.revision}
 		}
 		if errors.Is(err, store.ErrConflict) {
 			return false
