--- a/io/right/fence.go
+++ b/io/right/fence.go
@@ -38,13 +38,20 @@
 		}
 		return 0, err
 	}
+	mgr.setRevision(revision, name)
+	return revision, nil
+}
+
+// setRevision records that rights have been written, unless they were lost meanwhile.
+func (mgr *Manager) setRevision(revision uint64, names ...string) {
 	mgr.mu.Lock()
 	defer mgr.mu.Unlock()
-	if _, ok := mgr.held[name]; ok {
-		h.revision = revision
-		mgr.held[name] = h
+	for _, name := range names {
+		if h, ok := mgr.held[name]; ok {
+			h.revision = revision
+			mgr.held[name] = h
+		}
 	}
-	return revision, nil
 }
 
 // forget removes a right from the held ones.
--- a/io/right/former.go
+++ b/io/right/former.go
@@ -91,9 +91,7 @@
 		return 0, err
 	}
 	for _, former := range kept {
-		key := mgr.config.View.RightKey(former.spec.Name)
-		txn.Expected = append(txn.Expected, store.Condition{Key: key, Revision: former.revision})
-		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value, Lease: lease.id})
+		mgr.putRight(&txn, former.spec.Name, former.revision, value, lease.id)
 	}
 	return mgr.config.Table.Commit(ctx, txn)
 }
--- a/io/right/lease.go
+++ b/io/right/lease.go
@@ -134,10 +134,7 @@
 	if mgr.unregistered.id != 0 && now.Before(mgr.unregistered.until) {
 		return true
 	}
-	terms := pace.MemberLease(size)
-	if short {
-		terms = pace.HolderLease()
-	}
+	terms := leaseTerms(size, short)
 	granted, err := mgr.config.Table.Grant(ctx, terms.TTL)
 	if err != nil {
 		mgr.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot obtain a lease", slog.String("error", err.Error()))
@@ -148,14 +145,20 @@
 	return true
 }
 
+// leaseTerms returns the terms of a lease in a fleet of this size: the short one of a holder of urgent
+// rights, or that of any other instance.
+func leaseTerms(size int, short bool) pace.Lease {
+	if short {
+		return pace.HolderLease()
+	}
+	return pace.MemberLease(size)
+}
+
 // replaceLease moves this instance's registration and rights to a new lease, either the short
 // one of a holder of urgent rights or the longer one of any other instance. It returns false
 // when the registration could not be moved.
 func (mgr *Manager) replaceLease(ctx context.Context, now time.Time, shortLease bool) bool {
-	terms := pace.MemberLease(len(mgr.config.View.State().Instances))
-	if shortLease {
-		terms = pace.HolderLease()
-	}
+	terms := leaseTerms(len(mgr.config.View.State().Instances), shortLease)
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	granted, err := mgr.config.Table.Grant(callCtx, terms.TTL)
@@ -210,7 +213,7 @@
 	mgr.mu.Lock()
 	for _, name := range names {
 		if h, ok := mgr.held[name]; ok {
-			mgr.putRight(&txn, name, h, value, lease.ID)
+			mgr.putRight(&txn, name, h.revision, value, lease.ID)
 		}
 	}
 	mgr.mu.Unlock()
@@ -218,14 +221,7 @@
 	if err != nil {
 		return err
 	}
-	mgr.mu.Lock()
-	defer mgr.mu.Unlock()
-	for _, name := range names {
-		if h, ok := mgr.held[name]; ok {
-			h.revision = revision
-			mgr.held[name] = h
-		}
-	}
+	mgr.setRevision(revision, names...)
 	return nil
 }
 
--- a/io/right/restore.go
+++ b/io/right/restore.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"pomelofork/core/pace"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
@@ -31,10 +30,7 @@
 	mgr.mu.Lock()
 	short := mgr.shortLease
 	mgr.mu.Unlock()
-	terms := pace.MemberLease(len(mgr.config.View.State().Instances))
-	if short {
-		terms = pace.HolderLease()
-	}
+	terms := leaseTerms(len(mgr.config.View.State().Instances), short)
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	lease, err := mgr.config.Table.Grant(callCtx, terms.TTL)
@@ -90,9 +86,7 @@
 	state := mgr.config.View.State()
 	txn := store.Txn{Era: era}
 	for _, name := range names {
-		key := mgr.config.View.RightKey(name)
-		txn.Expected = append(txn.Expected, store.Condition{Key: key, Revision: mgr.entryRevision(state, era, name)})
-		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value, Lease: lease.ID})
+		mgr.putRight(&txn, name, mgr.entryRevision(state, era, name), value, lease.ID)
 		if mgr.config.Dependent != nil {
 			txn.Puts = append(txn.Puts, mgr.config.Dependent(name, era)...)
 		}
@@ -107,14 +101,7 @@
 	if err != nil {
 		return err
 	}
-	mgr.mu.Lock()
-	defer mgr.mu.Unlock()
-	for _, name := range names {
-		if h, ok := mgr.held[name]; ok {
-			h.revision = revision
-			mgr.held[name] = h
-		}
-	}
+	mgr.setRevision(revision, names...)
 	return nil
 }
 
--- a/io/right/takeover.go
+++ b/io/right/takeover.go
@@ -186,9 +186,7 @@
 	}
 	for _, f := range free {
 		names = append(names, f.spec.Name)
-		key := mgr.config.View.RightKey(f.spec.Name)
-		txn.Expected = append(txn.Expected, store.Condition{Key: key, Revision: expectedRevision(state, f)})
-		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value, Lease: lease})
+		mgr.putRight(&txn, f.spec.Name, expectedRevision(state, f), value, lease)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/io/right/transfer.go
+++ b/io/right/transfer.go
@@ -46,17 +46,17 @@
 			mgr.config.Log.LogAttrs(context.Background(), slog.LevelError, "cannot encode the holder of a right", slog.String("error", err.Error()))
 			continue
 		}
-		mgr.putRight(&txn, name, h, value, store.LeaseID(next.Lease))
+		mgr.putRight(&txn, name, h.revision, value, store.LeaseID(next.Lease))
 		moved[name] = h
 	}
 	return txn, moved
 }
 
-// putRight adds the change of a held right to a transaction, on the condition that its revision
-// in the store is still the known one.
-func (mgr *Manager) putRight(txn *store.Txn, name string, h heldRight, value []byte, lease store.LeaseID) {
+// putRight adds the change of a right to a transaction, on the condition that its entry in the store
+// has the given revision. Zero means that there is none.
+func (mgr *Manager) putRight(txn *store.Txn, name string, revision uint64, value []byte, lease store.LeaseID) {
 	key := mgr.config.View.RightKey(name)
-	txn.Expected = append(txn.Expected, store.Condition{Key: key, Revision: h.revision})
+	txn.Expected = append(txn.Expected, store.Condition{Key: key, Revision: revision})
 	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value, Lease: lease})
 }
 
