--- a/io/entry/hold.go
+++ b/io/entry/hold.go
@@ -117,7 +117,8 @@
 	return least
 }
 
-// recordWork records how long a statement used a slot of a primary.
+// recordWork records about how long a statement used a slot of a primary: the time until its answer,
+// less the wait that the server reported with it.
 func (e *Entry) recordWork(service model.ServiceID, sent time.Time, wait time.Duration) {
 	took := clock.Now().Sub(sent) - wait
 	e.mu.Lock()
--- a/io/logs/reasons.go
+++ b/io/logs/reasons.go
@@ -26,8 +26,8 @@
 	ByInstance By = "instance"
 )
 
-// fields are the fields of a log line that name a row.
-var fields = map[By]string{ByAccount: "account", ByServer: "server", ByRoute: "route", ByInstance: "self"}
+// rowFields are the fields of a log line that name a row.
+var rowFields = map[By]string{ByAccount: "account", ByServer: "server", ByRoute: "route", ByInstance: "self"}
 
 // The causes of answers, in the order of their columns. Answers that don't match any of the words are
 // counted as "other".
@@ -80,7 +80,7 @@
 // refused, with a row for each value of by. It writes what it could read before it returns the error
 // of a log that can't be read to its end.
 func Reasons(out io.Writer, by By, logs ...io.Reader) error {
-	if _, ok := fields[by]; !ok && by != BySecond {
+	if _, ok := rowFields[by]; !ok && by != BySecond {
 		return fmt.Errorf("unknown rows %q", by)
 	}
 	var answers []line
@@ -115,9 +115,10 @@
 // row returns the name of the line's row in a table that begins at start.
 func (l line) row(by By, start time.Time) string {
 	if by == BySecond {
+		// The width makes the order of the names that of the seconds.
 		return fmt.Sprintf("%6d", int(l.at.Sub(start)/time.Second))
 	}
-	name, _ := l.fields[fields[by]].(string)
+	name, _ := l.fields[rowFields[by]].(string)
 	return cmp.Or(name, "-")
 }
 
--- a/io/proxy/endorse.go
+++ b/io/proxy/endorse.go
@@ -70,6 +70,7 @@
 	if !response.Endorsed {
 		return
 	}
+	// All epochs before the endorsed one were withdrawn.
 	n.withdrawLocally(service, response.Epoch)
 	n.guardsMu.Lock()
 	defer n.guardsMu.Unlock()
