Read evacuations, cold starts, homes and what a deployment has to bear from the platform

Cause: no part of the program knew the entries and settings by which an operator evacuates a failure domain, a server says that it is cold, and routes and accounts are restricted to regions. The parts that act on them are built side by side and need common types.

--- a/core/model/ids.go
+++ b/core/model/ids.go
@@ -13,6 +13,9 @@
 // InstanceID identifies one instance of the fleet.
 type InstanceID string
 
+// Region identifies a group of failure domains that are close to each other.
+type Region string
+
 // Domain identifies one failure domain: machines that may fail together, such as a zone.
 type Domain string
 
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -40,8 +40,23 @@
 	Priority int
 	// Public says that callers need no key.
 	Public bool
+	// Homes are the regions to which the route's statements are restricted. Empty means no
+	// restriction.
+	Homes []model.Region
 }
 
+// ColdStart says how much a server that just started can take. It is disabled if either field is
+// zero.
+type ColdStart struct {
+	// Duration is the time after its start for which a server is cold.
+	Duration time.Duration
+	// PerSecond is the number of statements a second that a cold server can run.
+	PerSecond float64
+}
+
+// Enabled reports whether servers of the service are cold after their start.
+func (c ColdStart) Enabled() bool { return c.Duration > 0 && c.PerSecond > 0 }
+
 // Account is one client account.
 type Account struct {
 	// ID is the account's identifier.
@@ -50,6 +65,9 @@
 	PerSecond float64
 	// Burst is the largest number of unused operations that may accumulate.
 	Burst float64
+	// Homes are the regions to which the account's statements are restricted. Empty means no
+	// restriction.
+	Homes []model.Region
 }
 
 // Config holds the contents of a plan.
@@ -69,6 +87,8 @@
 	// SyncReplicas is, for each service, the number of replicas that must have received
 	// a commit before it is acknowledged.
 	SyncReplicas map[model.ServiceID]int
+	// ColdStarts say, for each service, how much its servers can take after their start.
+	ColdStarts map[model.ServiceID]ColdStart
 	// MaxIdle is the longest time between two statements of a transaction. Zero means no
 	// limit.
 	MaxIdle time.Duration
@@ -119,6 +139,9 @@
 // commit before it is acknowledged.
 func (p *Plan) SyncReplicas(service model.ServiceID) int { return p.contents.SyncReplicas[service] }
 
+// ColdStart returns how much the servers of a service can take after their start.
+func (p *Plan) ColdStart(service model.ServiceID) ColdStart { return p.contents.ColdStarts[service] }
+
 // MaxIdle returns the longest time between two statements of a transaction, or zero for
 // no limit.
 func (p *Plan) MaxIdle() time.Duration { return p.contents.MaxIdle }
--- a/core/plan/server.go
+++ b/core/plan/server.go
@@ -35,4 +35,18 @@
 	// DrainingSince is the time at which this process learned that the server is
 	// draining.
 	DrainingSince time.Time
+	// ColdFor is the remaining time for which the server is cold, as of its registration.
+	ColdFor time.Duration
+	// ColdUntil is the time until which this process takes the server as cold. Zero means that it
+	// isn't cold.
+	ColdUntil time.Time
+	// EvacuatedSince is the time at which this process learned that the server's failure domain is
+	// evacuated. Zero means that it isn't.
+	EvacuatedSince time.Time
 }
+
+// Evacuated reports whether the server's failure domain is evacuated.
+func (s Server) Evacuated() bool { return !s.EvacuatedSince.IsZero() }
+
+// Cold reports whether the server is cold.
+func (s Server) Cold(now time.Time) bool { return now.Before(s.ColdUntil) }
--- a/core/stmt/order.go
+++ b/core/stmt/order.go
@@ -37,6 +37,8 @@
 	Target time.Duration
 	// Timeout is the time left for the statement.
 	Timeout time.Duration
+	// Homes are the regions in which the order may run. Empty means all.
+	Homes []model.Region
 	// Values are the values of the session, to be set on the connection.
 	Values []Value
 	// Prepared is the prepared statement that a KindExecute statement runs.
@@ -77,9 +79,17 @@
 	RetryAfter time.Duration
 	// Wait is the time that a new statement would wait for a slot of the server.
 	Wait time.Duration
+	// Waits are the same for each priority, as far as the gateway knows, lowest number first.
+	Waits []PriorityWait
 	// Latest is a point in the log of the server's service that covers every commit
 	// acknowledged longer ago than LatestAge. Zero means that none is known.
 	Latest model.Point
 	// LatestAge belongs to Latest. It counts back from when the result was made.
 	LatestAge time.Duration
 }
+
+// PriorityWait is the time that a new statement of a priority would wait for a slot of a server.
+type PriorityWait struct {
+	Priority int
+	Wait     time.Duration
+}
--- a/io/lead/cluster_test.go
+++ b/io/lead/cluster_test.go
@@ -155,6 +155,15 @@
 }
 func (s *testCluster) ServerKey(id model.ServerID) string { return string(id) }
 
+// Evacuation implements view.Decoder.
+func (s *testCluster) Evacuation(key string) (model.Domain, bool) {
+	domain, ok := strings.CutPrefix(key, "evacuate/")
+	return model.Domain(domain), ok
+}
+
+// EvacuationKey implements view.Decoder.
+func (s *testCluster) EvacuationKey(domain model.Domain) string { return "evacuate/" + string(domain) }
+
 // Promote implements lead.Promoter.
 func (s *testCluster) Promote(_ context.Context, _ model.ServiceID, server model.ServerID, fence uint64) error {
 	s.mu.Lock()
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -5,8 +5,10 @@
 	"net"
 	"time"
 
+	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
+	"pomelofork/core/ramp"
 	"pomelofork/core/trial"
 	"pomelofork/io/entry"
 	"pomelofork/io/lead"
@@ -59,6 +61,20 @@
 	KeyLife time.Duration
 	// AccountCap is the limit on the operations of one client account.
 	AccountCap quota.Cap
+	// Regions are the regions of the failure domains.
+	Regions map[model.Domain]model.Region
+	// ToleratedDomains is the number of failure domains whose loss at the same time has to be borne.
+	ToleratedDomains int
+	// Contended says that callers compete for less room than they need at times.
+	Contended bool
+	// ColdLimit is what a server that just started may get.
+	ColdLimit ramp.Limit
+	// EvacuationBound is the time after the evacuation of a failure domain from which its servers get
+	// no statement. Zero means that failure domains are not evacuated.
+	EvacuationBound time.Duration
+	// PromotionsPerSecond is the number of promotions a second that the platform accepts from all
+	// instances together. Zero means that it isn't known.
+	PromotionsPerSecond float64
 	// Grace is the time from the request to stop until the process ends in any case.
 	Grace time.Duration
 	// Disabled are the mechanisms that are switched off.
--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -33,6 +33,8 @@
 func (planDecoder) Server(store.Entry) (plan.Server, bool, error) { return plan.Server{}, false, nil }
 func (planDecoder) ServerID(string) (model.ServerID, bool)        { return "", false }
 func (planDecoder) ServerKey(model.ServerID) string               { return "none" }
+func (planDecoder) Evacuation(string) (model.Domain, bool)        { return "", false }
+func (planDecoder) EvacuationKey(model.Domain) string             { return "none" }
 
 // lostGateway is an instance whose server has stopped answering. It counts the orders.
 type lostGateway struct {
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -167,6 +167,10 @@
 	w.text(o.Statement.Name)
 	w.text(o.Statement.Rest)
 	w.bool(o.Statement.Writes)
+	w.uint(uint64(len(o.Homes)))
+	for _, region := range o.Homes {
+		w.text(string(region))
+	}
 }
 
 func (m *RunRequest) decode(r *reader) {
@@ -195,6 +199,10 @@
 	o.Statement.Name = r.text()
 	o.Statement.Rest = r.text()
 	o.Statement.Writes = r.bool()
+	o.Homes = nil
+	for n := r.count(); n > 0; n-- {
+		o.Homes = append(o.Homes, model.Region(r.text()))
+	}
 }
 
 func (m *RunResponse) encode(w *writer) {
@@ -213,6 +221,11 @@
 	w.int(int64(s.Wait))
 	w.point(s.Latest)
 	w.int(int64(s.LatestAge))
+	w.uint(uint64(len(s.Waits)))
+	for _, p := range s.Waits {
+		w.int(int64(p.Priority))
+		w.int(int64(p.Wait))
+	}
 }
 
 func (m *RunResponse) decode(r *reader) {
@@ -231,6 +244,10 @@
 	s.Wait = time.Duration(r.int())
 	s.Latest = r.point()
 	s.LatestAge = time.Duration(r.int())
+	s.Waits = nil
+	for n := r.count(); n > 0; n-- {
+		s.Waits = append(s.Waits, stmt.PriorityWait{Priority: int(r.int()), Wait: time.Duration(r.int())})
+	}
 }
 
 func (m *DrawRequest) encode(w *writer) {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -39,6 +39,7 @@
 	result.Result = stmt.Result{
 		Answer: stmt.Answer{Rows: []string{"a b", ""}, Digest: "d", Code: stmt.CodeFailed, Text: "t", State: stmt.StateFailed, Point: model.NewPoint(3, 4)},
 		Wait:   time.Second, RetryAfter: 2 * time.Second, Latest: model.NewPoint(5, 6), LatestAge: -time.Millisecond, NotSent: true,
+		Waits: []stmt.PriorityWait{{Priority: 0, Wait: time.Millisecond}, {Priority: 2, Wait: time.Second}},
 	}
 	return nil
 }
@@ -118,7 +119,7 @@
 	It("transfers all fields of an order and of its result", func() {
 		order := stmt.Order{
 			Entry: 7, Unit: 8, Begin: stmt.OpBeginRead, Prove: true, After: model.NewPoint(1, 2), Server: "s", Account: "a", Class: "c",
-			Priority: -3, Target: -time.Second, Timeout: time.Minute, Values: []stmt.Value{{Name: "n", Content: "c d"}},
+			Priority: -3, Target: -time.Second, Timeout: time.Minute, Values: []stmt.Value{{Name: "n", Content: "c d"}}, Homes: []model.Region{"r"},
 			Prepared:  stmt.Prepared{Shape: "q", Writes: true},
 			Statement: stmt.Statement{ID: "i", Text: "EXECUTE x y", Kind: stmt.KindExecute, Name: "x", Rest: "y", Writes: true},
 		}
@@ -128,6 +129,7 @@
 		Expect(ran.Result.Answer.Rows).To(Equal([]string{"a b", ""}))
 		Expect(ran.Result.Latest).To(Equal(model.NewPoint(5, 6)))
 		Expect(ran.Result.LatestAge).To(Equal(-time.Millisecond))
+		Expect(ran.Result.Waits).To(Equal([]stmt.PriorityWait{{Priority: 0, Wait: time.Millisecond}, {Priority: 2, Wait: time.Second}}))
 		Expect(ran.Result.NotSent).To(BeTrue())
 	})
 
--- a/io/right/manager_test.go
+++ b/io/right/manager_test.go
@@ -34,6 +34,8 @@
 func (decoder) Server(store.Entry) (plan.Server, bool, error) { return plan.Server{}, false, nil }
 func (decoder) ServerID(string) (model.ServerID, bool)        { return "", false }
 func (decoder) ServerKey(model.ServerID) string               { return "none" }
+func (decoder) Evacuation(string) (model.Domain, bool)        { return "", false }
+func (decoder) EvacuationKey(model.Domain) string             { return "none" }
 
 // member is one instance with its own client of the store.
 type member struct {
--- a/io/view/state.go
+++ b/io/view/state.go
@@ -63,6 +63,9 @@
 	Instances map[model.InstanceID]plan.Instance
 	// Rights are the held rights by name.
 	Rights map[string]Right
+	// Evacuations are the failure domains whose servers get no work. A change of it counts as a
+	// change of Servers.
+	Evacuations map[model.Domain]Evacuation
 	// StaleRights are the revisions of entries of rights that nobody holds: they were restored from
 	// an older copy of the store, or written on the knowledge of one.
 	StaleRights map[string]uint64
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -52,6 +52,11 @@
 	ServerID(key string) (model.ServerID, bool)
 	// ServerKey returns the key of a server's entry.
 	ServerKey(id model.ServerID) string
+	// Evacuation returns the failure domain that is evacuated as long as an entry with the key
+	// exists. It returns false if the key isn't one of an evacuation.
+	Evacuation(key string) (model.Domain, bool)
+	// EvacuationKey returns the key of the entry that evacuates a failure domain.
+	EvacuationKey(domain model.Domain) string
 }
 
 // Config holds the settings and dependencies of a View.
@@ -233,6 +238,10 @@
 	if v.applyOwnEntry(ctx, b, e) {
 		return
 	}
+	if domain, ok := v.config.Decoder.Evacuation(e.Key); ok {
+		v.applyEvacuation(ctx, now, b, domain, e)
+		return
+	}
 	if id, ok := v.config.Decoder.ServerID(e.Key); ok {
 		if e.Removed {
 			v.removeServer(ctx, now, b, id)
@@ -255,6 +264,8 @@
 		} else if server.Draining {
 			server.DrainingSince = now
 		}
+		server.EvacuatedSince = b.next.Evacuations[server.Domain].Since
+		server.ColdUntil = coldUntil(now, server, b.next.Servers[id])
 		if previous, ok := b.next.Servers[id]; !ok || previous.Draining != server.Draining || previous.ReportsPrimary != server.ReportsPrimary || previous.Address != server.Address {
 			v.logChange(ctx, b, "server changed", slog.String("server", string(id)), slog.String("service", string(server.Service)),
 				slog.Bool("reports_primary", server.ReportsPrimary), slog.Bool("draining", server.Draining), slog.Uint64("revision", e.Revision))
@@ -298,6 +309,11 @@
 			v.removeRight(b, name)
 		}
 	}
+	for domain := range former.Evacuations {
+		if !present[v.config.Decoder.EvacuationKey(domain)] {
+			v.endEvacuation(ctx, b, domain)
+		}
+	}
 	b.next.StaleRights = maps.Clone(b.next.StaleRights)
 	maps.DeleteFunc(b.next.StaleRights, func(name string, _ uint64) bool { return !present[v.RightKey(name)] })
 }
--- a/io/view/view_test.go
+++ b/io/view/view_test.go
@@ -58,6 +58,13 @@
 
 func (decoder) ServerKey(id model.ServerID) string { return "server/" + string(id) }
 
+func (decoder) Evacuation(key string) (model.Domain, bool) {
+	domain, ok := strings.CutPrefix(key, "evacuate/")
+	return model.Domain(domain), ok
+}
+
+func (decoder) EvacuationKey(domain model.Domain) string { return "evacuate/" + string(domain) }
+
 // start starts a view with the given sources, the preferred one first.
 func start(sources ...view.Source) *view.View {
 	ctx, cancel := context.WithCancel(context.Background())
