core/ramp: limit what a cold server gets from all instances together

Cause: a server that has just started has no work in flight, so that every entry chose it at once, although it can take only a few statements a second.

Change: core/ramp decides what a gateway may send (Ramp), and when an instance may take itself for the gateway (Tenure, Claim). io/pooler counts commands and connections and refuses what can't be served in time, io/proxy hands the claim to each pool, io/entry and core/place prefer warm servers and pass a cold one over until the time that its gateway told. io/view counts a process that was started again as cold. A gateway uses nothing while it settles and then the whole limit, instead of a quarter and a half of it: three changes within the time for which views differ exceed the latter.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -37,6 +37,10 @@
 	// failureCost is the cost of a failed read to its caller: a retry at another server,
 	// or the whole operation.
 	failureCost = 200 * time.Millisecond
+	// coldCost is the cost of a read at a cold server beyond that at a warm one. It is above the costs
+	// of another failure domain and of the primary, so that a warm server is preferred unless reads
+	// wait there for longer than a statement usually takes at a cold one.
+	coldCost = 40 * time.Millisecond
 )
 
 // Candidate is what is known of one server.
@@ -61,6 +65,10 @@
 	// InFlight is the number of statements of this instance that run or wait at the
 	// server.
 	InFlight int
+	// Cold says that the server has just started and takes few statements. ColdInterval is the time
+	// between two that it can take, or zero if that isn't known.
+	Cold         bool
+	ColdInterval time.Duration
 	// SameDomain says that the server is in the failure domain of this instance.
 	SameDomain bool
 }
@@ -111,6 +119,9 @@
 // costOf returns the expected cost of choosing the server, as a time.
 func costOf(now time.Time, required Requirement, c Candidate) time.Duration {
 	cost := time.Duration(c.InFlight) * inFlightCost / time.Duration(max(c.Server.Slots, 1))
+	if c.Cold {
+		cost = coldCost + max(cost, time.Duration(c.InFlight)*c.ColdInterval)
+	}
 	if now.Sub(c.WaitAt) < waitMaxAge {
 		cost = max(cost, c.Wait)
 	}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -37,6 +37,8 @@
 func draining(c *place.Candidate)   { c.Server.Draining = true }
 func lagging(c *place.Candidate)    { c.Point = model.NewPoint(1, 10) }
 
+func cold(c *place.Candidate) { c.Cold, c.ColdInterval = true, 25*time.Millisecond }
+
 func busy(wait time.Duration) func(*place.Candidate) {
 	return func(c *place.Candidate) { c.Wait = wait }
 }
@@ -53,6 +55,11 @@
 		"a replica before the primary":                                           {read, []place.Candidate{server("p", primary), server("r", nil)}, "r"},
 		"the primary when replicas wait":                                         {read, []place.Candidate{server("p", primary), server("r", busy(80*time.Millisecond))}, "p"},
 		"the primary when replicas lag":                                          {read, []place.Candidate{server("p", primary), server("r", lagging)}, "p"},
+		"a warm replica in another domain before a cold one, which is idle":      {read, []place.Candidate{server("cold", func(c *place.Candidate) { sameDomain(c); cold(c) }), server("far", nil)}, "far"},
+		"the primary before a cold replica":                                      {read, []place.Candidate{server("cold", cold), server("p", primary)}, "p"},
+		"a cold replica before a long wait":                                      {read, []place.Candidate{server("cold", cold), server("r", busy(80*time.Millisecond))}, "cold"},
+		"no cold replica that has as much as it can take":                        {read, []place.Candidate{server("cold", func(c *place.Candidate) { cold(c); c.InFlight = 3 }), server("r", busy(80*time.Millisecond))}, "r"},
+		"a cold replica if there is no other":                                    {read, []place.Candidate{server("cold", cold)}, "cold"},
 		"no draining replica":                                                    {read, []place.Candidate{server("p", primary), server("r", draining)}, "p"},
 		"no server when all lag":                                                 {read, []place.Candidate{server("r", lagging)}, ""},
 		"a fast server in another domain before a slow one in the same domain": {read, []place.Candidate{server("far", func(c *place.Candidate) {
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -45,17 +45,18 @@
 	Homes []model.Region
 }
 
-// ColdStart says how much a server that just started can take. It is disabled if either field is
-// zero.
+// ColdStart says how much a server that just started can take. The zero value says nothing.
 type ColdStart struct {
-	// Duration is the time after its start for which a server is cold.
+	// Duration is the time after its start for which a server is cold. If it is zero, a server is
+	// cold only if its entry says so.
 	Duration time.Duration
-	// PerSecond is the number of statements a second that a cold server can run.
+	// PerSecond is the number of statements a second that a cold server can run. A negative number
+	// stands for an invalid one.
 	PerSecond float64
 }
 
-// Enabled reports whether servers of the service are cold after their start.
-func (c ColdStart) Enabled() bool { return c.Duration > 0 && c.PerSecond > 0 }
+// Stated reports whether the configuration states a rate, which may be invalid.
+func (c ColdStart) Stated() bool { return c.PerSecond != 0 }
 
 // Account is one client account.
 type Account struct {
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -54,6 +54,9 @@
 	// VacancyTakeover counts the time without a primary from its loss when another instance takes
 	// over the monitoring.
 	VacancyTakeover Switch = "vacancy_takeover"
+	// ColdPlacement prefers warm servers to cold ones, and leaves a cold one alone for as long as it
+	// says that it can take no more.
+	ColdPlacement Switch = "cold_placement"
 )
 
 // All returns all switches in a fixed order.
@@ -61,6 +64,7 @@
 	return []Switch{
 		ReturnedTokens, PrefetchedTokens, TokenWait, SharedIssuers, RestartTokens, KeptRights, PromotionWait, EarlyRejection, TargetOrder, Priority,
 		ReadRetry, SilentServers, DomainPlacement, WaitPlacement, LatencyPlacement, Followers, Isolation, WithdrawalAnswers, VacancyTakeover,
+		ColdPlacement,
 	}
 }
 
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -26,7 +26,7 @@
 		}
 		chosen, ok := a.chooseServer(now)
 		if !ok {
-			if !a.awaitServer(now) {
+			if a.coldForLong(now) || !a.awaitServer(now) {
 				if a.retryAfter > 0 {
 					last = refuseWithoutServer(a.retryAfter)
 				}
@@ -120,6 +120,7 @@
 func (a *attempts) bestCandidate(now time.Time, required place.Requirement, withSuspected bool) (plan.Server, bool) {
 	e := a.session.entry
 	var candidates []place.Candidate
+	var passedOver time.Time
 	e.mu.Lock()
 	for _, server := range e.config.View.State().Services[a.route.Service] {
 		id := server.ID
@@ -130,6 +131,10 @@
 			continue
 		}
 		stats := e.stats(id)
+		if !required.Primary && e.passOver(now, stats) {
+			passedOver = earlier(passedOver, stats.passedOverUntil)
+			continue
+		}
 		if !withSuspected && now.Before(stats.suspectUntil) {
 			continue
 		}
@@ -137,9 +142,13 @@
 			Server: server, Point: stats.point, PointAt: stats.pointAt, Wait: stats.wait, WaitAt: stats.waitAt, InFlight: stats.inFlight,
 			Latency: stats.latency, LatencyAt: stats.latencyAt, FailureRate: stats.failureRate,
 			SameDomain: server.Domain == e.config.Domain,
+			Cold:       e.config.passesOverCold() && server.Cold(now), ColdInterval: e.coldInterval(server.Service),
 		})
 	}
 	e.mu.Unlock()
+	if a.passedOver = passedOver; len(candidates) > 0 {
+		a.passedOver = time.Time{}
+	}
 	e.disablePlacement(candidates)
 	i, ok := place.Choose(now, required, candidates)
 	if !ok {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -33,6 +33,8 @@
 	Fleet Fleet
 	// Codec returns the Caller that speaks the platform's protocol on a new connection.
 	Codec func(net.Conn) Caller
+	// ColdServers says that servers which have just started are limited in what they may get.
+	ColdServers bool
 	// Disabled are the mechanisms that are switched off.
 	Disabled trial.Disabled
 	// Meter counts answers and retries.
@@ -79,6 +81,8 @@
 	// suspectUntil is the time until which other servers are preferred, because an answer
 	// of this one was lost.
 	suspectUntil time.Time
+	// passedOverUntil is the time until which the server, which is cold, takes no read.
+	passedOverUntil time.Time
 }
 
 // New returns an entry that serves no callers yet.
--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -68,6 +68,9 @@
 	waits bool
 	// retryAfter is the time after which to retry if it may not wait for that, or zero.
 	retryAfter time.Duration
+	// passedOver is the earliest end of the times until which cold servers take no read, if there is
+	// no other server. Otherwise it is zero.
+	passedOver time.Time
 	// excluded are the servers that have been tried. It is cleared when no server is left.
 	excluded map[model.ServerID]bool
 }
--- a/io/entry/server_stats.go
+++ b/io/entry/server_stats.go
@@ -31,6 +31,9 @@
 	stats := e.stats(server.ID)
 	stats.inFlight--
 	stats.wait, stats.waitAt = result.Wait, done
+	if e.config.passesOverCold() && refusedCold(now, server, result) {
+		stats.passedOverUntil = done.Add(result.RetryAfter)
+	}
 	switch result.Answer.Code {
 	case stmt.CodeConnectionLost:
 		stats.suspectUntil = done.Add(suspectDuration)
--- a/io/pooler/config.go
+++ b/io/pooler/config.go
@@ -6,6 +6,7 @@
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
+	"pomelofork/core/ramp"
 	"pomelofork/core/trial"
 )
 
@@ -30,6 +31,14 @@
 	// may be sent to the server, and whether its answer may be passed on. The pool's lock is
 	// held. Nil allows all.
 	Allows func(now time.Time, epoch uint64) bool
+	// Claim is what entitles this instance to send statements to the server while it is cold. Cold
+	// updates it.
+	Claim ramp.Claim
+	// UsedUntil is the time until which another pool of this instance used the server, or zero.
+	UsedUntil time.Time
+	// ColdRefused is called for each statement that the server can't take in time because it is cold.
+	// The pool's lock is held. Nil is not called.
+	ColdRefused func()
 	// Log records rejected statements and failures of connections.
 	Log *slog.Logger
 }
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
 	"pomelofork/io/clock"
 )
@@ -35,7 +36,10 @@
 		return false
 	}
 	sc.conn = conn
-	p.downSince = time.Time{}
+	if p.lost || !p.downSince.IsZero() {
+		p.ramp.Returned(now)
+	}
+	p.lost, p.downSince = false, time.Time{}
 	sc.idleFrom = now
 	p.dispatch(now)
 	return true
@@ -112,7 +116,12 @@
 		case e.setupLeft > 0:
 		case e.setupError != nil:
 			p.finish(now, sc, e, answer)
+		case !p.ramp.Permits(now, ramp.Open):
+			e.setupError = &stmt.Answer{Code: stmt.CodeBusy, Text: notGatewayText}
+			p.finish(now, sc, e, answer)
 		default:
+			p.release(e)
+			p.ramp.Send(now, len(e.main))
 			e.mainLeft = len(e.main)
 			e.sentAt = now
 			p.send(sc, e.main)
@@ -133,6 +142,7 @@
 	sc.execution = nil
 	sc.idleFrom = now
 	p.running--
+	p.release(e)
 	order := e.request.order
 	result := stmt.Result{Answer: e.answer}
 	if e.setupError != nil {
@@ -197,10 +207,12 @@
 	if !sc.closed {
 		p.log.LogAttrs(context.Background(), slog.LevelInfo, "receiving from a server failed, closing the connection",
 			slog.String("server", string(p.server.ID)), slog.Bool("at_work", e != nil), slog.String("error", err.Error()))
+		p.lost = p.lost || len(p.conns) == 1
 	}
 	p.discard(sc)
 	if e != nil {
 		p.running--
+		p.release(e)
 		result := stmt.Result{Answer: e.answer, NotSent: e.mainLeft == 0 && !e.answered}
 		if !e.answered {
 			result.Answer = stmt.Refuse(stmt.CodeConnectionLost, stmt.StateIdle, "connection to the server lost")
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
 )
 
@@ -16,7 +17,7 @@
 		item.Value.result <- refused(stmt.CodeBusy, "no free slot in time", p.queue.EstimateWait(p.running))
 	}
 	for p.running < p.server.Slots+extraStatements && p.queue.Len() > 0 {
-		item, ok := p.queue.Next(now, func(r *request) bool { return p.connFor(r) != nil })
+		item, ok := p.queue.Next(now, func(r *request) bool { return p.fits(now, r) })
 		if !ok {
 			break
 		}
@@ -73,7 +74,7 @@
 		waiting[r.order.Account]++
 	})
 	for _, account := range order {
-		if p.running >= p.server.Slots+extraStatements {
+		if p.running >= p.server.Slots+extraStatements || !p.ramp.Allows(now, ramp.Bound, 1) {
 			return
 		}
 		free := p.opening[account]
@@ -86,6 +87,7 @@
 			continue
 		}
 		p.opening[account]++
+		p.ramp.Send(now, 1)
 		p.countRunning(now)
 		p.conns[newServerConn(p, account)] = struct{}{}
 	}
@@ -122,10 +124,10 @@
 }
 
 // start sends a request's setup commands on a connection, or its statement if it needs no
-// setup. A rollback of a transaction with a statement in flight closes the connection,
-// which makes the server roll back.
+// setup. A rollback of a transaction with a statement in flight, or at a cold server that can take
+// no more, closes the connection, which makes the server roll back.
 func (p *Pool) start(now time.Time, sc *serverConn, r *request) {
-	if r.order.Statement.Kind == stmt.KindRollback && sc.execution != nil {
+	if r.order.Statement.Kind == stmt.KindRollback && (sc.execution != nil || !p.ramp.Allows(now, ramp.Open, 1)) {
 		p.discard(sc)
 		r.result <- stmt.Result{Answer: stmt.Answer{Code: stmt.CodeDone}}
 		return
@@ -152,9 +154,13 @@
 		p.log.LogAttrs(context.Background(), slog.LevelWarn, "setting the deadline of a connection to a server failed", slog.String("error", err.Error()))
 	}
 	if len(setup) > 0 {
+		p.ramp.Send(now, len(setup))
+		p.ramp.Reserve(len(main))
+		sc.execution.reserved = len(main)
 		p.send(sc, setup)
 		return
 	}
+	p.ramp.Send(now, len(main))
 	sc.execution.mainLeft = len(main)
 	p.send(sc, main)
 }
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -10,6 +10,7 @@
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
+	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
 	"pomelofork/core/trial"
 	"pomelofork/core/wait"
@@ -65,7 +66,9 @@
 	observe func(model.ServiceID, time.Time, model.Point)
 	latest  func(model.ServiceID) (time.Time, model.Point, bool)
 	allows  func(now time.Time, epoch uint64) bool
-	log     *slog.Logger
+	// coldRefused counts refusals of a cold server.
+	coldRefused func()
+	log         *slog.Logger
 	// disabled are the mechanisms that are switched off.
 	disabled trial.Disabled
 
@@ -91,13 +94,17 @@
 	// downSince is the time of the first failure to connect since the last success. Zero
 	// means that there was none.
 	downSince time.Time
+	// lost says that the server ended the last connection, and no other has been opened since.
+	lost bool
 	// lastAnswer is when the server last answered. It is also set when a statement is sent
 	// or a connection attempt begins while nothing is running.
 	lastAnswer time.Time
 	// confirmedAt is the latest time as of which the server is known to have been the
 	// service's primary.
 	confirmedAt time.Time
-	closed      bool
+	// ramp limits what the server gets while it is cold.
+	ramp   *ramp.Ramp
+	closed bool
 }
 
 // NewPool returns a pool without connections. It opens them when statements need them.
@@ -106,14 +113,18 @@
 	if limit == 0 {
 		limit = defaultConns
 	}
+	if c.ColdRefused == nil {
+		c.ColdRefused = func() {}
+	}
 	if c.Allows == nil {
 		c.Allows = func(time.Time, uint64) bool { return true }
 	}
 	return &Pool{
-		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, log: c.Log, disabled: c.Disabled,
+		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, coldRefused: c.ColdRefused, log: c.Log, disabled: c.Disabled,
 		limit: max(limit-max(minFreeConns, limit/freeDivisor), 1), queue: wait.NewWithPolicy[*request](c.Server.Slots, wait.Policy{
 			ArrivalOrder: c.Disabled.Has(trial.TargetOrder), AcceptAll: c.Disabled.Has(trial.EarlyRejection),
 		}),
+		ramp:  ramp.New(c.UsedUntil, c.Claim, c.Server.ColdUntil),
 		conns: map[*serverConn]struct{}{}, transactions: map[txKey]*serverConn{}, opening: map[model.AccountID]int{},
 	}
 }
@@ -188,6 +199,10 @@
 	case r.order.Statement.Kind == stmt.KindRollback:
 		p.start(now, p.transactions[r.key], r)
 		return
+	case inTransaction && !p.ramp.Permits(now, ramp.Open):
+		p.discard(p.transactions[r.key])
+		r.result <- refused(stmt.CodeAborted, notGatewayText, 0)
+		return
 	case !inTransaction && !p.mayUse(now, r.order):
 		r.result <- refused(stmt.CodeReadOnly, withdrawnText, 0)
 		return
@@ -201,6 +216,10 @@
 		r.result <- refused(stmt.CodeConnectionLost, silentText, silentAfter)
 		return
 	}
+	if after, ok := p.admitCold(now, r); !ok {
+		r.result <- p.refuseCold(after)
+		return
+	}
 	refusal, ok := p.queue.Add(now, wait.Item[*request]{
 		Value: r, Class: r.order.Class, Priority: r.order.Priority, InTransaction: inTransaction,
 		Target: now.Add(r.order.Target), Deadline: r.deadline,
@@ -234,6 +253,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.queue.Len() > 0 {
+		p.shedCold(now)
 		if !p.disabled.Has(trial.SilentServers) {
 			p.releaseReads(now)
 		}
@@ -267,11 +287,12 @@
 }
 
 // Update sets the role, the draining state and the revision that the server registered
-// last. The other fields keep their values.
+// last, and the time until which it is cold. The other fields keep their values.
 func (p *Pool) Update(server plan.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.server.Primary, p.server.Draining, p.server.Revision = server.Primary, server.Draining, server.Revision
+	p.server.ColdUntil = server.ColdUntil
 }
 
 // Idle reports whether no statement is queued or running and no transaction is open.
--- a/io/pooler/serverconn.go
+++ b/io/pooler/serverconn.go
@@ -67,6 +67,8 @@
 	main []stmt.Command
 	// mainLeft is the number of outstanding answers to main, or zero until it is sent.
 	mainLeft int
+	// reserved is the number of commands of main for which the ramp keeps room until they are sent.
+	reserved int
 	// sentAt is when main was sent, or the setup commands while they are outstanding.
 	sentAt time.Time
 	answer stmt.Answer
@@ -161,6 +163,30 @@
 	return out
 }
 
+// starts returns the number of commands that an order needs on the connection, or a few more.
+func (sc *serverConn) starts(order *stmt.Order) int {
+	count := 1
+	if order.Begin != stmt.OpPass {
+		count++
+	}
+	if order.Prove {
+		count += 2
+	}
+	if sc.matchingValues(order) < 0 {
+		count += 1 + len(order.Values)
+	} else {
+		for _, v := range order.Values {
+			if content, ok := sc.values[v.Name]; !ok || content != v.Content {
+				count++
+			}
+		}
+	}
+	if order.Statement.Kind == stmt.KindExecute {
+		count++
+	}
+	return count
+}
+
 // matchingValues returns how many of the order's session values the connection has already,
 // or -1 if it has others and needs a reset first.
 func (sc *serverConn) matchingValues(order *stmt.Order) int {
--- a/io/proxy/meter.go
+++ b/io/proxy/meter.go
@@ -26,7 +26,9 @@
 	answers  map[string]int64
 	repeated map[string]int64
 	calls    map[string]int64
-	latency  map[string]*hdrhistogram.Histogram
+	// coldRefusals counts the statements that cold servers could not take in time.
+	coldRefusals int64
+	latency      map[string]*hdrhistogram.Histogram
 }
 
 func newMeter() *meter {
@@ -54,6 +56,13 @@
 	m.repeated[fmt.Sprintf("attempts_repeated{code=%q}", code)]++
 }
 
+// ColdRefused counts a statement that a cold server couldn't take in time.
+func (m *meter) ColdRefused() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.coldRefusals++
+}
+
 // StoreCall counts a call to the store by its name and outcome.
 func (m *meter) StoreCall(call, outcome string) {
 	m.mu.Lock()
@@ -75,6 +84,7 @@
 			lines = append(lines, fmt.Sprintf("pomelofork_latency_us{route=%q,quantile=\"%g\"} %d\n", route, q, h.ValueAtQuantile(q)))
 		}
 	}
+	lines = append(lines, fmt.Sprintf("pomelofork_cold_refusals %d\n", m.coldRefusals))
 	m.mu.Unlock()
 	slices.Sort(lines)
 	for _, line := range lines {
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -14,6 +14,7 @@
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
+	"pomelofork/core/ramp"
 	"pomelofork/core/rank"
 	"pomelofork/core/reach"
 	"pomelofork/io/clock"
@@ -67,6 +68,8 @@
 	// run them.
 	transactions map[uint64]plan.Instance
 	encoded      *encodedValues
+	// cold is what this instance knows of its role as the gateway of cold servers.
+	cold coldGateways
 	// pathRetryAt is the time until which an instance that failed to reach a server isn't
 	// asked for it.
 	pathRetryAt map[serverPath]time.Time
@@ -130,7 +133,7 @@
 		},
 	})
 	n.entry = entry.New(entry.Config{
-		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Disabled: c.Disabled, Log: c.Log,
+		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, ColdServers: c.ColdLimit != (ramp.Limit{}), View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Disabled: c.Disabled, Log: c.Log,
 	})
 	close(ready)
 	n.entry.Serve(c.Callers)
@@ -171,6 +174,7 @@
 	if applied.Instances != s.ChangeCounts.Instances {
 		clear(n.holderOrder)
 	}
+	n.observeMembers(clock.Now(), s)
 	var closing []*pooler.Pool
 	if applied.Servers != s.ChangeCounts.Servers {
 		closing = n.updatePools(s)
@@ -200,12 +204,14 @@
 			closing = append(closing, pool)
 			delete(n.pools, id)
 			delete(n.holderOrder, id)
+			n.cold.poolClosed(clock.Now(), id)
 			continue
 		}
 		if server.Domain != pool.Server().Domain {
 			delete(n.holderOrder, id)
 		}
 		pool.Update(server)
+		pool.Cold(clock.Now(), n.coldClaim(clock.Now(), s, server))
 	}
 	return closing
 }
@@ -237,6 +243,7 @@
 	}
 	pool := pooler.NewPool(pooler.Config{
 		Server: server, Connections: connections, Dialer: n.config.Dialer, Observe: n.entry.Observe, Latest: n.entry.Latest, Disabled: n.config.Disabled, Log: n.config.Log,
+		Claim: n.coldClaim(clock.Now(), state, server), UsedUntil: n.cold.usedUntil[id], ColdRefused: n.meter.ColdRefused,
 		Allows: func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, server.Service, epoch) },
 	})
 	n.pools[id] = pool
@@ -248,6 +255,11 @@
 func (n *Node) holders(server plan.Server) []plan.Instance {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.holdersLocked(server)
+}
+
+// holdersLocked returns the result of holders. The caller holds the lock.
+func (n *Node) holdersLocked(server plan.Server) []plan.Instance {
 	if order, ok := n.holderOrder[server.ID]; ok {
 		return order
 	}
--- a/io/proxy/tick.go
+++ b/io/proxy/tick.go
@@ -35,6 +35,7 @@
 // instance is the one that should hold its server's connections.
 func (n *Node) tickPools(now time.Time) {
 	n.endorseInUse(now)
+	n.updateClaims(now)
 	for _, pool := range n.openPools() {
 		order := n.holders(pool.Server())
 		pool.Tick(now, len(order) == 0 || order[0].ID == n.config.Self.ID)
--- a/io/view/evacuations.go
+++ b/io/view/evacuations.go
@@ -88,16 +88,3 @@
 	}
 	return n
 }
-
-// coldUntil returns the time until which a server is cold, from its present entry and the former one.
-// An entry that is read again says nothing new.
-func coldUntil(now time.Time, server, former plan.Server) time.Time {
-	switch {
-	case server.ColdFor <= 0:
-		return time.Time{}
-	case former.ID != "" && former.Report == server.Report:
-		return former.ColdUntil
-	default:
-		return now.Add(server.ColdFor)
-	}
-}
--- a/io/view/restore.go
+++ b/io/view/restore.go
@@ -53,6 +53,8 @@
 type goneServer struct {
 	report plan.Report
 	at     time.Time
+	// coldUntil is the time until which the server was cold.
+	coldUntil time.Time
 }
 
 // Era returns the era of the store's history that the state belongs to.
@@ -156,7 +158,7 @@
 	if v.restore.gone == nil {
 		v.restore.gone = map[model.ServerID]goneServer{}
 	}
-	v.restore.gone[server.ID] = goneServer{server.Report, now}
+	v.restore.gone[server.ID] = goneServer{server.Report, now, server.ColdUntil}
 }
 
 // isOutdated reports whether the entry of a server in a restored store is older than what was known
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -265,7 +265,7 @@
 			server.DrainingSince = now
 		}
 		server.EvacuatedSince = b.next.Evacuations[server.Domain].Since
-		server.ColdUntil = coldUntil(now, server, b.next.Servers[id])
+		server.ColdUntil = v.coldUntil(ctx, b, server)
 		if previous, ok := b.next.Servers[id]; !ok || previous.Draining != server.Draining || previous.ReportsPrimary != server.ReportsPrimary || previous.Address != server.Address {
 			v.logChange(ctx, b, "server changed", slog.String("server", string(id)), slog.String("service", string(server.Service)),
 				slog.Bool("reports_primary", server.ReportsPrimary), slog.Bool("draining", server.Draining), slog.Uint64("revision", e.Revision))
