--- a/core/plan/server.go
+++ b/core/plan/server.go
@@ -35,7 +35,8 @@
 	// DrainingSince is the time at which this process learned that the server is
 	// draining.
 	DrainingSince time.Time
-	// ColdFor is the remaining time for which the server is cold, as of its registration.
+	// ColdFor is the remaining time for which the server is cold, as of its registration. A negative
+	// time stands for an invalid one.
 	ColdFor time.Duration
 	// ColdUntil is the time until which this process takes the server as cold. Zero means that it
 	// isn't cold.
--- a/io/view/cold.go
+++ b/io/view/cold.go
@@ -28,20 +28,23 @@
 }
 
 // coldEnd computes the result of coldUntil. An entry that is read again says nothing new. A process
-// that started after the known one is cold even if its entry doesn't say so.
+// that started after the known one is cold even if its entry doesn't say so, and so is one that isn't
+// known and whose entry says something invalid.
 func coldEnd(now time.Time, server, former plan.Server, known bool, start plan.ColdStart) time.Time {
 	var stated time.Time
 	if server.ColdFor > 0 {
 		stated = now.Add(server.ColdFor)
 	}
+	started := !known && server.ColdFor < 0
+	if known {
+		started = former.Report.StartedAt.Before(server.Report.StartedAt)
+	}
 	switch {
-	case !known:
-		return stated
-	case former.Report == server.Report:
+	case known && former.Report == server.Report:
 		return former.ColdUntil
-	case former.Report.StartedAt.Before(server.Report.StartedAt) && start.Stated() && start.Duration > server.ColdFor:
+	case started && start.Stated() && start.Duration > server.ColdFor:
 		return now.Add(start.Duration)
-	case stated.Before(former.ColdUntil):
+	case known && !started && stated.Before(former.ColdUntil):
 		return former.ColdUntil
 	default:
 		return stated
--- a/io/view/cold_test.go
+++ b/io/view/cold_test.go
@@ -23,14 +23,16 @@
 		start     plan.ColdStart
 		wantAfter time.Duration
 	}{
-		"follows the entry of a new server":                      {report(10, 1), 3 * time.Second, plan.Server{}, true, start, 3 * time.Second},
-		"is none for a new server whose entry says nothing":      {report(10, 1), 0, plan.Server{}, true, start, 0},
-		"isn't moved by an entry that is read again":             {report(10, 1), 3 * time.Second, plan.Server{Report: report(10, 1), ColdUntil: now.Add(time.Second)}, false, start, time.Second},
-		"stays if a later entry says nothing":                    {report(10, 2), 0, plan.Server{Report: report(10, 1), ColdUntil: now.Add(time.Second)}, false, start, time.Second},
-		"is extended by a later entry":                           {report(10, 2), 4 * time.Second, plan.Server{Report: report(10, 1), ColdUntil: now.Add(time.Second)}, false, start, 4 * time.Second},
-		"is that of a start for a process that was started anew": {report(20, 1), 0, plan.Server{Report: report(10, 9)}, false, start, 8 * time.Second},
-		"is the later one of start and entry":                    {report(20, 1), 9 * time.Second, plan.Server{Report: report(10, 9)}, false, start, 9 * time.Second},
-		"isn't assumed if the configuration states no rate":      {report(20, 1), 0, plan.Server{Report: report(10, 9)}, false, plan.ColdStart{}, 0},
+		"follows the entry of a new server":                         {report(10, 1), 3 * time.Second, plan.Server{}, true, start, 3 * time.Second},
+		"is none for a new server whose entry says nothing":         {report(10, 1), 0, plan.Server{}, true, start, 0},
+		"isn't moved by an entry that is read again":                {report(10, 1), 3 * time.Second, plan.Server{Report: report(10, 1), ColdUntil: now.Add(time.Second)}, false, start, time.Second},
+		"stays if a later entry says nothing":                       {report(10, 2), 0, plan.Server{Report: report(10, 1), ColdUntil: now.Add(time.Second)}, false, start, time.Second},
+		"is extended by a later entry":                              {report(10, 2), 4 * time.Second, plan.Server{Report: report(10, 1), ColdUntil: now.Add(time.Second)}, false, start, 4 * time.Second},
+		"is that of a start for a process that was started anew":    {report(20, 1), 0, plan.Server{Report: report(10, 9)}, false, start, 8 * time.Second},
+		"is the later one of start and entry":                       {report(20, 1), 9 * time.Second, plan.Server{Report: report(10, 9)}, false, start, 9 * time.Second},
+		"is that of a start for a new server with an invalid entry": {report(10, 1), -1, plan.Server{}, true, start, 8 * time.Second},
+		"stays if a later entry is invalid":                         {report(10, 2), -1, plan.Server{Report: report(10, 1), ColdUntil: now.Add(time.Second)}, false, start, time.Second},
+		"isn't assumed if the configuration states no rate":         {report(20, 1), 0, plan.Server{Report: report(10, 9)}, false, plan.ColdStart{}, 0},
 	} {
 		It(name, func() {
 			server := plan.Server{Report: c.report, ColdFor: c.coldFor}
