core/home: keep statements in the regions of their route and account

Cause: a statement whose route or account is restricted to some regions was placed like any other.

Change: the entry computes the homes of each statement from the configuration in force and passes over servers elsewhere, io/proxy passes over gateways elsewhere, and a gateway refuses an order that it or its server may not run. A transaction whose server or gateway is no longer at home is rolled back and its caller gets ABORTED. The code of a moved server no longer reaches a caller within a transaction. Homes to which no failure domain belongs are logged once for each version of the configuration.

--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pomelofork/core/model"
@@ -129,6 +131,23 @@
 	return a, ok
 }
 
+// Homes returns the regions to which a route or an account is restricted, each once and in order.
+func (p *Plan) Homes() []model.Region {
+	found := map[model.Region]bool{}
+	add := func(homes []model.Region) {
+		for _, region := range homes {
+			found[region] = true
+		}
+	}
+	for _, r := range p.contents.Routes {
+		add(r.Homes)
+	}
+	for _, a := range p.contents.Accounts {
+		add(a.Homes)
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
 // Accounts returns the number of client accounts.
 func (p *Plan) Accounts() int { return len(p.contents.Accounts) }
 
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -25,6 +25,12 @@
 			break
 		}
 		chosen, ok := a.chooseServer(now)
+		if !ok && a.homeless() {
+			if !a.sent {
+				last = refuseHomeless()
+			}
+			break
+		}
 		if !ok {
 			if a.coldForLong(now) || !a.awaitServer(now) {
 				if a.retryAfter > 0 {
@@ -124,7 +130,7 @@
 	e.mu.Lock()
 	for _, server := range e.config.View.State().Services[a.route.Service] {
 		id := server.ID
-		if a.excluded[id] {
+		if a.excluded[id] || !e.config.Homes.Allows(a.order.Homes, server.Domain) {
 			continue
 		}
 		if server.Draining && now.Sub(server.DrainingSince) > drainingGrace {
--- a/io/entry/cold.go
+++ b/io/entry/cold.go
@@ -50,7 +50,7 @@
 // coldForLong reports whether a read is to be refused at once, because there are only cold servers and
 // none takes it for longer than it may wait for a server. It sets when to retry.
 func (a *attempts) coldForLong(now time.Time) bool {
-	if a.passedOver.IsZero() || !a.passedOver.After(a.received.Add(min(a.route.TargetLatency/holdDivisor, a.route.Timeout))) {
+	if a.sent || a.passedOver.IsZero() || !a.passedOver.After(a.received.Add(min(a.route.TargetLatency/holdDivisor, a.route.Timeout))) {
 		return false
 	}
 	a.retryAfter = a.passedOver.Sub(now)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pomelofork/core/fresh"
+	"pomelofork/core/home"
 	"pomelofork/core/model"
 	"pomelofork/core/trial"
 	"pomelofork/io/view"
@@ -35,6 +36,8 @@
 	Codec func(net.Conn) Caller
 	// ColdServers says that servers which have just started are limited in what they may get.
 	ColdServers bool
+	// Homes tells which servers may run the statements of routes and accounts with homes.
+	Homes home.Map
 	// Disabled are the mechanisms that are switched off.
 	Disabled trial.Disabled
 	// Meter counts answers and retries.
--- a/io/entry/in_transaction.go
+++ b/io/entry/in_transaction.go
@@ -55,6 +55,9 @@
 	a := s.newAttempts(now, tx.admission, statement)
 	a.order.Unit = tx.unit
 	var result stmt.Result
+	if tx.begun && !s.atHome(tx.server, a.order.Homes) {
+		return s.abortTransaction(statement, "server of the transaction is not in an allowed region")
+	}
 	if tx.begun {
 		a.order.Server = tx.server.ID
 		a.order.Target, a.order.Timeout = tx.route.TargetLatency, tx.route.Timeout
@@ -111,7 +114,7 @@
 	}
 	tx.failed = true
 	answer.State = stmt.StateFailed
-	if answer.Code == stmt.CodeConnectionLost || answer.Code == stmt.CodeReadOnly {
+	if answer.Code == stmt.CodeConnectionLost || answer.Code == stmt.CodeReadOnly || answer.Code == stmt.CodeMoved {
 		answer = stmt.Refuse(stmt.CodeAborted, stmt.StateFailed, answer.Text)
 	}
 	return answer
--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -206,7 +206,7 @@
 	a := &attempts{session: s, admission: admitted, received: now, excluded: map[model.ServerID]bool{}}
 	a.order = stmt.Order{
 		Entry: s.entry.config.RunID, Begin: stmt.OpPass, Account: admitted.account, Class: admitted.route.Name, Priority: s.entry.priority(admitted.route),
-		Values: s.values, Statement: statement,
+		Values: s.values, Statement: statement, Homes: s.homes(admitted),
 	}
 	if statement.Kind == stmt.KindExecute {
 		a.order.Prepared = s.prepared[statement.Name]
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -26,6 +26,9 @@
 		if !ok {
 			return stmt.Result{Answer: stmt.Refuse(stmt.CodeAborted, stmt.StateIdle, "transaction is gone"), NotSent: true}
 		}
+		if !n.mayHaveText(order, instance) {
+			return stmt.Result{Answer: stmt.Refuse(stmt.CodeAborted, stmt.StateIdle, awayText), NotSent: true}
+		}
 		result, _ := n.runAt(now, instance, order)
 		n.forgetTransaction(order, result)
 		return result
@@ -35,6 +38,7 @@
 	if order.NeedsPrimary() {
 		holders = primaryHolders(holders)
 	}
+	holders = n.homeHolders(order, holders)
 	for _, inst := range holders {
 		if (inst.ID != n.config.Self.ID && !n.peer(inst).Reachable(now)) || n.pathFailedRecently(now, inst, server.ID) {
 			continue
@@ -60,6 +64,9 @@
 		result = got
 	}
 	// All instances were passed over, so this one tries to run the order itself.
+	if tried == 0 && !n.isHome(order) {
+		return refuseAway()
+	}
 	if tried == 0 {
 		result, _ = n.runAt(now, n.config.Self, order)
 		n.recordTransaction(order, n.config.Self, result)
@@ -138,6 +145,9 @@
 	if pool == nil {
 		return stmt.Result{Answer: stmt.Refuse(stmt.CodeMoved, stmt.StateIdle, "server not known"), NotSent: true}
 	}
+	if !n.homes().Allows(order.Homes, n.serverDomain(pool)) {
+		return refuseAway()
+	}
 	if order.NeedsPrimary() && !n.mayHoldPrimary(now, pool.Server()) {
 		// The next instance in the order of holders may.
 		return stmt.Result{Answer: stmt.Refuse(stmt.CodeConnectionLost, stmt.StateIdle, "instance may not use the primary"), NotSent: true}
@@ -206,6 +216,10 @@
 
 // Run implements relay.Handler.
 func (h *handler) Run(args *relay.RunRequest, result *relay.RunResponse) error {
+	if !h.node.isHome(&args.Order) {
+		result.Result = refuseAway()
+		return nil
+	}
 	result.Result = h.node.runLocally(clock.Now(), &args.Order)
 	return nil
 }
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"pomelofork/core/home"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
@@ -70,6 +71,8 @@
 	encoded      *encodedValues
 	// cold is what this instance knows of its role as the gateway of cold servers.
 	cold coldGateways
+	// homesLogged is the version of the configuration whose homes were last checked.
+	homesLogged uint64
 	// pathRetryAt is the time until which an instance that failed to reach a server isn't
 	// asked for it.
 	pathRetryAt map[serverPath]time.Time
@@ -133,7 +136,7 @@
 		},
 	})
 	n.entry = entry.New(entry.Config{
-		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, ColdServers: c.ColdLimit != (ramp.Limit{}), View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Disabled: c.Disabled, Log: c.Log,
+		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, ColdServers: c.ColdLimit != (ramp.Limit{}), Homes: home.NewMap(c.Regions), View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Disabled: c.Disabled, Log: c.Log,
 	})
 	close(ready)
 	n.entry.Serve(c.Callers)
@@ -175,6 +178,7 @@
 		clear(n.holderOrder)
 	}
 	n.observeMembers(clock.Now(), s)
+	n.logUnmatchedHomes(s)
 	var closing []*pooler.Pool
 	if applied.Servers != s.ChangeCounts.Servers {
 		closing = n.updatePools(s)
