core/ramp: a server that is only presumed to be cold may be used by any instance

Cause: for a second after a server was lost and answered again, an instance that wasn't its settled gateway sent it nothing, and ended transactions, although most lost servers were only unreachable.

Change: the limit applies in that second, the rule of the gateway doesn't.

--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -72,8 +72,13 @@
 }
 
 // Returned records that the server answers again after all connections to it were lost. Its process
-// may have been started anew.
-func (r *Ramp) Returned(now time.Time) { r.presumedUntil = now.Add(presumption) }
+// may have been started anew. As long as that isn't known, the limit applies, but any instance may use
+// it: most servers that were lost were only unreachable.
+func (r *Ramp) Returned(now time.Time) {
+	if r.claim.counts() {
+		r.presumedUntil = now.Add(presumption)
+	}
+}
 
 // Cold reports whether a limit applies.
 func (r *Ramp) Cold(now time.Time) bool { return r.claim.Limited && now.Before(r.end()) }
@@ -94,9 +99,12 @@
 	if r.claim.Max == 0 {
 		return work != Movable
 	}
-	return r.claim.permits(now)
+	return !r.known(now) || r.claim.permits(now)
 }
 
+// known reports whether the server is cold by its entry, and not only presumed to be.
+func (r *Ramp) known(now time.Time) bool { return now.Before(r.coldUntil) }
+
 // Allows reports whether work with the given number of starts may be sent now.
 func (r *Ramp) Allows(now time.Time, work Work, starts int) bool {
 	return r.Permits(now, work) && r.room(now) >= r.needed(work, starts)
@@ -135,7 +143,7 @@
 	if work == Movable {
 		patience /= movableDivisor
 	}
-	if !r.claim.gateway(now) {
+	if r.known(now) && !r.claim.gateway(now) {
 		return elsewhereRetry, false
 	}
 	wait := r.wait(now, queued, r.needed(work, starts))
@@ -144,7 +152,7 @@
 
 // wait returns the time until the needed room is there, after the queued starts.
 func (r *Ramp) wait(now time.Time, queued, needed int) time.Duration {
-	if settled := r.claim.settledAt(); now.Before(settled) {
+	if settled := r.claim.settledAt(); r.known(now) && now.Before(settled) {
 		return settled.Sub(now)
 	}
 	r.forget(now)
--- a/core/ramp/ramp_test.go
+++ b/core/ramp/ramp_test.go
@@ -82,6 +82,17 @@
 		Expect(r.Allows(at(1100), ramp.Bound, 1)).To(BeTrue())
 	})
 
+	It("limits a server that was lost and answers again, at any instance, until its entry can say more", func() {
+		r := ramp.New(time.Time{}, ramp.Claim{Limited: true, Max: 10}, time.Time{})
+		r.Returned(start)
+		Expect(r.Allows(start, ramp.Movable, 3)).To(BeTrue())
+		r.Send(start, 10)
+		Expect(r.Allows(at(10), ramp.Open, 1)).To(BeFalse())
+		Expect(r.Allows(at(1000), ramp.Open, 1)).To(BeTrue())
+		r.Update(at(10), ramp.Claim{Limited: true, Max: 10}, at(5000))
+		Expect(r.Permits(at(1000), ramp.Open)).To(BeFalse(), "its entry says that it is cold, and this instance isn't the gateway")
+	})
+
 	It("assumes that the limit was used up by a pool before it, or before there was a limit", func() {
 		Expect(ramp.New(at(-500), gateway(start, 10), at(9000)).Allows(start, ramp.Open, 1)).To(BeFalse())
 		r := ramp.New(time.Time{}, ramp.Claim{}, at(9000))
