Keep statements away from the servers of an evacuated failure domain

Cause: an operator who evacuates a failure domain had no effect on placement, gateways and rights. An evacuation that the restored copy of the store lacked stayed in force for good, since nothing ended it once the restore was settled, and the domain of servers in the same listing was reported as unknown.

Change: entries send a falling share of the reads there and nothing after half of the bound; gateways then refuse new statements and close their connections, answered commits excepted; evacuated domains are not preferred for rights; the view ends evacuations that nobody has written again after a restore. Without a bound, evacuations are passed over with a log line.

--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -54,6 +54,11 @@
 	// VacancyTakeover counts the time without a primary from its loss when another instance takes
 	// over the monitoring.
 	VacancyTakeover Switch = "vacancy_takeover"
+	// EvacuationSteps moves the reads of an evacuated failure domain in steps, instead of at once.
+	EvacuationSteps Switch = "evacuation_steps"
+	// EvacuationPace replaces the primaries of an evacuated failure domain one by one, instead of all
+	// at once.
+	EvacuationPace Switch = "evacuation_pace"
 )
 
 // All returns all switches in a fixed order.
@@ -61,6 +66,7 @@
 	return []Switch{
 		ReturnedTokens, PrefetchedTokens, TokenWait, SharedIssuers, RestartTokens, KeptRights, PromotionWait, EarlyRejection, TargetOrder, Priority,
 		ReadRetry, SilentServers, DomainPlacement, WaitPlacement, LatencyPlacement, Followers, Isolation, WithdrawalAnswers, VacancyTakeover,
+		EvacuationSteps, EvacuationPace,
 	}
 }
 
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -109,15 +109,16 @@
 		required.After = point
 		a.order.After = point
 	}
-	if server, ok := a.bestCandidate(now, required, false); ok {
-		return server, true
+	for _, s := range a.session.entry.scopes(a.route.Service) {
+		if server, ok := a.bestCandidate(now, required, s); ok {
+			return server, true
+		}
 	}
-	return a.bestCandidate(now, required, true)
+	return plan.Server{}, false
 }
 
-// bestCandidate chooses among the servers that have not been tried, with or without
-// those that are suspected of having failed.
-func (a *attempts) bestCandidate(now time.Time, required place.Requirement, withSuspected bool) (plan.Server, bool) {
+// bestCandidate chooses among the servers that have not been tried and belong to the scope.
+func (a *attempts) bestCandidate(now time.Time, required place.Requirement, s scope) (plan.Server, bool) {
 	e := a.session.entry
 	var candidates []place.Candidate
 	e.mu.Lock()
@@ -129,8 +130,11 @@
 		if server.Draining && now.Sub(server.DrainingSince) > drainingGrace {
 			continue
 		}
+		if !e.mayPlace(now, required, server, s) {
+			continue
+		}
 		stats := e.stats(id)
-		if !withSuspected && now.Before(stats.suspectUntil) {
+		if !s.withSuspected && now.Before(stats.suspectUntil) {
 			continue
 		}
 		candidates = append(candidates, place.Candidate{
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"pomelofork/core/evac"
 	"pomelofork/core/fresh"
 	"pomelofork/core/model"
 	"pomelofork/core/trial"
@@ -33,6 +34,8 @@
 	Fleet Fleet
 	// Codec returns the Caller that speaks the platform's protocol on a new connection.
 	Codec func(net.Conn) Caller
+	// Evacuation says what may be sent to servers in evacuated failure domains.
+	Evacuation evac.Policy
 	// Disabled are the mechanisms that are switched off.
 	Disabled trial.Disabled
 	// Meter counts answers and retries.
@@ -45,6 +48,8 @@
 type Entry struct {
 	config   Config
 	lastUnit atomic.Uint64
+	// placed numbers the choices of a server while a failure domain is being evacuated.
+	placed atomic.Uint64
 
 	mu            sync.Mutex
 	sessions      map[*session]struct{}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"pomelofork/core/evac"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
@@ -48,7 +49,8 @@
 		}}
 		conns = make(chan net.Conn)
 		e = entry.New(entry.Config{
-			RunID: 3, KeyLife: time.Second, View: v, Fleet: f, Meter: discardMeter{}, Log: slog.New(slog.DiscardHandler),
+			Evacuation: evac.Policy{Bound: time.Hour},
+			RunID:      3, KeyLife: time.Second, View: v, Fleet: f, Meter: discardMeter{}, Log: slog.New(slog.DiscardHandler),
 			Codec: func(c net.Conn) entry.Caller { return c.(callerConn).caller },
 		})
 		e.Serve(&fakeListener{conns})
@@ -230,6 +232,86 @@
 		})
 	}
 
+	// evacuate sets for how long the failure domains of the two servers have been evacuated. Zero
+	// means that they aren't. The bound is an hour, so that a phase outlasts the test.
+	evacuate := func(p, r time.Duration) {
+		servers := []plan.Server{{ID: "p", Service: "s", Primary: true, Slots: 2}, {ID: "r", Service: "s", Slots: 2}}
+		for i, elapsed := range []time.Duration{p, r} {
+			if elapsed > 0 {
+				servers[i].EvacuatedSince = clock.Now().Add(-elapsed)
+			}
+		}
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.state.Services = map[model.ServiceID][]plan.Server{"s": servers}
+		v.state.Servers = map[model.ServerID]plan.Server{"p": servers[0], "r": servers[1]}
+	}
+	const emptying, closed = 20 * time.Minute, 40 * time.Minute
+
+	for name, c := range map[string]struct {
+		p, r  time.Duration
+		write bool
+		want  model.ServerID
+		text  string
+	}{
+		"a read leaves an evacuated replica":                             {0, emptying, false, "p", ""},
+		"a read stays if no other server can run it":                     {closed, emptying, false, "r", ""},
+		"no read goes to a closed replica":                               {0, closed, false, "p", ""},
+		"a write goes to an evacuated primary":                           {emptying, 0, true, "p", ""},
+		"no write goes to a closed primary":                              {closed, 0, true, "", "no server"},
+		"a read is refused at once if all are evacuated":                 {closed, closed, false, "", "retry in 1001 ms"},
+		"a write is refused at once, with a time, if all are evacuated":  {closed, closed, true, "", "retry in 1001 ms"},
+		"a write goes to a primary in a domain while all are evacuating": {emptying, emptying, true, "p", ""},
+	} {
+		It("places statements by the evacuation of failure domains: "+name, func() {
+			e.Observe("s", clock.Now(), model.NewPoint(1, 2))
+			evacuate(c.p, c.r)
+			caller := connect("bounded")
+			answer := caller.ask("READ x", stmt.KindRead)
+			if c.write {
+				answer = caller.ask("WRITE x 1", stmt.KindWrite)
+			}
+			if c.want == "" {
+				Expect(answer.Code).To(Equal(stmt.CodeBusy))
+				Expect(answer.Text).To(ContainSubstring(c.text))
+				return
+			}
+			Expect(answer.Code).To(Equal(stmt.CodeDone))
+			orders := f.sent()
+			Expect(orders[len(orders)-1].Server).To(Equal(c.want))
+		})
+	}
+
+	It("sends a share of the reads to an evacuated replica at first", func() {
+		e.Observe("s", clock.Now(), model.NewPoint(1, 2))
+		caller, stayed := connect("bounded"), 0
+		// The replica is preferred from its first answer on.
+		caller.ask("READ x", stmt.KindRead)
+		evacuate(0, 5*time.Minute)
+		for range 32 {
+			Expect(caller.ask("READ x", stmt.KindRead).Code).To(Equal(stmt.CodeDone))
+		}
+		for _, order := range f.sent() {
+			if order.Server == "r" {
+				stayed++
+			}
+		}
+		// In the second of four steps, half of the reads stay.
+		Expect(stayed).To(BeNumerically("~", 16, 2))
+	})
+
+	for _, kind := range []stmt.Kind{stmt.KindWrite, stmt.KindCommit} {
+		It("rolls back a transaction at a closed server, which the caller learns with its next statement: "+kind.String(), func() {
+			caller := connect("latest")
+			caller.ask("BEGIN", stmt.KindBegin)
+			Expect(caller.ask("WRITE x 1", stmt.KindWrite).Code).To(Equal(stmt.CodeDone))
+			evacuate(closed, 0)
+			Expect(caller.ask("next", kind).Code).To(Equal(stmt.CodeAborted))
+			Eventually(func() int { return len(f.sent()) }).WithTimeout(waitTimeout).Should(Equal(2))
+			Expect(f.sent()[1].Statement.Kind).To(Equal(stmt.KindRollback))
+		})
+	}
+
 	Context("in a transaction", func() {
 		It("begins on a server with its first statement and stays there", func() {
 			c := connect("latest")
--- a/io/entry/hold.go
+++ b/io/entry/hold.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pomelofork/core/evac"
 	"pomelofork/core/hold"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
@@ -60,7 +61,15 @@
 func (a *attempts) awaitServer(now time.Time) bool {
 	e := a.session.entry
 	state := e.config.View.State()
+	servers := state.Services[a.route.Service]
+	if e.allClosed(now, servers) {
+		a.retryAfter = evac.ReturnAfter
+		return false
+	}
 	vacancy, vacant := state.Vacancies[a.route.Service]
+	if since, closed := e.primaryClosed(now, servers); !vacant && closed && a.primary {
+		vacancy, vacant = view.Vacancy{Since: since}, true
+	}
 	if !vacant || e.config.Disabled.Has(trial.PromotionWait) {
 		if now.After(a.received.Add(min(a.route.TargetLatency/holdDivisor, a.route.Timeout))) {
 			return false
@@ -68,7 +77,7 @@
 		time.Sleep(serverRetryPause)
 		return true
 	}
-	request := hold.Request{Received: a.received, Timeout: a.route.Timeout, Slots: slots(state.Services[a.route.Service]), Instances: len(state.Instances)}
+	request := hold.Request{Received: a.received, Timeout: a.route.Timeout, Slots: slots(servers), Instances: len(state.Instances)}
 	e.mu.Lock()
 	g := e.gap(a.route.Service)
 	end := g.forecast.End(now, gapOf(vacancy))
--- a/io/entry/in_transaction.go
+++ b/io/entry/in_transaction.go
@@ -52,6 +52,9 @@
 			return stmt.Refuse(stmt.CodeUnauthorized, stmt.StateIdle, "key was withdrawn")
 		}
 	}
+	if tx.begun && s.transactionClosed(now, tx.server.ID) {
+		return s.abortTransaction(statement, evacuatedText)
+	}
 	a := s.newAttempts(now, tx.admission, statement)
 	a.order.Unit = tx.unit
 	var result stmt.Result
--- a/io/pooler/config.go
+++ b/io/pooler/config.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"pomelofork/core/evac"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/trial"
@@ -30,6 +31,8 @@
 	// may be sent to the server, and whether its answer may be passed on. The pool's lock is
 	// held. Nil allows all.
 	Allows func(now time.Time, epoch uint64) bool
+	// Evacuation says what may be sent to the server while its failure domain is evacuated.
+	Evacuation evac.Policy
 	// Log records rejected statements and failures of connections.
 	Log *slog.Logger
 }
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -29,7 +29,7 @@
 		p.dispatch(now)
 		return false
 	}
-	if p.closed || sc.closed {
+	if p.updateEvacuated(now); p.closed || sc.closed || p.evacuated {
 		delete(p.conns, sc)
 		closeConn(conn)
 		return false
@@ -112,6 +112,8 @@
 		case e.setupLeft > 0:
 		case e.setupError != nil:
 			p.finish(now, sc, e, answer)
+		case p.updateEvacuated(now):
+			// The connection is closed, whose reader ends the execution.
 		default:
 			e.mainLeft = len(e.main)
 			e.sentAt = now
@@ -133,6 +135,7 @@
 	sc.execution = nil
 	sc.idleFrom = now
 	p.running--
+	p.updateEvacuated(now)
 	order := e.request.order
 	result := stmt.Result{Answer: e.answer}
 	if e.setupError != nil {
@@ -157,6 +160,8 @@
 	}
 	switch {
 	case sc.closed:
+	case p.evacuated:
+		p.discard(sc)
 	case last.State == stmt.StateIdle:
 		p.endTransaction(sc)
 	case order.Unit == 0:
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -12,6 +12,7 @@
 // dispatch rejects the queued requests that can't be served in time, starts those that can
 // run now, and opens connections for the others.
 func (p *Pool) dispatch(now time.Time) {
+	p.updateEvacuated(now)
 	for _, item := range p.queue.RemoveUnservable(now) {
 		item.Value.result <- refused(stmt.CodeBusy, "no free slot in time", p.queue.EstimateWait(p.running))
 	}
@@ -58,7 +59,7 @@
 // an account waits for connections that it has outside of transactions, if these are as
 // many as its queued statements or the server's slots.
 func (p *Pool) openConns(now time.Time) {
-	if now.Before(p.nextOpen) || p.running >= p.server.Slots+extraStatements {
+	if p.evacuated || now.Before(p.nextOpen) || p.running >= p.server.Slots+extraStatements {
 		return
 	}
 	waiting := map[model.AccountID]int{}
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"pomelofork/core/evac"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/stmt"
@@ -66,6 +67,8 @@
 	latest  func(model.ServiceID) (time.Time, model.Point, bool)
 	allows  func(now time.Time, epoch uint64) bool
 	log     *slog.Logger
+	// evacuation says what may be sent while the server's failure domain is evacuated.
+	evacuation evac.Policy
 	// disabled are the mechanisms that are switched off.
 	disabled trial.Disabled
 
@@ -98,6 +101,8 @@
 	// service's primary.
 	confirmedAt time.Time
 	closed      bool
+	// evacuated says that nothing is sent because the failure domain is evacuated.
+	evacuated bool
 }
 
 // NewPool returns a pool without connections. It opens them when statements need them.
@@ -110,7 +115,7 @@
 		c.Allows = func(time.Time, uint64) bool { return true }
 	}
 	return &Pool{
-		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, log: c.Log, disabled: c.Disabled,
+		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, evacuation: c.Evacuation, log: c.Log, disabled: c.Disabled,
 		limit: max(limit-max(minFreeConns, limit/freeDivisor), 1), queue: wait.NewWithPolicy[*request](c.Server.Slots, wait.Policy{
 			ArrivalOrder: c.Disabled.Has(trial.TargetOrder), AcceptAll: c.Disabled.Has(trial.EarlyRejection),
 		}),
@@ -174,6 +179,7 @@
 // enqueue adds a request to the queue, or answers it at once if it can't be served. The
 // rollback of a transaction doesn't wait.
 func (p *Pool) enqueue(now time.Time, r *request) {
+	p.updateEvacuated(now)
 	inTransaction := r.continuesTransaction()
 	switch {
 	case p.closed:
@@ -182,9 +188,16 @@
 	case inTransaction && p.transactions[r.key] == nil:
 		r.result <- refused(stmt.CodeAborted, "transaction is gone", 0)
 		return
+	case p.evacuated && r.order.Statement.Kind != stmt.KindRollback:
+		r.result <- p.refuseEvacuated(r)
+		return
 	case r.order.Statement.Kind == stmt.KindRollback && p.transactions[r.key] == nil:
 		r.result <- stmt.Result{Answer: stmt.Answer{Code: stmt.CodeDone}}
 		return
+	case r.order.Statement.Kind == stmt.KindRollback && p.evacuated:
+		p.discard(p.transactions[r.key])
+		r.result <- stmt.Result{Answer: stmt.Answer{Code: stmt.CodeDone}}
+		return
 	case r.order.Statement.Kind == stmt.KindRollback:
 		p.start(now, p.transactions[r.key], r)
 		return
@@ -233,6 +246,7 @@
 func (p *Pool) Tick(now time.Time, holder bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.updateEvacuated(now)
 	if p.queue.Len() > 0 {
 		if !p.disabled.Has(trial.SilentServers) {
 			p.releaseReads(now)
@@ -267,11 +281,11 @@
 }
 
 // Update sets the role, the draining state and the revision that the server registered
-// last. The other fields keep their values.
+// last, and since when its failure domain is evacuated. The other fields keep their values.
 func (p *Pool) Update(server plan.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.server.Primary, p.server.Draining, p.server.Revision = server.Primary, server.Draining, server.Revision
+	p.server.Primary, p.server.Draining, p.server.Revision, p.server.EvacuatedSince = server.Primary, server.Draining, server.Revision, server.EvacuatedSince
 }
 
 // Idle reports whether no statement is queued or running and no transaction is open.
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -106,6 +106,7 @@
 func Start(ctx context.Context, c Config) (*Node, error) {
 	meter := newMeter()
 	c.Table = store.Metered{Table: c.Table, Count: meter.StoreCall}
+	c.Decoder = c.evacuationDecoder()
 	n := &Node{
 		config: c, startedAt: clock.Now(), meter: meter, pools: map[model.ServerID]*pooler.Pool{}, peers: map[string]*relay.Peer{},
 		holderOrder: map[model.ServerID][]plan.Instance{}, monitors: map[model.ServiceID]context.CancelFunc{}, buckets: map[issuerKey]*bucket{}, issuers: map[model.AccountID]*quota.IssuerStatus{},
@@ -130,7 +131,7 @@
 		},
 	})
 	n.entry = entry.New(entry.Config{
-		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Disabled: c.Disabled, Log: c.Log,
+		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Evacuation: c.evacuation(), Disabled: c.Disabled, Log: c.Log,
 	})
 	close(ready)
 	n.entry.Serve(c.Callers)
@@ -236,7 +237,7 @@
 		connections = state.Plan.Connections(server.Service)
 	}
 	pool := pooler.NewPool(pooler.Config{
-		Server: server, Connections: connections, Dialer: n.config.Dialer, Observe: n.entry.Observe, Latest: n.entry.Latest, Disabled: n.config.Disabled, Log: n.config.Log,
+		Server: server, Connections: connections, Dialer: n.config.Dialer, Observe: n.entry.Observe, Latest: n.entry.Latest, Evacuation: n.config.evacuation(), Disabled: n.config.Disabled, Log: n.config.Log,
 		Allows: func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, server.Service, epoch) },
 	})
 	n.pools[id] = pool
--- a/io/proxy/primary.go
+++ b/io/proxy/primary.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pomelofork/core/epoch"
+	"pomelofork/core/evac"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/stmt"
@@ -114,7 +115,7 @@
 	if pool := n.pool(id); pool != nil {
 		at = pool.ConfirmedAt()
 	}
-	if !probe || now.Sub(at) < recentConfirmation {
+	if !probe || now.Sub(at) < recentConfirmation || n.config.evacuation().Phase(now, server.EvacuatedSince) >= evac.PhaseSealed {
 		return at
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 
@@ -179,4 +181,39 @@
 		Expect(domains[monitorRight("s")]).To(Equal(model.Domain("b")))
 		Expect(domains[monitorRight("alone")]).To(Equal(model.Domain("d")))
 	})
+
+	for name, c := range map[string]struct {
+		evacuated, issuers []model.Domain
+		monitor            model.Domain
+	}{
+		"a replica's":       {[]model.Domain{"b"}, []model.Domain{"a", "c"}, "c"},
+		"the primary's":     {[]model.Domain{"a"}, []model.Domain{"b", "c"}, "b"},
+		"those of replicas": {[]model.Domain{"b", "c"}, []model.Domain{"a"}, "a"},
+		"all":               {[]model.Domain{"a", "b", "c"}, []model.Domain{"a", "b", "c"}, "b"},
+		"an unknown one":    {[]model.Domain{"x"}, []model.Domain{"a", "b", "c"}, "b"},
+	} {
+		It("don't prefer evacuated failure domains: "+name, func() {
+			s := state(nil)
+			s.Servers, s.Evacuations = map[model.ServerID]plan.Server{}, map[model.Domain]view.Evacuation{}
+			for id, domain := range map[model.ServerID]model.Domain{"1": "a", "2": "b", "3": "c"} {
+				server := plan.Server{ID: id, Service: "s", Domain: domain, Primary: id == "1"}
+				if slices.Contains(c.evacuated, domain) {
+					server.EvacuatedSince = clock.Now()
+				}
+				s.Servers[id] = server
+			}
+			for _, domain := range c.evacuated {
+				s.Evacuations[domain] = view.Evacuation{Since: clock.Now()}
+			}
+			issuers := map[model.Domain]bool{}
+			for _, spec := range findWantedRights(s) {
+				if spec.Name == monitorRight("s") {
+					Expect(spec.Domain).To(Equal(c.monitor))
+				} else {
+					issuers[spec.Domain] = true
+				}
+			}
+			Expect(slices.Sorted(maps.Keys(issuers))).To(Equal(c.issuers))
+		})
+	}
 })
--- a/io/proxy/wanted_rights.go
+++ b/io/proxy/wanted_rights.go
@@ -24,6 +24,7 @@
 	for _, server := range s.Servers {
 		domains[server.Domain] = true
 	}
+	removeEvacuated(domains, s)
 	order := slices.Sorted(maps.Keys(domains))
 	for group := range accountGroups {
 		for issuer := range quota.MaxIssuers {
@@ -40,7 +41,7 @@
 	first := map[model.ServiceID]plan.Server{}
 	for _, server := range s.Servers {
 		chosen, ok := first[server.Service]
-		if !ok || (chosen.Primary && !server.Primary) || (chosen.Primary == server.Primary && server.ID < chosen.ID) {
+		if !ok || monitoredBefore(server, chosen) {
 			first[server.Service] = server
 		}
 	}
--- a/io/view/builder.go
+++ b/io/view/builder.go
@@ -27,6 +27,8 @@
 	listing, restored bool
 	// hasFormer says that the update has entries of instances that were written in a former era.
 	hasFormer bool
+	// evacuated are the failure domains whose evacuation the update begins.
+	evacuated []model.Domain
 	// initial says that the builder started from an empty state.
 	initial bool
 }
--- a/io/view/evacuations.go
+++ b/io/view/evacuations.go
@@ -29,21 +29,76 @@
 	known, ok := b.next.Evacuations[domain]
 	if !ok {
 		known.Since = now
+		b.evacuated = append(b.evacuated, domain)
+	}
+	known.Revision = e.Revision
+	b.setEvacuation(domain, known)
+}
+
+// logEvacuations logs the evacuations that an update has begun. The servers in the same update have
+// been applied, so that a domain without any is one that isn't known.
+func (v *View) logEvacuations(ctx context.Context, b *stateBuilder) {
+	for _, domain := range b.evacuated {
+		e, ok := b.next.Evacuations[domain]
+		if !ok {
+			continue
+		}
+		message := "failure domain is evacuated"
 		servers := countServers(b.next.Servers, domain)
-		v.config.Log.LogAttrs(ctx, slog.LevelWarn, "failure domain is evacuated", slog.String("domain", string(domain)), slog.Int("servers", servers), slog.Uint64("revision", e.Revision))
 		if servers == 0 {
-			v.config.Log.LogAttrs(ctx, slog.LevelWarn, "no server is known in the evacuated failure domain", slog.String("domain", string(domain)))
+			message = "failure domain is evacuated in which no server is known"
 		}
+		v.config.Log.LogAttrs(ctx, slog.LevelWarn, message, slog.String("domain", string(domain)), slog.Int("servers", servers), slog.Uint64("revision", e.Revision))
 	}
-	known.Revision = e.Revision
-	b.setEvacuation(domain, known)
 }
 
-// endEvacuation records that a failure domain has been returned. After a restore of the store the
-// evacuation stays until the restore is settled, since the operator writes it again.
+// endMissingEvacuation ends an evacuation whose entry the whole content of the store doesn't contain.
+// After a restore of the store from an older copy it stays for a while, since the operator writes
+// again what was lost.
+func (v *View) endMissingEvacuation(ctx context.Context, b *stateBuilder, domain model.Domain) {
+	if b.isFormer(b.next.Evacuations[domain].Revision) && !v.evacuationsSettled(b.now) {
+		return
+	}
+	v.endEvacuation(ctx, b, domain)
+}
+
+// evacuationsSettled reports whether the last restore of the store is settled and the operator has had
+// the time to write again what was lost.
+func (v *View) evacuationsSettled(now time.Time) bool {
+	r := &v.restore
+	return r.seenAt.IsZero() || (r.settled && now.Sub(r.seenAt) >= rewriteGrace)
+}
+
+// settleEvacuations ends the evacuations that nobody has written again since the store was restored. It
+// returns whether that is done, or a later era has begun.
+func (v *View) settleEvacuations(ctx context.Context, now time.Time, era uint64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.restore.era != era {
+		return true
+	}
+	if !v.evacuationsSettled(now) {
+		return false
+	}
+	current := v.state.Load()
+	b := newStateBuilder(now, current)
+	b.era = era
+	for domain, e := range current.Evacuations {
+		if b.isFormer(e.Revision) {
+			v.endEvacuation(ctx, b, domain)
+		}
+	}
+	if b.next.ChangeCounts != current.ChangeCounts {
+		v.state.Store(&b.next)
+		v.config.Changed(b.next)
+	}
+	return true
+}
+
+// endEvacuation records that a failure domain has been returned.
 func (v *View) endEvacuation(ctx context.Context, b *stateBuilder, domain model.Domain) {
 	known, ok := b.next.Evacuations[domain]
-	if !ok || (b.isFormer(known.Revision) && !v.restore.settled) {
+	if !ok {
 		return
 	}
 	v.config.Log.LogAttrs(ctx, slog.LevelWarn, "failure domain is returned", slog.String("domain", string(domain)), slog.Duration("after", b.now.Sub(known.Since)))
--- a/io/view/restore.go
+++ b/io/view/restore.go
@@ -85,6 +85,9 @@
 		for ctx.Err() == nil && !v.settle(ctx, clock.Now(), b.era) {
 			pause(ctx, settlePoll)
 		}
+		for ctx.Err() == nil && !v.settleEvacuations(ctx, clock.Now(), b.era) {
+			pause(ctx, settlePoll)
+		}
 	}()
 }
 
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -217,6 +217,7 @@
 	if v.mayBeRestored(b) {
 		v.beginEra(ctx, now, b)
 	}
+	v.logEvacuations(ctx, b)
 	if b.initial {
 		v.config.Log.LogAttrs(ctx, slog.LevelInfo, "initial content read", slog.Int("servers", len(b.next.Servers)), slog.Int("instances", len(b.next.Instances)),
 			slog.Int("rights", len(b.next.Rights)), slog.Uint64("revision", update.Revision))
@@ -311,7 +312,7 @@
 	}
 	for domain := range former.Evacuations {
 		if !present[v.config.Decoder.EvacuationKey(domain)] {
-			v.endEvacuation(ctx, b, domain)
+			v.endMissingEvacuation(ctx, b, domain)
 		}
 	}
 	b.next.StaleRights = maps.Clone(b.next.StaleRights)
--- a/io/view/view_test.go
+++ b/io/view/view_test.go
@@ -29,6 +29,7 @@
 
 // decoder decodes the one byte under "config" as a version, and the text under "server/ID" as a
 // state and the name of a service, and perhaps a third word as long as the number of the report.
+// All servers are in the failure domain "d".
 type decoder struct{}
 
 func (decoder) Plan(e store.Entry) (*plan.Plan, bool, error) {
@@ -48,7 +49,7 @@
 	}
 	state, rest, _ := strings.Cut(string(e.Value), " ")
 	service, report, _ := strings.Cut(rest, " ")
-	return plan.Server{Report: plan.Report{Number: uint64(len(report))}, ID: model.ServerID(id), Service: model.ServiceID(service), Draining: state == "draining", Revision: e.Revision}, ok, nil
+	return plan.Server{Report: plan.Report{Number: uint64(len(report))}, ID: model.ServerID(id), Service: model.ServiceID(service), Domain: "d", Draining: state == "draining", Revision: e.Revision}, ok, nil
 }
 
 func (decoder) ServerID(key string) (model.ServerID, bool) {
