Monitors and issuers leave the failure domain whose loss they would share

Rights that were acquired while the servers registered were never moved, so the monitor of a primary could stay in the primary's failure domain.

Issuers of one group of accounts move until they share no domain that has an alternative.

--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,26 +13,28 @@
 	"pomelofork/core/plan"
 )
 
+// tier orders candidates before their scores do.
+type tier uint8
+
+// The tiers, best first.
+const (
+	tierPreferred tier = iota
+	tierOther
+	tierAvoided
+)
+
 // candidate is an instance with the values by which it is ranked for a task.
 type candidate struct {
-	member    plan.Instance
-	preferred bool
-	score     float64
-}
-
-// newCandidate scores a member for a task that prefers a failure domain.
-func newCandidate(task string, domain model.Domain, m plan.Instance) candidate {
-	return candidate{m, domain != "" && m.Domain == domain, score(task, m)}
+	member plan.Instance
+	tier   tier
+	score  float64
 }
 
-// compare is negative if a ranks before b. Members in the preferred failure domain rank
-// first, then those with the higher score, then those with the lower ID.
+// compare is negative if a ranks before b. Members of the better tier rank first, then those
+// with the higher score, then those with the lower ID.
 func (a candidate) compare(b candidate) int {
-	if a.preferred != b.preferred {
-		if a.preferred {
-			return -1
-		}
-		return 1
+	if order := cmp.Compare(a.tier, b.tier); order != 0 {
+		return order
 	}
 	if order := cmp.Compare(b.score, a.score); order != 0 {
 		return order
@@ -41,34 +42,16 @@
 	return cmp.Compare(a.member.ID, b.member.ID)
 }
 
-// Position returns how many of the members rank before self for the task. It stops and
-// returns false once more than limit do, which is cheap: for most tasks the first few
-// members examined already exceed a small limit.
+// Position returns how many of the members rank before self for the task, as
+// Preference.Position does with a preferred failure domain only.
 func Position(task string, domain model.Domain, self plan.Instance, members []plan.Instance, limit int) (int, bool) {
-	own, before := newCandidate(task, domain, self), 0
-	for _, m := range members {
-		if m.ID != self.ID && newCandidate(task, domain, m).compare(own) < 0 {
-			if before++; before > limit {
-				return before, false
-			}
-		}
-	}
-	return before, true
+	return Preference{Domain: domain}.Position(task, self, members, limit)
 }
 
 // Order returns the members by weighted rendezvous hashing of the task, those in the
 // preferred failure domain first. An empty domain prefers none.
 func Order(task string, domain model.Domain, members []plan.Instance) []plan.Instance {
-	all := make([]candidate, 0, len(members))
-	for _, m := range members {
-		all = append(all, newCandidate(task, domain, m))
-	}
-	slices.SortFunc(all, candidate.compare)
-	ordered := make([]plan.Instance, 0, len(all))
-	for _, c := range all {
-		ordered = append(ordered, c.member)
-	}
-	return ordered
+	return Preference{Domain: domain}.Order(task, members)
 }
 
 // score returns the weighted rendezvous score: -weight/ln(hash), with the hash scaled to
--- a/io/proxy/wanted_rights.go
+++ b/io/proxy/wanted_rights.go
@@ -14,11 +14,12 @@
 
 // wantedRights returns the rights that some instance should hold.
 func (n *Node) wantedRights(s *view.State) []right.Spec {
-	return n.rightsCache.get(s.ChangeCounts.Servers, func() []right.Spec { return findWantedRights(s) })
+	return n.rightsCache.get(s.ChangeCounts.Servers, func() []right.Spec { return findWantedRights(s, n.config.ToleratedDomains > 0) })
 }
 
-// findWantedRights computes the result of wantedRights.
-func findWantedRights(s *view.State) []right.Spec {
+// findWantedRights computes the result of wantedRights. apart says that rights have to be kept apart
+// from the failure domain of what they are for, also if they were acquired before that was known.
+func findWantedRights(s *view.State, apart bool) []right.Spec {
 	var wanted []right.Spec
 	domains := map[model.Domain]bool{}
 	for _, server := range s.Servers {
@@ -27,7 +28,7 @@
 	order := slices.Sorted(maps.Keys(domains))
 	for group := range accountGroups {
 		for issuer := range quota.MaxIssuers {
-			spec := right.Spec{Name: issuerRight(group, issuer), SpreadGroup: fmt.Sprintf("rate-%d", group)}
+			spec := right.Spec{Name: issuerRight(group, issuer), SpreadGroup: fmt.Sprintf("rate-%d", group), SpreadDomains: apart}
 			if len(order) > 0 {
 				spec.Domain = order[(group+issuer)%len(order)]
 			}
@@ -45,7 +46,11 @@
 		}
 	}
 	for service, server := range first {
-		wanted = append(wanted, right.Spec{Name: monitorRight(service), Domain: server.Domain, NonUrgent: true})
+		spec := right.Spec{Name: monitorRight(service), Domain: server.Domain, NonUrgent: true}
+		if apart {
+			setApart(&spec, s.Services[service])
+		}
+		wanted = append(wanted, spec)
 	}
 	return wanted
 }
--- a/io/right/manager.go
+++ b/io/right/manager.go
@@ -11,6 +11,7 @@
 	"pomelofork/core/model"
 	"pomelofork/core/pace"
 	"pomelofork/core/plan"
+	"pomelofork/core/rank"
 	"pomelofork/core/trial"
 	"pomelofork/io/clock"
 	"pomelofork/io/store"
@@ -35,6 +36,9 @@
 	// rebalanceInterval is the time between two checks for rights that other instances should
 	// hold.
 	rebalanceInterval = 2 * time.Second
+	// fullBatchInterval is the same after a transfer of maxRights rights. An instance that started
+	// before all others holds hundreds of rights that it should not, and would take minutes.
+	fullBatchInterval = 250 * time.Millisecond
 )
 
 // Spec describes a right that some instance should hold.
@@ -44,6 +48,9 @@
 	// Domain is the failure domain whose instances are preferred as holders. Empty prefers
 	// none.
 	Domain model.Domain
+	// Avoid is the failure domain whose instances are the last choice as holders. A holder there
+	// transfers the right to an instance elsewhere. Empty avoids none.
+	Avoid model.Domain
 	// NonUrgent says that callers hardly notice when nobody holds the right for some seconds.
 	// In a large fleet its holder needs no short lease. It is transferred away from instances
 	// that hold far more rights than their share.
@@ -52,8 +59,14 @@
 	// empty. The rights of a group can replace each other, so the failure of one instance
 	// should leave the others usable.
 	SpreadGroup string
+	// SpreadDomains says that the holders of the SpreadGroup should be in different failure domains
+	// as far as there are any.
+	SpreadDomains bool
 }
 
+// preference returns the failure domains that the right prefers and avoids.
+func (s Spec) preference() rank.Preference { return rank.Preference{Domain: s.Domain, Avoid: s.Avoid} }
+
 // Config holds the settings and dependencies of a Manager.
 type Config struct {
 	// Table is the platform's store.
@@ -131,8 +144,8 @@
 	// triedReuse says that it has tried.
 	reuseAt    time.Time
 	triedReuse bool
-	// rebalancedAt is when rebalance last ran.
-	rebalancedAt time.Time
+	// rebalanceAt is when rebalance runs next.
+	rebalanceAt time.Time
 	// recheckAt is when the view is compared again after a transfer whose answer was lost. Zero
 	// means that there was none.
 	recheckAt time.Time
--- a/io/right/manager_test.go
+++ b/io/right/manager_test.go
@@ -56,6 +56,11 @@
 
 // joinWanting starts an instance that tries to hold the rights that a function returns.
 func joinWanting(t *kvsim.Table, id model.InstanceID, wanted func() []right.Spec) *member {
+	return joinIn(t, id, "", wanted)
+}
+
+// joinIn does the same in a failure domain.
+func joinIn(t *kvsim.Table, id model.InstanceID, domain model.Domain, wanted func() []right.Spec) *member {
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	client := t.Client()
@@ -65,7 +70,7 @@
 		Sources: func(*view.State) []view.Source { return []view.Source{view.StoreSource{Table: client}} },
 	})
 	return &member{client, right.NewManager(ctx, right.Config{
-		Table: client, View: v, Self: plan.Instance{ID: id, Weight: 1}, Log: log,
+		Table: client, View: v, Self: plan.Instance{ID: id, Domain: domain, Weight: 1}, Log: log,
 		Wanted: func(*view.State) []right.Spec { return wanted() },
 	}), cancel}
 }
--- a/io/right/rebalance.go
+++ b/io/right/rebalance.go
@@ -12,13 +12,13 @@
 )
 
 // rebalance transfers rights that other instances should hold: all but one of a SpreadGroup,
-// and non-urgent ones when this instance holds far more than its share. That is needed because
+// those that avoid the failure domain of this instance, and non-urgent ones when this instance holds far more than its share. That is needed because
 // the first instance of a fleet acquires all rights before the others have started.
 func (mgr *Manager) rebalance(ctx context.Context, now time.Time) {
-	if now.Sub(mgr.rebalancedAt) < rebalanceInterval {
+	if now.Before(mgr.rebalanceAt) {
 		return
 	}
-	mgr.rebalancedAt = now
+	mgr.rebalanceAt = now.Add(rebalanceInterval)
 	state := mgr.config.View.State()
 	mgr.mu.Lock()
 	valid := now.Before(mgr.validUntil) && !mgr.leaving
@@ -29,6 +29,11 @@
 		return
 	}
 	recipients := mgr.groupTransfers(state, names, others)
+	mgr.addSpread(state, names, others, recipients)
+	mgr.addAvoided(names, others, recipients)
+	if len(recipients) >= maxRights {
+		mgr.rebalanceAt = now.Add(fullBatchInterval)
+	}
 	mgr.addExcess(names, others, recipients)
 	if len(recipients) == 0 {
 		return
@@ -76,7 +81,8 @@
 		if _, ok := recipients[name]; ok || !spec.NonUrgent {
 			continue
 		}
-		if next, ok := successor(spec, others); ok {
+		// An instance of an avoided failure domain would transfer the right back.
+		if next, ok := successor(spec, others); ok && !spec.avoids(next) {
 			recipients[name] = next
 			surplus--
 		}
--- a/io/right/rebalance_test.go
+++ b/io/right/rebalance_test.go
@@ -119,3 +119,23 @@
 		Consistently(func() int { return other.count(wanted) }).WithTimeout(3 * time.Second).Should(BeZero())
 	})
 })
+
+var _ = Describe("Rights that avoid a failure domain", func() {
+	It("leave an instance there soon, also if it holds hundreds, and don't return as excess", func() {
+		t := kvsim.New()
+		t.Set("config", nil)
+		wanted := makeSpecs(100)
+		for i := range wanted {
+			wanted[i].Avoid = "a"
+		}
+		want := func() []right.Spec { return wanted }
+		first := joinIn(t, "first", "a", want)
+		Eventually(func() int { return first.count(wanted) }).WithTimeout(waitTimeout).Should(Equal(101))
+		for i := range 9 {
+			joinIn(t, model.InstanceID(fmt.Sprint("a", i)), "a", want)
+		}
+		other := joinIn(t, "other", "b", want)
+		Eventually(func() int { return other.count(wanted) }).WithTimeout(waitTimeout).Should(Equal(101))
+		Consistently(func() int { return other.count(wanted) }).WithTimeout(3 * time.Second).Should(Equal(101))
+	})
+})
--- a/io/right/takeover.go
+++ b/io/right/takeover.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"pomelofork/core/rank"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
@@ -107,7 +106,7 @@
 	for name, f := range mgr.free {
 		delays := int(now.Sub(f.since) / rankDelay)
 		if registered {
-			if _, ok := rank.Position(name, f.spec.Domain, mgr.config.Self, members, delays); !ok {
+			if _, ok := f.spec.preference().Position(name, mgr.config.Self, members, delays); !ok {
 				continue
 			}
 		} else if delays < len(members) {
--- a/io/right/transfer.go
+++ b/io/right/transfer.go
@@ -10,7 +10,6 @@
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
-	"pomelofork/core/rank"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
@@ -26,7 +25,7 @@
 	if len(others) == 0 {
 		return plan.Instance{}, false
 	}
-	return rank.Order(spec.Name, spec.Domain, others)[0], true
+	return spec.preference().Order(spec.Name, others)[0], true
 }
 
 // transferTxn returns the transaction that transfers rights to their recipients, under the
