core/line: the line of refused callers, shared by rates and servers

Cause: the gateway of a contended server needs the same line of refused callers as an account's rate.

Change: core/line holds the fading sum and the line of core/quota's ReturnLine, which uses them.

--- a/core/quota/return_line.go
+++ b/core/quota/return_line.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"pomelofork/core/line"
+)
 
 const (
 	// grantSpan is the time over which a ReturnLine averages the grants.
@@ -23,34 +27,19 @@
 // of callers are refused in the same moment. If all of them are told when the next token accrues,
 // they return together and all but one are refused again, until their retries are used up.
 type ReturnLine struct {
-	// granted is the number of recent grants as of grantedAt, which fades over grantSpan.
-	granted   float64
-	grantedAt time.Time
-	// length is the number of callers in the line as of movedAt.
-	length  float64
-	movedAt time.Time
+	// granted is the number of recent grants, over grantSpan.
+	granted line.Sum
+	// line counts callers.
+	line line.Line
 }
 
 // Granted records a token that was granted.
-func (l *ReturnLine) Granted(now time.Time) {
-	l.granted, l.grantedAt = l.recent(now)+1, now
-}
-
-// recent returns the number of grants in about the last grantSpan.
-func (l *ReturnLine) recent(now time.Time) float64 {
-	return l.granted * max(1-now.Sub(l.grantedAt).Seconds()/grantSpan.Seconds(), 0)
-}
+func (l *ReturnLine) Granted(now time.Time) { l.granted.Add(now, grantSpan, 1) }
 
 // ReturnAfter returns the time after which a refused caller should return, given the time until the
 // next token accrues and the entry's share of the account's rate, in operations a second.
 func (l *ReturnLine) ReturnAfter(now time.Time, next time.Duration, share float64) time.Duration {
-	perSecond := max(l.recent(now)/grantSpan.Seconds(), share, minGrantRate)
-	l.length = max(l.length-perSecond*now.Sub(l.movedAt).Seconds(), 0)
-	l.movedAt = now
-	after := next + time.Duration(l.length/perSecond*float64(time.Second))
-	if after >= maxReturnAfter {
-		return maxReturnAfter
-	}
-	l.length++
+	perSecond := max(l.granted.Value(now, grantSpan)/grantSpan.Seconds(), share, minGrantRate)
+	after, _ := l.line.Take(now, perSecond, 1, next, maxReturnAfter)
 	return after
 }
