core/wait: weighted shares of accounts, waiting in the gaps, and waits by priority where callers compete

Cause: one account that sends several times its usual load takes the queue of a server that all accounts need.

Change: where proxy.Config.Contended is set, the queue of a server shares its slots among accounts by start-time fair queueing over the slot time that they used, queues what is expected to start in time for its timeout, is bounded by items and bytes, and tells refused callers places in a line. io/pooler reports the wait of each priority in stmt.Result.Waits with answers and with the queue's refusals.

Result: the tests of core/wait, io/pooler and io/proxy pass; without Contended nothing changes.

--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -54,6 +54,14 @@
 	// VacancyTakeover counts the time without a primary from its loss when another instance takes
 	// over the monitoring.
 	VacancyTakeover Switch = "vacancy_takeover"
+	// AccountShares divides the slots of a server among client accounts where they compete for it.
+	AccountShares Switch = "account_shares"
+	// GapWait lets statements wait beyond their target for slots that more urgent ones leave.
+	GapWait Switch = "gap_wait"
+	// ReturnPlaces gives the callers that a server's queue refuses places in a line.
+	ReturnPlaces Switch = "return_places"
+	// OpeningWork counts the opening of connections as work of a server.
+	OpeningWork Switch = "opening_work"
 )
 
 // All returns all switches in a fixed order.
@@ -61,6 +69,7 @@
 	return []Switch{
 		ReturnedTokens, PrefetchedTokens, TokenWait, SharedIssuers, RestartTokens, KeptRights, PromotionWait, EarlyRejection, TargetOrder, Priority,
 		ReadRetry, SilentServers, DomainPlacement, WaitPlacement, LatencyPlacement, Followers, Isolation, WithdrawalAnswers, VacancyTakeover,
+		AccountShares, GapWait, ReturnPlaces, OpeningWork,
 	}
 }
 
--- /dev/null
+++ b/core/wait/contended_test.go
@@ -0,0 +1,115 @@
+package wait_test
+
+import (
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/core/model"
+	"pomelofork/core/stmt"
+	"pomelofork/core/wait"
+)
+
+var _ = Describe("Queue where callers compete for the server", func() {
+	const cost = 10 * time.Millisecond
+	var queue *wait.Queue[int]
+	BeforeEach(func() {
+		queue = wait.NewWithPolicy[int](2, wait.Policy{Contended: true})
+		queue.ObserveCost("c", cost)
+	})
+	of := func(account string, weight float64, value int) wait.Item[int] {
+		i := item(value, time.Second)
+		i.Account, i.Weight = model.AccountID(account), weight
+		return i
+	}
+	add := func(i wait.Item[int]) bool {
+		_, ok := queue.Add(start, i, 2)
+		return ok
+	}
+	// serve runs the given number of items, of twice the expected cost if slow, and returns how
+	// many each account had.
+	serve := func(count int, slow model.AccountID) map[model.AccountID]int {
+		served := map[model.AccountID]int{}
+		for range count {
+			i, ok := queue.Next(start, fitsAll)
+			Expect(ok).To(BeTrue())
+			served[i.Account]++
+			took := cost
+			if i.Account == slow {
+				took = 2 * cost
+			}
+			queue.Ended(i, took)
+		}
+		return served
+	}
+
+	DescribeTable("shares the slot time that accounts really use by their weights, so that none crowds out another",
+		func(weightA, weightB float64, slow model.AccountID, wantA int) {
+			for i := range 40 {
+				Expect(add(of("a", weightA, i))).To(BeTrue())
+				Expect(add(of("b", weightB, i))).To(BeTrue())
+			}
+			Expect(serve(30, slow)["a"]).To(BeNumerically("~", wantA, 1))
+		},
+		Entry("equal weights", 1.0, 1.0, model.AccountID(""), 15),
+		Entry("one weighs twice as much", 2.0, 1.0, model.AccountID(""), 20),
+		Entry("one uses twice the expected slot time", 1.0, 1.0, model.AccountID("a"), 10),
+		Entry("weights that are no positive numbers count as 1", math.NaN(), -3.0, model.AccountID(""), 15),
+	)
+
+	It("gives an unused share to others at once, and doesn't let an account save it up", func() {
+		for i := range 40 {
+			add(of("a", 1, i))
+		}
+		Expect(serve(20, "")).To(HaveKeyWithValue(model.AccountID("a"), 20))
+		for i := range 40 {
+			add(of("b", 1, i))
+		}
+		Expect(serve(20, "")["b"]).To(BeNumerically("~", 10, 1))
+	})
+
+	It("doesn't make a new account wait behind what another one has queued", func() {
+		i := 0
+		for i < 1000 && add(of("a", 1, i)) {
+			i++
+		}
+		Expect(add(of("a", 1, i))).To(BeFalse())
+		Expect(add(of("b", 1, i))).To(BeTrue())
+		next, _ := queue.Next(start, fitsAll)
+		Expect(next.Account).To(Equal(model.AccountID("a")), "the first one was waiting already")
+		next, _ = queue.Next(start, fitsAll)
+		Expect(next.Account).To(Equal(model.AccountID("b")))
+	})
+
+	It("queues within its limits of items and bytes, and drops what would be served last", func() {
+		all := wait.NewWithPolicy[int](2, wait.Policy{Contended: true, AcceptAll: true})
+		for i := range 5 {
+			big := of("a", 1, i)
+			big.Bytes = 600 << 10
+			big.Target = at(time.Duration(5-i) * time.Second)
+			_, ok := all.Add(start, big, 2)
+			Expect(ok).To(BeTrue())
+		}
+		Expect(all.Len()).To(Equal(3))
+		removed := all.RemoveUnservable(start)
+		Expect(removed).To(HaveLen(2))
+		Expect([]int{removed[0].Value, removed[1].Value}).To(Equal([]int{0, 1}), "those with the latest targets")
+	})
+
+	It("estimates a longer wait for lower priorities", func() {
+		for i := range 20 {
+			urgent := of("a", 1, i)
+			urgent.Priority = 0
+			add(urgent)
+			add(of("a", 1, i))
+		}
+		waits := queue.Waits(start, 2)
+		Expect(waits).To(HaveLen(2))
+		Expect(waits[0].Priority).To(Equal(0))
+		Expect(waits[0].Wait).To(BeNumerically("~", 105*time.Millisecond, 5*time.Millisecond))
+		Expect(waits[1].Wait).To(BeNumerically(">", 200*time.Millisecond))
+		Expect(wait.New[int](2).Waits(start, 0)).To(Equal([]stmt.PriorityWait(nil)))
+	})
+})
--- a/core/wait/queue.go
+++ b/core/wait/queue.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pomelofork/core/model"
 )
 
 const (
@@ -45,14 +47,36 @@
 	Target time.Time
 	// Deadline is when the timeout of the statement expires.
 	Deadline time.Time
+	// Account is the client account whose share the item uses, and Weight the account's weight.
+	// Both count only where Policy.Contended is set.
+	Account model.AccountID
+	Weight  float64
+	// Bytes is the size of the item.
+	Bytes int
+
+	flow *flow
+	// charged is the slot time that the flow was charged when the item started.
+	charged time.Duration
 }
 
+// key returns the key of the item's flow.
+func (i *Item[T]) key() flowKey { return flowKey{i.Priority, i.Account} }
+
 // Policy says what a Queue leaves out, to measure what it is worth.
 type Policy struct {
 	// ArrivalOrder serves the items in the order of their arrival.
 	ArrivalOrder bool
 	// AcceptAll queues also what can't be served in time.
 	AcceptAll bool
+	// Contended shares the slots among client accounts, and lets items wait in the gaps that more
+	// urgent work leaves.
+	Contended bool
+	// EqualAccounts leaves out the shares of accounts from Contended.
+	EqualAccounts bool
+	// TargetWait leaves out the waiting in gaps from Contended.
+	TargetWait bool
+	// EqualReturn leaves out the line of refused callers from Contended.
+	EqualReturn bool
 }
 
 // Queue holds the items that wait for one server. It is not safe for concurrent use.
@@ -65,6 +89,22 @@
 	// onTimeWorkAt. It fades to zero within loadWindow.
 	onTimeWork   time.Duration
 	onTimeWorkAt time.Time
+
+	// The rest is used where policy.Contended is set.
+
+	flows flows
+	// demands are, by priority, what arrives and what is refused.
+	demands map[int]*demand
+	// bytes is the size of the waiting items.
+	bytes int
+	// displaced are the items that made room for more urgent ones.
+	displaced []Item[T]
+	// checkedAt is when the waiting items were last checked in the order of service.
+	checkedAt time.Time
+	// openings is the number of running items that are openings of connections, and openingCost the
+	// mean time for which an opening holds a slot.
+	openings    int
+	openingCost time.Duration
 }
 
 // New returns an empty queue for a server with this number of slots, at least 1.
@@ -72,7 +112,10 @@
 
 // NewWithPolicy returns the same with a policy.
 func NewWithPolicy[T any](slots int, policy Policy) *Queue[T] {
-	return &Queue[T]{policy: policy, slots: max(slots, 1), costs: map[string]time.Duration{}}
+	return &Queue[T]{
+		policy: policy, slots: max(slots, 1), costs: map[string]time.Duration{},
+		flows: flows{byKey: map[flowKey]*flow{}, virtual: map[int]float64{}}, demands: map[int]*demand{},
+	}
 }
 
 // Len returns the number of waiting items.
@@ -129,12 +172,17 @@
 	Wait time.Duration
 	// RetryAfter is the time after which the queue should be short enough.
 	RetryAfter time.Duration
+	// Hopeless says that a retry isn't expected to succeed in time either.
+	Hopeless bool
 }
 
 // Add queues an item and returns true, or refuses it when it cannot be served in time. An
 // item may be refused although it could meet its deadline: if it has to wait, it must be
 // done soon after its target. running is the number of items that run.
 func (q *Queue[T]) Add(now time.Time, item Item[T], running int) (Refusal, bool) {
+	if q.policy.Contended {
+		return q.addContended(now, item, running)
+	}
 	if !item.InTransaction && !q.policy.AcceptAll {
 		cost := q.Cost(item.Class)
 		ahead := q.aheadOf(now, item, running)
@@ -185,6 +233,9 @@
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
+	if a.flow != b.flow && q.shared() && a.flow.tag != b.flow.tag {
+		return a.flow.tag < b.flow.tag
+	}
 	return a.Target.Before(b.Target)
 }
 
@@ -202,6 +253,11 @@
 	}
 	item := q.items[best]
 	q.items = slices.Delete(q.items, best, best+1)
+	if q.policy.Contended {
+		q.left(item)
+		item.charged = q.Cost(item.Class)
+		q.flows.started(item.key(), item.flow, item.charged)
+	}
 	if !q.late(now, item) {
 		q.onTimeWork = q.recentOnTimeWork(now) + q.Cost(item.Class)
 		q.onTimeWorkAt = now
@@ -229,6 +285,9 @@
 // deadline. Late items run only in the slot time that on-time items leave free, so under
 // load a late item is removed long before its deadline.
 func (q *Queue[T]) RemoveUnservable(now time.Time) []Item[T] {
+	if q.policy.Contended {
+		return q.removeUnservableContended(now)
+	}
 	if len(q.items) == 0 {
 		return nil
 	}
@@ -260,14 +319,23 @@
 
 // RemoveAll removes and returns every item.
 func (q *Queue[T]) RemoveAll() []Item[T] {
-	removed := q.items
-	q.items = nil
+	for _, i := range q.items {
+		q.left(i)
+	}
+	removed := append(q.items, q.displaced...)
+	q.items, q.displaced = nil, nil
 	return removed
 }
 
 // Remove removes the items that match.
 func (q *Queue[T]) Remove(match func(T) bool) {
-	q.items = slices.DeleteFunc(q.items, func(i Item[T]) bool { return match(i.Value) })
+	q.items = slices.DeleteFunc(q.items, func(i Item[T]) bool {
+		if !match(i.Value) {
+			return false
+		}
+		q.left(i)
+		return true
+	})
 }
 
 // Each calls visit with the value of every item, in the order of arrival.
--- a/io/pooler/config.go
+++ b/io/pooler/config.go
@@ -18,6 +18,11 @@
 	// Connections is the number of connections that the server accepts from all instances
 	// together. Zero means 16.
 	Connections int
+	// Contended says that callers compete for the server, so that its slots are shared among client
+	// accounts.
+	Contended bool
+	// Weight returns the weight of a client account's share. Nil means that all are equal.
+	Weight func(model.AccountID) float64
 	// Dialer opens connections.
 	Dialer Dialer
 	// Observe is called with a point in the service's log that covers every commit
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -133,6 +133,7 @@
 	sc.execution = nil
 	sc.idleFrom = now
 	p.running--
+	p.queue.Ended(e.request.item, now.Sub(e.startedAt))
 	order := e.request.order
 	result := stmt.Result{Answer: e.answer}
 	if e.setupError != nil {
@@ -172,7 +173,7 @@
 // respond sends a request's result, with the estimated wait at the server and the newest
 // known point of its service.
 func (p *Pool) respond(now time.Time, r *request, result stmt.Result) {
-	result.Wait = p.queue.EstimateWait(p.running)
+	result.Wait, result.Waits = p.queue.EstimateWait(p.running), p.queue.Waits(now, p.running)
 	if at, point, ok := p.latest(p.server.Service); ok {
 		result.Latest, result.LatestAge = point, now.Sub(at)
 	}
@@ -201,6 +202,7 @@
 	p.discard(sc)
 	if e != nil {
 		p.running--
+		p.queue.Ended(e.request.item, now.Sub(e.startedAt))
 		result := stmt.Result{Answer: e.answer, NotSent: e.mainLeft == 0 && !e.answered}
 		if !e.answered {
 			result.Answer = stmt.Refuse(stmt.CodeConnectionLost, stmt.StateIdle, "connection to the server lost")
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -13,7 +13,7 @@
 // run now, and opens connections for the others.
 func (p *Pool) dispatch(now time.Time) {
 	for _, item := range p.queue.RemoveUnservable(now) {
-		item.Value.result <- refused(stmt.CodeBusy, "no free slot in time", p.queue.EstimateWait(p.running))
+		item.Value.result <- p.refusedByQueue(now, "no free slot in time", p.queue.RefusalOf(now, item, p.running))
 	}
 	for p.running < p.server.Slots+extraStatements && p.queue.Len() > 0 {
 		item, ok := p.queue.Next(now, func(r *request) bool { return p.connFor(r) != nil })
@@ -24,6 +24,7 @@
 			r.result <- refused(stmt.CodeReadOnly, withdrawnText, 0)
 			continue
 		}
+		item.Value.item = item
 		p.start(now, p.connFor(item.Value), item.Value)
 	}
 	p.openConns(now)
@@ -142,7 +143,7 @@
 	if n := len(setup); n > 0 && (setup[n-1].Op == stmt.OpBegin || setup[n-1].Op == stmt.OpBeginRead) {
 		setupRest = 1
 	}
-	sc.execution = &execution{request: r, setupLeft: len(setup), setupRest: setupRest, main: main, sentAt: now}
+	sc.execution = &execution{request: r, setupLeft: len(setup), setupRest: setupRest, main: main, startedAt: now, sentAt: now}
 	p.countRunning(now)
 	left := r.deadline.Sub(now)
 	if r.order.Reads() {
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -67,7 +67,9 @@
 	allows  func(now time.Time, epoch uint64) bool
 	log     *slog.Logger
 	// disabled are the mechanisms that are switched off.
-	disabled trial.Disabled
+	disabled  trial.Disabled
+	contended bool
+	weight    func(model.AccountID) float64
 
 	mu sync.Mutex
 	// limit is the maximum number of open and opening connections.
@@ -109,10 +111,16 @@
 	if c.Allows == nil {
 		c.Allows = func(time.Time, uint64) bool { return true }
 	}
+	if c.Weight == nil {
+		c.Weight = func(model.AccountID) float64 { return 1 }
+	}
 	return &Pool{
+		contended: c.Contended, weight: c.Weight,
 		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, log: c.Log, disabled: c.Disabled,
 		limit: max(limit-max(minFreeConns, limit/freeDivisor), 1), queue: wait.NewWithPolicy[*request](c.Server.Slots, wait.Policy{
 			ArrivalOrder: c.Disabled.Has(trial.TargetOrder), AcceptAll: c.Disabled.Has(trial.EarlyRejection),
+			Contended: c.Contended, EqualAccounts: c.Disabled.Has(trial.AccountShares), TargetWait: c.Disabled.Has(trial.GapWait),
+			EqualReturn: c.Disabled.Has(trial.ReturnPlaces),
 		}),
 		conns: map[*serverConn]struct{}{}, transactions: map[txKey]*serverConn{}, opening: map[model.AccountID]int{},
 	}
@@ -204,10 +212,10 @@
 	refusal, ok := p.queue.Add(now, wait.Item[*request]{
 		Value: r, Class: r.order.Class, Priority: r.order.Priority, InTransaction: inTransaction,
 		Target: now.Add(r.order.Target), Deadline: r.deadline,
+		Account: r.order.Account, Weight: p.weight(r.order.Account), Bytes: r.size(),
 	}, p.running)
 	if !ok {
-		result := refused(stmt.CodeBusy, "queue is too long", refusal.RetryAfter)
-		result.Wait = refusal.Wait
+		result := p.refusedByQueue(now, "queue is too long", refusal)
 		p.log.LogAttrs(context.Background(), slog.LevelInfo, "statement not queued", slog.String("request", r.order.Statement.ID),
 			slog.String("server", string(p.server.ID)), slog.Duration("wait", refusal.Wait), slog.Duration("target", r.order.Target),
 			slog.Int("waiting", p.queue.Len()), slog.Int("running", p.running), slog.Duration("cost", p.queue.Cost(r.order.Class)))
--- a/io/pooler/request.go
+++ b/io/pooler/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pomelofork/core/stmt"
+	"pomelofork/core/wait"
 )
 
 // request is an order that is queued or running.
@@ -12,6 +13,8 @@
 	// key identifies the order's transaction. Zero means none.
 	key      txKey
 	deadline time.Time
+	// item is the request as the queue returned it, when it starts.
+	item wait.Item[*request]
 	// result has room for the one result that is sent.
 	result chan stmt.Result
 }
@@ -21,3 +24,13 @@
 func (r *request) continuesTransaction() bool {
 	return r.key != (txKey{}) && r.order.Begin == stmt.OpPass
 }
+
+// size returns the size of what the caller sent.
+func (r *request) size() int {
+	o := r.order
+	size := len(o.Statement.ID) + len(o.Statement.Text) + len(o.Statement.Rest) + len(o.Prepared.Shape)
+	for _, v := range o.Values {
+		size += len(v.Name) + len(v.Content)
+	}
+	return size
+}
--- a/io/pooler/serverconn.go
+++ b/io/pooler/serverconn.go
@@ -67,6 +67,8 @@
 	main []stmt.Command
 	// mainLeft is the number of outstanding answers to main, or zero until it is sent.
 	mainLeft int
+	// startedAt is when the first command was sent. The statement holds a slot from then on.
+	startedAt time.Time
 	// sentAt is when main was sent, or the setup commands while they are outstanding.
 	sentAt time.Time
 	answer stmt.Answer
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -237,7 +237,8 @@
 	}
 	pool := pooler.NewPool(pooler.Config{
 		Server: server, Connections: connections, Dialer: n.config.Dialer, Observe: n.entry.Observe, Latest: n.entry.Latest, Disabled: n.config.Disabled, Log: n.config.Log,
-		Allows: func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, server.Service, epoch) },
+		Allows:    func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, server.Service, epoch) },
+		Contended: n.config.Contended, Weight: n.accountRate,
 	})
 	n.pools[id] = pool
 	return pool
