--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -59,6 +59,14 @@
 	// EvacuationPace replaces the primaries of an evacuated failure domain one by one, instead of all
 	// at once.
 	EvacuationPace Switch = "evacuation_pace"
+	// AccountShares divides the slots of a server among client accounts where they compete for it.
+	AccountShares Switch = "account_shares"
+	// GapWait lets statements wait beyond their target for slots that more urgent ones leave.
+	GapWait Switch = "gap_wait"
+	// ReturnPlaces gives the callers that a server's queue refuses places in a line.
+	ReturnPlaces Switch = "return_places"
+	// OpeningWork counts the opening of connections as work of a server.
+	OpeningWork Switch = "opening_work"
 )
 
 // All returns all switches in a fixed order.
@@ -67,6 +75,7 @@
 		ReturnedTokens, PrefetchedTokens, TokenWait, SharedIssuers, RestartTokens, KeptRights, PromotionWait, EarlyRejection, TargetOrder, Priority,
 		ReadRetry, SilentServers, DomainPlacement, WaitPlacement, LatencyPlacement, Followers, Isolation, WithdrawalAnswers, VacancyTakeover,
 		EvacuationSteps, EvacuationPace,
+		AccountShares, GapWait, ReturnPlaces, OpeningWork,
 	}
 }
 
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -206,7 +206,7 @@
 				s.Evacuations[domain] = view.Evacuation{Since: clock.Now()}
 			}
 			issuers := map[model.Domain]bool{}
-			for _, spec := range findWantedRights(s) {
+			for _, spec := range findWantedRights(s, false) {
 				if spec.Name == monitorRight("s") {
 					Expect(spec.Domain).To(Equal(c.monitor))
 				} else {
