--- a/io/pooler/evacuated_test.go
+++ b/io/pooler/evacuated_test.go
@@ -105,8 +105,7 @@
 	})
 
 	It("opens no connection, and refuses what is queued", func() {
-		conn := newScriptedConn(silent)
-		p := newPool(conn, newScriptedConn(done))
+		p := newPool(newScriptedConn(silent), newScriptedConn(silent))
 		results := make(chan stmt.Result, 8)
 		for unit := range uint64(8) {
 			go func() { results <- begin(p, unit+1) }()
