Replace the primaries of an evacuated failure domain

Cause: a primary in an evacuated domain stayed until it was closed, from which on the work of its service was refused.

Replicas in evacuated domains are not promoted, and their logs count towards the acknowledged commits only as far as the chosen replica has them. Without the whole log no replica is promoted, unless the service replicates synchronously.

--- a/core/promo/promo.go
+++ b/core/promo/promo.go
@@ -1,6 +1,6 @@
 // Package promo decides when a service gets a new primary: when the present one is
-// draining, when its entry was removed from the store, when it refuses connections,
-// or when it has not confirmed its role for too long.
+// draining or its failure domain is evacuated, when its entry was removed from the store,
+// when it refuses connections, or when it has not confirmed its role for too long.
 //
 // Load pattern: writes of a service wait or are refused while it has no primary, so
 // each hundred milliseconds count. A primary that is only slow must not be replaced,
@@ -48,8 +48,8 @@
 const (
 	// ActionNone means that the primary stays.
 	ActionNone Action = iota
-	// ActionHandOver means that the primary is draining and a replica takes over once
-	// it has received the whole log.
+	// ActionHandOver means that the primary is draining, or its failure domain is evacuated, and
+	// a replica takes over once it has received the whole log.
 	ActionHandOver
 	// ActionReplace means that the primary has failed and the replica that has
 	// received most of the log takes over.
@@ -62,6 +62,8 @@
 	Action Action
 	// Primary is the server to be replaced, or empty if none is known.
 	Primary model.ServerID
+	// Former is the server that was the primary last, or empty if none is known.
+	Former model.ServerID
 	// Reason explains the action in logs.
 	Reason string
 	// Since is when the condition that Reason states began.
@@ -91,6 +93,8 @@
 	// promotionFailed is true after a promotion that certainly doesn't take place, until the
 	// next promotion or until a primary is found.
 	promotionFailed bool
+	// handOverAt is when to replace a primary whose failure domain is evacuated.
+	handOverAt time.Time
 }
 
 // New returns a machine that takes the primary as confirmed at now. If the service has no primary,
@@ -173,13 +177,27 @@
 	return m.primary != "" && now.Sub(m.confirmedAt) >= doubtfulAfter
 }
 
+// HandOverAt sets the time from which the primary is replaced while its failure domain is evacuated.
+func (m *Machine) HandOverAt(at time.Time) { m.handOverAt = at }
+
 // Decide returns what is to be done, given all servers of the service.
 func (m *Machine) Decide(now time.Time, servers []plan.Server) Decision {
+	decision := m.decide(now, servers)
+	if decision.Former = decision.Primary; decision.Former == "" && decision.Action != ActionNone {
+		decision.Former = m.former
+	}
+	return decision
+}
+
+// decide returns the decision without Former.
+func (m *Machine) decide(now time.Time, servers []plan.Server) Decision {
 	if !m.promotionStartedAt.IsZero() && now.Sub(m.promotionStartedAt) < promotionTimeout {
 		return Decision{}
 	}
 	primary, ok := m.Primary(now, servers)
 	switch {
+	case onlyEvacuated(servers, primary.ID):
+		return Decision{}
 	case !ok && m.removed && now.Sub(m.noPrimarySince) >= removedAfter:
 		return Decision{Action: ActionReplace, Reason: "the primary is gone", Since: m.noPrimarySince}
 	case !ok && m.promotionFailed:
@@ -194,15 +212,17 @@
 		return Decision{Action: ActionReplace, Primary: primary.ID, Reason: "primary did not confirm its role in time", Since: m.confirmedAt}
 	case primary.Draining && hasReplica(servers):
 		return Decision{Action: ActionHandOver, Primary: primary.ID, Reason: "primary is draining", Since: primary.DrainingSince}
+	case primary.Evacuated() && !now.Before(m.handOverAt) && hasReplica(servers):
+		return Decision{Action: ActionHandOver, Primary: primary.ID, Reason: "failure domain of the primary is evacuated", Since: primary.EvacuatedSince}
 	default:
 		return Decision{}
 	}
 }
 
-// hasReplica reports whether there is a replica that is not draining.
+// hasReplica reports whether there is a replica that is neither draining nor evacuated.
 func hasReplica(servers []plan.Server) bool {
 	for _, s := range servers {
-		if !s.Primary && !s.Draining {
+		if !s.Primary && !s.Draining && !s.Evacuated() {
 			return true
 		}
 	}
@@ -239,7 +259,8 @@
 
 // MostAdvanced returns the replica to promote: the one that has received most of the
 // log, among those that are not draining if there are any. It passes over servers that
-// don't know yet that they were replaced as primary. It returns false if there is no other.
+// don't know yet that they were replaced as primary, and those in evacuated failure domains.
+// It returns false if there is no other.
 func MostAdvanced(replicas []ReplicaLog) (ReplicaLog, bool) {
 	var best ReplicaLog
 	var newest model.Term
@@ -249,7 +270,7 @@
 	found := false
 	for _, r := range replicas {
 		switch {
-		case r.outdated(newest):
+		case r.outdated(newest), r.Server.Evacuated():
 		case !found,
 			best.Server.Draining && !r.Server.Draining,
 			best.Server.Draining == r.Server.Draining && best.Point.Less(r.Point):
--- a/core/promo/promo_test.go
+++ b/core/promo/promo_test.go
@@ -1,6 +1,7 @@
 package promo_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -81,6 +82,40 @@
 		Expect(decide(10, append(draining, group[2])).Action).To(Equal(promo.ActionHandOver))
 	})
 
+	for name, c := range map[string]struct {
+		evacuated []int
+		draining  bool
+		ms        int
+		want      promo.Action
+	}{
+		"before its turn":                                         {[]int{0}, false, 99, promo.ActionNone},
+		"at its turn":                                             {[]int{0}, false, 100, promo.ActionHandOver},
+		"if a replica is evacuated too":                           {[]int{0, 1}, false, 100, promo.ActionHandOver},
+		"if all are evacuated":                                    {[]int{0, 1, 2}, false, 100, promo.ActionNone},
+		"if all are evacuated and it fails":                       {[]int{0, 1, 2}, false, 2000, promo.ActionNone},
+		"if it fails":                                             {[]int{0}, false, 2000, promo.ActionReplace},
+		"if only replicas are evacuated":                          {[]int{1}, false, 100, promo.ActionNone},
+		"if only replicas are evacuated and it fails":             {[]int{1}, false, 2000, promo.ActionReplace},
+		"if all replicas are evacuated and it fails":              {[]int{1, 2}, false, 2000, promo.ActionNone},
+		"if the replica that isn't evacuated is draining":         {[]int{0, 1}, true, 100, promo.ActionNone},
+		"if that one is draining and the primary fails meanwhile": {[]int{0, 1}, true, 2000, promo.ActionReplace},
+	} {
+		It("decides on a primary in an evacuated failure domain: "+name, func() {
+			servers := slices.Clone(group)
+			for _, i := range c.evacuated {
+				servers[i].EvacuatedSince = start
+			}
+			servers[2].Draining = c.draining
+			decide(0, group)
+			m.HandOverAt(at(100))
+			decision := decide(c.ms, servers)
+			Expect(decision.Action).To(Equal(c.want))
+			if c.want != promo.ActionNone {
+				Expect(decision.Former).To(Equal(model.ServerID("p")))
+			}
+		})
+	}
+
 	It("decides nothing during a promotion until it times out", func() {
 		decide(0, group)
 		m.PromotionStarted(at(1000), "r1")
@@ -181,6 +216,35 @@
 		})
 	}
 
+	It("returns no replica in an evacuated failure domain", func() {
+		evacuated := received("a", 9, false)
+		evacuated.Server.EvacuatedSince = start
+		best, _ := promo.MostAdvanced([]promo.ReplicaLog{evacuated, received("b", 3, false)})
+		Expect(best.Server.ID).To(Equal(model.ServerID("b")))
+		_, ok := promo.MostAdvanced([]promo.ReplicaLog{evacuated})
+		Expect(ok).To(BeFalse())
+	})
+
+	for name, c := range map[string]struct {
+		own, evacuated model.Position
+		want           bool
+	}{
+		"an evacuated replica has more":      {3, 9, false},
+		"an evacuated replica has no more":   {9, 9, true},
+		"only an evacuated replica answered": {0, 9, false},
+	} {
+		It("covers the acknowledged commits of a service with one synchronous replica only with the whole log: "+name, func() {
+			evacuated := received("a", c.evacuated, false)
+			evacuated.Server.EvacuatedSince = start
+			replicas := []promo.ReplicaLog{evacuated}
+			if c.own > 0 {
+				replicas = append(replicas, received("b", c.own, false))
+			}
+			best, _ := promo.MostAdvanced(replicas)
+			Expect(promo.Covers(best, replicas, 2, 1)).To(Equal(c.want))
+		})
+	}
+
 	It("returns false for no replicas", func() {
 		_, ok := promo.MostAdvanced(nil)
 		Expect(ok).To(BeFalse())
--- a/io/lead/cluster_test.go
+++ b/io/lead/cluster_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 
+	"pomelofork/core/evac"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/stmt"
@@ -54,6 +55,12 @@
 	unregistered bool
 	// age is the age of the copy that the view gets.
 	age time.Duration
+	// evacuated are the failure domains that are evacuated: those of p, r1 and r2 are "a", "b" and "c".
+	// bound is the bound of evacuations.
+	evacuated []model.Domain
+	bound     time.Duration
+	// promoting is called with each promotion, unless it is nil.
+	promoting func(*testCluster)
 	// told counts the withdrawals that the gateway was told of.
 	told int
 }
@@ -134,6 +141,9 @@
 		}
 		entries = append(entries, store.Entry{Key: string(id), Value: []byte(text), Revision: q.After + 1})
 	}
+	for _, domain := range s.evacuated {
+		entries = append(entries, store.Entry{Key: s.EvacuationKey(domain), Revision: q.After + 1})
+	}
 	return view.Update{Entries: entries, All: true, Revision: q.After + 1, Age: s.age}, nil
 }
 
@@ -168,6 +178,9 @@
 func (s *testCluster) Promote(_ context.Context, _ model.ServiceID, server model.ServerID, fence uint64) error {
 	s.mu.Lock()
 	s.promotions = append(s.promotions, fence)
+	if s.promoting != nil {
+		s.promoting(s)
+	}
 	refuse := s.refuse
 	s.mu.Unlock()
 	if refuse || !s.group.Promote(server) {
@@ -200,8 +213,20 @@
 // startReplicated does the same for a service each of whose commits is on syncReplicas replicas
 // before it is acknowledged.
 func startReplicated(connections, syncReplicas int) *testCluster {
-	servers := []plan.Server{{ID: "p", Service: "s", Slots: 2}, {ID: "r1", Service: "s", Slots: 2}, {ID: "r2", Service: "s", Slots: 2}}
-	s := &testCluster{group: group.New(group.Config{Service: "s", Servers: servers, Connections: connections}), syncReplicas: syncReplicas, stopped: true}
+	s := &testCluster{group: newGroup(connections), syncReplicas: syncReplicas, stopped: true, bound: time.Hour}
+	s.monitor()
+	return s
+}
+
+// newGroup returns a group of three servers, each with a limit on its connections.
+func newGroup(connections int) *group.Group {
+	return group.New(group.Config{Service: "s", Connections: connections, Servers: []plan.Server{
+		{ID: "p", Service: "s", Slots: 2, Domain: "a"}, {ID: "r1", Service: "s", Slots: 2, Domain: "b"}, {ID: "r2", Service: "s", Slots: 2, Domain: "c"},
+	}})
+}
+
+// monitor starts a monitor that runs until the returned function is called.
+func (s *testCluster) monitor() context.CancelFunc {
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	log := slog.New(slog.DiscardHandler)
@@ -209,7 +234,7 @@
 		OwnPrefix: "own/", Decoder: s, Changed: func(view.State) {}, Log: log, Sources: func(*view.State) []view.Source { return []view.Source{s} },
 	})
 	lead.New(ctx, lead.Config{
-		Service: "s", View: v, Dialer: s, Status: groupStatus{}, Promoter: s, Log: log,
+		Service: "s", View: v, Dialer: s, Status: groupStatus{}, Promoter: s, Evacuation: evac.Policy{Bound: s.bound}, Log: log,
 		Holds:   func(time.Time) bool { return true },
 		Appoint: s.appoint, Gateways: s,
 		Allows: func(time.Time, uint64) bool { return true },
@@ -219,7 +244,7 @@
 			s.points++
 		},
 	})
-	return s
+	return cancel
 }
 
 // confirmed reports whether the primary has reported a point.
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"pomelofork/core/evac"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/promo"
@@ -36,6 +37,9 @@
 	promoteTimeout = time.Second
 	// retryPause is the pause after a refused promotion.
 	retryPause = 300 * time.Millisecond
+	// laggingPause is the pause after a promotion that was refused because the replicas lacked a part
+	// of the log of a primary in an evacuated failure domain. Each try may write to the store.
+	laggingPause = time.Second
 )
 
 // Errors of a promotion.
@@ -77,6 +81,8 @@
 	// before. As a fencing token it keeps a promotion that is carried out late from undoing a
 	// later one.
 	Appoint func(ctx context.Context, server model.ServerID) (uint64, error)
+	// Evacuation says when primaries in evacuated failure domains are replaced.
+	Evacuation evac.Policy
 	// Disabled are the mechanisms that are switched off.
 	Disabled trial.Disabled
 	// Allows reports whether answers of a primary that was appointed under an epoch may be used.
@@ -101,6 +107,13 @@
 	term model.Term
 	// lastPrimary is the server that was last known to be the primary.
 	lastPrimary plan.Server
+	// reported is the last point that the primary reported, and steppedDown the end of the log of the
+	// last primary that stepped down.
+	reported, steppedDown logEnd
+	turn                  turn
+	// laggingUntil is the time until which no promotion is tried again after one was refused because
+	// the replicas lacked a part of the log.
+	laggingUntil time.Time
 }
 
 // New returns a Monitor and runs it until the context ends.
@@ -148,20 +161,23 @@
 	}
 	if primary, ok := m.machine.Primary(now, servers); ok {
 		m.lastPrimary = primary
-		confirmed := m.askIfDoubtful(ctx, now, primary)
-		m.probePrimary(ctx, now, primary)
-		if at := <-confirmed; !at.IsZero() {
-			m.machine.PrimaryConfirmed(at, primary.ID)
+		handOverAt := m.takeTurn(primary)
+		m.machine.HandOverAt(handOverAt)
+		if sealed := m.sealed(now, primary); sealed && now.Before(handOverAt) {
+			return
+		} else if !sealed {
+			m.confirm(ctx, now, primary)
 		}
 	}
 	decision := m.machine.Decide(clock.Now(), servers)
-	if decision.Action == promo.ActionNone {
+	former, evacuated := evacuatedFormer(decision, servers)
+	if decision.Action == promo.ActionNone || (evacuated && now.Before(m.laggingUntil)) {
 		return
 	}
 	m.config.Log.LogAttrs(ctx, slog.LevelWarn, "service needs another primary", slog.String("service", string(m.config.Service)),
 		slog.String("primary", string(decision.Primary)), slog.String("reason", decision.Reason), slog.Duration("for", now.Sub(decision.Since)))
 	var minPoint model.Point
-	if decision.Action == promo.ActionHandOver {
+	if decision.Action == promo.ActionHandOver && !m.sealed(clock.Now(), former) {
 		minPoint = m.stepDown(ctx, decision.Primary)
 	}
 	if minPoint.IsZero() && !m.withdraw(ctx, decision, servers) {
@@ -170,6 +186,15 @@
 	m.promoteBest(ctx, decision, servers, minPoint)
 }
 
+// confirm probes the primary, and asks its gateways if the last confirmation is old.
+func (m *Monitor) confirm(ctx context.Context, now time.Time, primary plan.Server) {
+	confirmed := m.askIfDoubtful(ctx, now, primary)
+	m.probePrimary(ctx, now, primary)
+	if at := <-confirmed; !at.IsZero() {
+		m.machine.PrimaryConfirmed(at, primary.ID)
+	}
+}
+
 // closeConn closes the connection for probes, if there is one.
 func (m *Monitor) closeConn() {
 	if m.conn != nil {
@@ -217,6 +242,7 @@
 		m.machine.PrimaryConfirmed(sent, primary.ID)
 		if !begin.Point.IsZero() {
 			m.term = begin.Point.Term()
+			m.reported = logEnd{primary.ID, begin.Point}
 			m.config.Observe(m.config.Service, sent, begin.Point)
 		}
 	}
--- a/io/lead/promote.go
+++ b/io/lead/promote.go
@@ -30,6 +30,7 @@
 		m.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot decode the answer to the command to step down", slog.String("server", string(primary)), slog.String("error", err.Error()))
 		return model.Point{}
 	}
+	m.steppedDown = logEnd{primary, status.Received}
 	m.config.Log.LogAttrs(ctx, slog.LevelInfo, "primary stepped down", slog.String("server", string(primary)), slog.String("point", status.Received.String()))
 	return status.Received
 }
@@ -37,6 +38,9 @@
 // promoteBest promotes the replica that has received most of the log, as soon as one has received
 // everything up to minPoint or catchUpTimeout has passed. It promotes none if too few replicas
 // answer to be certain that their logs hold every acknowledged commit.
+//
+// If the former primary is in an evacuated failure domain, the replicas get until that is closed to
+// receive the rest of its log. None is promoted without it, unless the service replicates synchronously.
 func (m *Monitor) promoteBest(ctx context.Context, decision promo.Decision, servers []plan.Server, minPoint model.Point) {
 	var best promo.ReplicaLog
 	syncReplicas := 0
@@ -49,30 +53,69 @@
 		// answer on, the replicas must not acknowledge any more commits to it.
 		command = stmt.Command{Op: stmt.OpPause, Term: m.term + 1}
 	}
+	handOver := decision.Action == promo.ActionHandOver
+	former, evacuated := evacuatedFormer(decision, servers)
+	floor, until := minPoint, clock.Now().Add(catchUpTimeout)
+	if evacuated && (handOver || syncReplicas == 0) {
+		if known := m.floorOf(clock.Now(), former); floor.Less(known) {
+			floor = known
+		}
+		if closed := m.config.Evacuation.ClosedAt(former.EvacuatedSince); closed.After(until) {
+			until = closed
+		}
+	}
 	paused := false
 	defer func() {
 		if paused {
 			m.queryReplicas(ctx, decision.Primary, servers, stmt.Command{Op: stmt.OpResume})
 		}
 	}()
-	for until := clock.Now().Add(catchUpTimeout); ; {
+	for {
+		if evacuated && !m.config.View.State().Servers[former.ID].Evacuated() {
+			// The former primary, which has the whole log, is a candidate again.
+			servers, evacuated, decision.Primary = m.servers(), false, ""
+		}
 		paused = command.Op == stmt.OpPause
 		replicas := m.queryReplicas(ctx, decision.Primary, servers, command)
+		if evacuated {
+			var end model.Point
+			if replicas, end = promo.SplitFormer(replicas, former.ID); syncReplicas == 0 && floor.Less(end) {
+				floor = end
+			}
+		}
+		late := clock.Now().After(until)
 		var found bool
 		if best, found = promo.MostAdvanced(replicas); !found && len(replicas) > 0 {
-			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "all servers that answered are primaries of earlier terms", slog.String("service", string(m.config.Service)))
+			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "all servers that answered are primaries of earlier terms or evacuated", slog.String("service", string(m.config.Service)))
 			return
 		}
-		if others := len(servers) - countByID(servers, decision.Primary); !promo.CoverAllCommits(len(replicas), others, syncReplicas) {
+		others := len(servers) - countByID(servers, decision.Primary)
+		if evacuated {
+			others = len(servers) - 1
+		}
+		covered := promo.Covers(best, replicas, others, syncReplicas)
+		if !covered && (late || !evacuated || !handOver) {
 			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "too few replicas answered for a promotion", slog.String("service", string(m.config.Service)),
 				slog.Int("answers", len(replicas)), slog.Int("replicas", others), slog.Int("copies", syncReplicas))
 			return
 		}
-		if minPoint.IsZero() || !best.Point.Less(minPoint) || clock.Now().After(until) {
+		if covered && (late || !best.Point.Less(floor)) {
 			break
 		}
 		time.Sleep(catchUpPollInterval)
 	}
+	if evacuated && syncReplicas == 0 && best.Point.Less(floor) {
+		m.laggingUntil = clock.Now().Add(laggingPause)
+		m.config.Log.LogAttrs(ctx, slog.LevelWarn, "no replica has the whole log of the primary in an evacuated failure domain, none is promoted", slog.String("service", string(m.config.Service)),
+			slog.String("server", string(best.Server.ID)), slog.String("point", best.Point.String()), slog.String("floor", floor.String()))
+		return
+	}
+	m.promote(ctx, best, floor)
+}
+
+// promote appoints a replica and has the platform promote it. floor is the point that its log was to hold,
+// for the log.
+func (m *Monitor) promote(ctx context.Context, best promo.ReplicaLog, floor model.Point) {
 	fence, err := m.config.Appoint(ctx, best.Server.ID)
 	if err != nil {
 		m.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot obtain a fence for a promotion", slog.String("service", string(m.config.Service)), slog.String("error", err.Error()))
@@ -83,7 +126,7 @@
 	err = m.config.Promoter.Promote(callCtx, m.config.Service, best.Server.ID, fence)
 	attrs := []slog.Attr{
 		slog.String("service", string(m.config.Service)), slog.String("server", string(best.Server.ID)),
-		slog.String("point", best.Point.String()), slog.String("floor", minPoint.String()), slog.Uint64("fence", fence),
+		slog.String("point", best.Point.String()), slog.String("floor", floor.String()), slog.Uint64("fence", fence),
 	}
 	if errors.Is(err, ErrFenced) {
 		m.machine.PromotionFailed()
@@ -116,7 +159,7 @@
 	results := make(chan promo.ReplicaLog, len(servers))
 	queried := 0
 	for _, s := range servers {
-		if s.ID == except {
+		if s.ID == except || m.sealed(clock.Now(), s) {
 			continue
 		}
 		queried++
--- a/io/proxy/monitors.go
+++ b/io/proxy/monitors.go
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	name := monitorRight(service)
 	lead.New(ctx, lead.Config{
-		Service: service, View: n.view, Dialer: n.config.Dialer, Status: n.config.Status, Promoter: n.config.Promoter, Disabled: n.config.Disabled, Log: n.config.Log,
+		Service: service, View: n.view, Dialer: n.config.Dialer, Status: n.config.Status, Promoter: n.config.Promoter, Evacuation: n.config.evacuation(), Disabled: n.config.Disabled, Log: n.config.Log,
 		Holds: func(now time.Time) bool {
 			_, _, ok := n.rights.Holds(now, name)
 			return ok
