Evacuate a failure domain by the configuration of our own interface

Cause: operators of pomelofork serve could only drain backend servers one by one.

Change: the configuration document has evacuated_domains, the changes evacuate_domain and return_domain edit it, and so does pomelofork admin domain evacuate, return and list. Servers in such a domain count as draining.

--- a/cmd/pomelofork/admin.go
+++ b/cmd/pomelofork/admin.go
@@ -25,6 +25,7 @@
 	Service adminServiceCommand `cmd:"" help:"List services and their backend servers."`
 	Preset  adminPresetCommand  `cmd:"" help:"List and show presets, or put one in force."`
 	Server  adminServerCommand  `cmd:"" help:"Drain backend servers or return them to use."`
+	Domain  adminDomainCommand  `cmd:"" help:"List, evacuate or return failure domains."`
 	Change  adminChangeCommand  `cmd:"" help:"Show at how many instances a change is in force."`
 	Status  adminStatusCommand  `cmd:"" help:"Show which configuration version is in force at each instance."`
 }
--- a/cmd/pomelofork/admin_service.go
+++ b/cmd/pomelofork/admin_service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"pomelofork/core/conf"
 	"pomelofork/core/model"
@@ -29,8 +30,11 @@
 		service := document.Services[i]
 		for _, server := range service.Servers {
 			state := "in use"
-			if server.Draining {
+			switch {
+			case server.Draining:
 				state = "draining"
+			case slices.Contains(document.EvacuatedDomains, server.FailureDomain):
+				state = "evacuated"
 			}
 			rows = append(rows, []string{
 				string(service.ID), string(server.ID), server.Address, string(server.FailureDomain),
--- a/core/conf/apply_test.go
+++ b/core/conf/apply_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"pomelofork/core/conf"
+	"pomelofork/core/model"
 )
 
 // smallConfig returns the configuration of the small document.
@@ -64,6 +65,10 @@
 			conf.Change{DrainServer: &conf.DrainServer{Server: "s1"}},
 			func(c *conf.Config) any { return c.Services()[0].Servers()[0].Draining() }, true,
 		},
+		"evacuate_domain": {
+			conf.Change{EvacuateDomain: &conf.EvacuateDomain{Domain: "x"}},
+			func(c *conf.Config) any { return c.Draining("s1") }, true,
+		},
 	} {
 		It("makes the next version: "+name, func() {
 			before := smallConfig()
@@ -93,6 +98,8 @@
 		"burst of zero":               {conf.Change{SetLimits: &conf.SetLimits{Account: "a", Burst: new(0)}}, "accounts[0].burst"},
 		"duplicate account":           {conf.Change{AddAccount: &conf.AddAccount{Account: conf.AccountEntry{ID: "a", RatePerS: 1, Burst: 1, Share: 1}}}, "accounts[1].id"},
 		"unknown route":               {conf.Change{RemoveRoute: &conf.RemoveRoute{Route: "x"}}, "remove_route.route"},
+		"domain not evacuated":        {conf.Change{ReturnDomain: &conf.ReturnDomain{Domain: "x"}}, "return_domain.domain"},
+		"domain without a name":       {conf.Change{EvacuateDomain: &conf.EvacuateDomain{}}, "evacuated_domains[0]"},
 		"unknown server":              {conf.Change{ReturnServer: &conf.ReturnServer{Server: "x"}}, "return_server.server"},
 		"change without an operation": {conf.Change{}, ""},
 		"change with two operations":  {conf.Change{RemoveRoute: &conf.RemoveRoute{Route: "w"}, UsePreset: &conf.UsePreset{Preset: "peak"}}, ""},
@@ -106,6 +113,23 @@
 		})
 	}
 
+	It("returns an evacuated domain, but not a server in it that is draining by itself", func() {
+		c := smallConfig()
+		for _, change := range []conf.Change{
+			{ID: "1", DrainServer: &conf.DrainServer{Server: "s1"}},
+			{ID: "2", EvacuateDomain: &conf.EvacuateDomain{Domain: "later"}},
+			{ID: "3", EvacuateDomain: &conf.EvacuateDomain{Domain: "x"}},
+			{ID: "4", EvacuateDomain: &conf.EvacuateDomain{Domain: "x"}},
+			{ID: "5", ReturnDomain: &conf.ReturnDomain{Domain: "x"}},
+		} {
+			var err error
+			c, err = c.Apply(change, "op", now)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(c.Document().EvacuatedDomains).To(Equal([]model.Domain{"later"}))
+		Expect(c.Draining("s1")).To(BeTrue())
+	})
+
 	It("replaces a document but doesn't make a withdrawn key valid again", func() {
 		document := *smallConfig().Document()
 		document.Version, document.Preset = 900, "peak"
--- a/core/conf/build.go
+++ b/core/conf/build.go
@@ -20,7 +20,7 @@
 		c.accounts = append(c.accounts, newAccount(&d.Accounts[i], preset))
 	}
 	for i := range d.Services {
-		c.services = append(c.services, newService(&d.Services[i]))
+		c.services = append(c.services, newService(&d.Services[i], d.EvacuatedDomains))
 	}
 	slices.SortFunc(c.accounts, func(a, b Account) int { return cmp.Compare(a.id, b.id) })
 	slices.SortFunc(c.services, func(a, b Service) int { return cmp.Compare(a.ID(), b.ID()) })
@@ -62,10 +62,12 @@
 	return account
 }
 
-// newService returns the service that a validated entry declares.
-func newService(entry *ServiceEntry) Service {
+// newService returns the service that a validated entry declares. Its servers in evacuated failure
+// domains are draining.
+func newService(entry *ServiceEntry, evacuated []model.Domain) Service {
 	service := Service{entry: entry}
 	for _, server := range entry.Servers {
+		server.Draining = server.Draining || slices.Contains(evacuated, server.FailureDomain)
 		service.servers = append(service.servers, newServer(server))
 	}
 	return service
--- a/core/conf/change.go
+++ b/core/conf/change.go
@@ -35,6 +35,9 @@
 	RemoveRoute   *RemoveRoute   `json:"remove_route,omitempty"`
 	DrainServer   *DrainServer   `json:"drain_server,omitempty"`
 	ReturnServer  *ReturnServer  `json:"return_server,omitempty"`
+
+	EvacuateDomain *EvacuateDomain `json:"evacuate_domain,omitempty"`
+	ReturnDomain   *ReturnDomain   `json:"return_domain,omitempty"`
 }
 
 // edit is the operation of a change, such as *SetLimits or *AddRoute.
--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -43,6 +43,10 @@
 	for i, entry := range d.Routes {
 		c.route(element("routes", i), entry)
 	}
+	evacuated := map[model.Domain]bool{}
+	for i, domain := range d.EvacuatedDomains {
+		unique(c, element("evacuated_domains", i), domain, evacuated)
+	}
 	c.changes(d)
 	return c.faults.orNil()
 }
--- a/core/conf/config.go
+++ b/core/conf/config.go
@@ -83,8 +83,8 @@
 	return all[index], true
 }
 
-// Draining reports whether an operator has set a backend server to draining. It is
-// false for a server that is not declared.
+// Draining reports whether an operator has set a backend server to draining, or evacuated
+// its failure domain. It is false for a server that is not declared.
 func (c *Config) Draining(id model.ServerID) bool {
 	for _, service := range c.services {
 		if server, ok := service.Server(id); ok {
--- a/core/conf/document.go
+++ b/core/conf/document.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+
+	"pomelofork/core/model"
 )
 
 // Document is the configuration as it is stored and as operators write it. It may be
@@ -22,6 +24,8 @@
 	Services []ServiceEntry `json:"services,omitempty"`
 	// Routes are the declared routes.
 	Routes []RouteEntry `json:"routes,omitempty"`
+	// EvacuatedDomains are the failure domains whose backend servers are all draining.
+	EvacuatedDomains []model.Domain `json:"evacuated_domains,omitempty"`
 	// Changes are the latest accepted changes, oldest first. Operators leave the field
 	// out.
 	Changes []ChangeEntry `json:"changes,omitempty"`
--- a/core/conf/server.go
+++ b/core/conf/server.go
@@ -27,7 +27,7 @@
 // Connections returns the number of connections that the server accepts.
 func (s Server) Connections() int { return s.connections }
 
-// Draining reports whether an operator has stopped new work on the server.
+// Draining reports whether an operator has stopped new work on the server or in its failure domain.
 func (s Server) Draining() bool { return s.draining }
 
 // newServer returns the server that a validated entry declares.
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"pomelofork/core/conf"
+	"pomelofork/core/model"
 	"pomelofork/emul/pgsim"
 	"pomelofork/io/store/memkv"
 )
@@ -186,33 +187,38 @@
 		f.putText(text)
 	})
 
-	It("sends no new work to a draining backend server", func() {
-		primary := f.primary()
-		var drained int
-		for i, server := range f.document.Services[0].Servers {
-			if server.ID != primary {
-				drained = i
-			}
-		}
-		id := f.document.Services[0].Servers[drained].ID
-		f.put(func(d *conf.Document) { d.Services[0].Servers[drained].Draining = true })
-		statements := func() int64 {
-			for _, state := range f.group.States() {
-				if state.ID == id {
-					return int64(state.Statements)
+	for name, stop := range map[string]func(d *conf.Document, server *conf.ServerEntry){
+		"a draining backend server":                       func(_ *conf.Document, s *conf.ServerEntry) { s.Draining = true },
+		"a backend server in an evacuated failure domain": func(d *conf.Document, s *conf.ServerEntry) { d.EvacuatedDomains = []model.Domain{s.FailureDomain} },
+	} {
+		It("sends no new work to "+name, func() {
+			primary := f.primary()
+			var drained int
+			for i, server := range f.document.Services[0].Servers {
+				if server.ID != primary {
+					drained = i
 				}
 			}
-			return -1
-		}
-		conn := f.nodes[0].connectAnn(map[string]string{"route": "aged", "token": "new"})
-		// Once the change is in force, the count doesn't grow any more. It doesn't include
-		// status queries.
-		Eventually(func(g Gomega) {
-			before := statements()
-			for range 50 {
-				_, _ = get(conn, "kept")
+			id := f.document.Services[0].Servers[drained].ID
+			f.put(func(d *conf.Document) { stop(d, &d.Services[0].Servers[drained]) })
+			statements := func() int64 {
+				for _, state := range f.group.States() {
+					if state.ID == id {
+						return int64(state.Statements)
+					}
+				}
+				return -1
 			}
-			g.Expect(statements()).To(Equal(before))
-		}, eventuallyTimeout).Should(Succeed())
-	})
+			conn := f.nodes[0].connectAnn(map[string]string{"route": "aged", "token": "new"})
+			// Once the change is in force, the count doesn't grow any more. It doesn't include
+			// status queries.
+			Eventually(func(g Gomega) {
+				before := statements()
+				for range 50 {
+					_, _ = get(conn, "kept")
+				}
+				g.Expect(statements()).To(Equal(before))
+			}, eventuallyTimeout).Should(Succeed())
+		})
+	}
 })
