Count an evacuation that a starting instance finds as begun long ago

Cause: an instance that starts while a failure domain is evacuated gave the evacuation its whole bound again, and sent statements there although the bound was over for the fleet.

Change: an evacuation in the first content counts as an hour old, and one that is learned of without a recent confirmation counts from the last one. The turns of primaries then count from when their monitors see them.

Result: tests of io/view and io/lead pass.

--- a/core/plan/server.go
+++ b/core/plan/server.go
@@ -40,8 +40,9 @@
 	// ColdUntil is the time until which this process takes the server as cold. Zero means that it
 	// isn't cold.
 	ColdUntil time.Time
-	// EvacuatedSince is the time at which this process learned that the server's failure domain is
-	// evacuated. Zero means that it isn't.
+	// EvacuatedSince is the time from which the bound counts for the evacuation of the server's failure
+	// domain: when this process learned of it, or earlier if it may have begun long before. Zero means
+	// that the domain isn't evacuated.
 	EvacuatedSince time.Time
 }
 
--- a/io/lead/evacuation.go
+++ b/io/lead/evacuation.go
@@ -24,9 +24,10 @@
 }
 
 // takeTurn returns when the primary is replaced because its failure domain is evacuated. The turn is
-// taken once for each evacuation, since the number of primaries that are left shrinks. It returns the
-// zero time if the domain isn't evacuated.
-func (m *Monitor) takeTurn(primary plan.Server) time.Time {
+// taken once for each evacuation, since the number of primaries that are left shrinks. If the domain is
+// closed already, the turns count from now: many monitors may learn of it at the same time. It returns
+// the zero time if the domain isn't evacuated.
+func (m *Monitor) takeTurn(now time.Time, primary plan.Server) time.Time {
 	if !primary.Evacuated() {
 		m.turn = turn{}
 	} else if m.turn.server != primary.ID || !m.turn.since.Equal(primary.EvacuatedSince) {
@@ -39,7 +40,11 @@
 				}
 			}
 		}
-		m.turn = turn{primary.ID, primary.EvacuatedSince, m.config.Evacuation.HandOverAt(primary.EvacuatedSince, m.config.Service, services)}
+		from := primary.EvacuatedSince
+		if m.config.Evacuation.Closed(now, from) {
+			from = now
+		}
+		m.turn = turn{primary.ID, primary.EvacuatedSince, m.config.Evacuation.HandOverAt(from, m.config.Service, services)}
 	}
 	return m.turn.at
 }
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -161,7 +161,7 @@
 	}
 	if primary, ok := m.machine.Primary(now, servers); ok {
 		m.lastPrimary = primary
-		handOverAt := m.takeTurn(primary)
+		handOverAt := m.takeTurn(now, primary)
 		m.machine.HandOverAt(handOverAt)
 		if sealed := m.sealed(now, primary); sealed && now.Before(handOverAt) {
 			return
--- a/io/view/evacuations.go
+++ b/io/view/evacuations.go
@@ -11,9 +11,19 @@
 	"pomelofork/io/store"
 )
 
+const (
+	// confirmedWithin is the age of the last confirmation up to which an evacuation counts as begun when
+	// this process learns of it. A follower in contact with its source confirms its copy more often.
+	confirmedWithin = 2 * time.Second
+	// unknownEvacuationAge is the age of an evacuation that the first content contains: it may have
+	// begun any time before, so that its whole bound counts as over.
+	unknownEvacuationAge = time.Hour
+)
+
 // Evacuation is the operator's request to keep all work away from the servers of a failure domain.
 type Evacuation struct {
-	// Since is when this process learned of it.
+	// Since is when this process learned of it, or the earliest time at which it may have begun if that
+	// was long before.
 	Since time.Time
 	// Revision is the store's revision of its entry.
 	Revision uint64
@@ -28,13 +38,26 @@
 	}
 	known, ok := b.next.Evacuations[domain]
 	if !ok {
-		known.Since = now
+		known.Since = v.evacuatedSince(now, b)
 		b.evacuated = append(b.evacuated, domain)
 	}
 	known.Revision = e.Revision
 	b.setEvacuation(domain, known)
 }
 
+// evacuatedSince returns the time from which the bound of an evacuation counts that an update contains.
+func (v *View) evacuatedSince(now time.Time, b *stateBuilder) time.Time {
+	confirmed, ok := v.FreshAsOf()
+	switch {
+	case !ok || b.initial:
+		return now.Add(-unknownEvacuationAge)
+	case now.Sub(confirmed) > confirmedWithin:
+		return confirmed
+	default:
+		return now
+	}
+}
+
 // logEvacuations logs the evacuations that an update has begun. The servers in the same update have
 // been applied, so that a domain without any is one that isn't known.
 func (v *View) logEvacuations(ctx context.Context, b *stateBuilder) {
@@ -48,7 +71,7 @@
 		if servers == 0 {
 			message = "failure domain is evacuated in which no server is known"
 		}
-		v.config.Log.LogAttrs(ctx, slog.LevelWarn, message, slog.String("domain", string(domain)), slog.Int("servers", servers), slog.Uint64("revision", e.Revision))
+		v.config.Log.LogAttrs(ctx, slog.LevelWarn, message, slog.String("domain", string(domain)), slog.Int("servers", servers), slog.Duration("age", b.now.Sub(e.Since)), slog.Uint64("revision", e.Revision))
 	}
 }
 
--- a/io/view/evacuations_test.go
+++ b/io/view/evacuations_test.go
@@ -1,11 +1,14 @@
 package view_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"pomelofork/core/model"
 	"pomelofork/emul/kvsim"
+	"pomelofork/io/clock"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
@@ -65,6 +68,23 @@
 		Eventually(evacuated).WithTimeout(waitTimeout).Should(BeFalse())
 	})
 
+	It("count as begun long ago if the first content has them, since their bound may be over", func() {
+		t.Set("evacuate/d", nil)
+		v = start(view.StoreSource{Table: client})
+		Eventually(evacuated).WithTimeout(waitTimeout).Should(BeTrue())
+		Expect(v.State().Evacuations["d"].Since).To(BeTemporally("<", clock.Now().Add(-30*time.Minute)))
+	})
+
+	It("count as begun at the last confirmation if that was long ago", func() {
+		confirmed, _ := v.FreshAsOf()
+		client.SetFault(kvsim.FaultRefuse)
+		t.Set("evacuate/d", nil)
+		time.Sleep(3 * time.Second)
+		client.SetFault(kvsim.FaultNone)
+		Eventually(evacuated).WithTimeout(waitTimeout).Should(BeTrue())
+		Expect(v.State().Evacuations["d"].Since).To(And(BeTemporally(">=", confirmed), BeTemporally("<", clock.Now().Add(-2*time.Second))))
+	})
+
 	Context("after the store was restored from a copy without the entry", func() {
 		var since view.Evacuation
 		BeforeEach(func() {
