--- a/core/evac/policy.go
+++ b/core/evac/policy.go
@@ -103,7 +103,7 @@
 	}
 	interval := p.Bound / movingDivisor / time.Duration(max(len(services), 1))
 	if p.PromotionsPerSecond > 0 {
-		interval = time.Duration(float64(time.Second) / (p.PromotionsPerSecond * promotionShare))
+		interval = time.Duration(min(float64(time.Second)/(p.PromotionsPerSecond*promotionShare), float64(p.Bound)))
 	}
 	return since.Add(time.Duration(rank) * interval)
 }
--- a/core/evac/policy_test.go
+++ b/core/evac/policy_test.go
@@ -60,6 +60,7 @@
 		"the first of three": {policy, "a", []model.ServiceID{"c", "a", "b"}, 0},
 		"the last of three":  {policy, "c", []model.ServiceID{"c", "a", "b"}, 80},
 		"an unknown pace":    {evac.Policy{Bound: 5 * time.Second}, "b", []model.ServiceID{"a", "b"}, 625},
+		"a pace near zero":   {evac.Policy{Bound: 5 * time.Second, PromotionsPerSecond: 1e-300}, "b", []model.ServiceID{"a", "b"}, 5000},
 		"none known":         {evac.Policy{Bound: 5 * time.Second}, "b", nil, 0},
 		"without pacing":     {evac.Policy{Bound: 5 * time.Second, Unpaced: true}, "c", []model.ServiceID{"a", "b", "c"}, 0},
 	} {
--- a/io/proxy/meter.go
+++ b/io/proxy/meter.go
@@ -27,6 +27,8 @@
 	repeated map[string]int64
 	calls    map[string]int64
 	latency  map[string]*hdrhistogram.Histogram
+	// evacuated is the number of evacuated failure domains.
+	evacuated int
 }
 
 func newMeter() *meter {
@@ -61,10 +63,17 @@
 	m.calls[fmt.Sprintf("store_calls{call=%q,outcome=%q}", call, outcome)]++
 }
 
+// SetEvacuated records the number of evacuated failure domains.
+func (m *meter) SetEvacuated(domains int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.evacuated = domains
+}
+
 // ServeHTTP writes one counter per line, and the quantiles of each route's latency.
 func (m *meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	m.mu.Lock()
-	var lines []string
+	lines := []string{fmt.Sprintf("pomelofork_evacuated_domains %d\n", m.evacuated)}
 	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls} {
 		for name, n := range counters {
 			lines = append(lines, fmt.Sprintf("pomelofork_%s %d\n", name, n))
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -181,6 +181,7 @@
 		pool.Close()
 	}
 	if applied.Servers != s.ChangeCounts.Servers {
+		n.meter.SetEvacuated(len(s.Evacuations))
 		n.entry.StateChanged(clock.Now(), s)
 	}
 	if applied.Appointments != s.ChangeCounts.Appointments {
