--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -67,6 +67,9 @@
 	ReturnPlaces Switch = "return_places"
 	// OpeningWork counts the opening of connections as work of a server.
 	OpeningWork Switch = "opening_work"
+	// ColdPlacement prefers warm servers to cold ones, and leaves a cold one alone for as long as it
+	// says that it can take no more.
+	ColdPlacement Switch = "cold_placement"
 )
 
 // All returns all switches in a fixed order.
@@ -76,6 +79,7 @@
 		ReadRetry, SilentServers, DomainPlacement, WaitPlacement, LatencyPlacement, Followers, Isolation, WithdrawalAnswers, VacancyTakeover,
 		EvacuationSteps, EvacuationPace,
 		AccountShares, GapWait, ReturnPlaces, OpeningWork,
+		ColdPlacement,
 	}
 }
 
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -25,8 +25,14 @@
 			break
 		}
 		chosen, ok := a.chooseServer(now)
+		if !ok && a.homeless() {
+			if !a.sent {
+				last = refuseHomeless()
+			}
+			break
+		}
 		if !ok {
-			if !a.awaitServer(now) {
+			if a.coldForLong(now) || !a.awaitServer(now) {
 				if a.retryAfter > 0 {
 					last = refuseWithoutServer(a.retryAfter)
 				}
@@ -121,10 +127,11 @@
 func (a *attempts) bestCandidate(now time.Time, required place.Requirement, s scope) (plan.Server, bool) {
 	e := a.session.entry
 	var candidates []place.Candidate
+	var passedOver time.Time
 	e.mu.Lock()
 	for _, server := range e.config.View.State().Services[a.route.Service] {
 		id := server.ID
-		if a.excluded[id] {
+		if a.excluded[id] || !e.config.Homes.Allows(a.order.Homes, server.Domain) {
 			continue
 		}
 		if server.Draining && now.Sub(server.DrainingSince) > drainingGrace {
@@ -134,6 +141,10 @@
 			continue
 		}
 		stats := e.stats(id)
+		if !required.Primary && e.passOver(now, stats) {
+			passedOver = earlier(passedOver, stats.passedOverUntil)
+			continue
+		}
 		if !s.withSuspected && now.Before(stats.suspectUntil) {
 			continue
 		}
@@ -141,9 +152,13 @@
 			Server: server, Point: stats.point, PointAt: stats.pointAt, Wait: stats.wait, WaitAt: stats.waitAt, InFlight: stats.inFlight,
 			Latency: stats.latency, LatencyAt: stats.latencyAt, FailureRate: stats.failureRate,
 			SameDomain: server.Domain == e.config.Domain,
+			Cold:       e.config.passesOverCold() && server.Cold(now), ColdInterval: e.coldInterval(server.Service),
 		})
 	}
 	e.mu.Unlock()
+	if a.passedOver = passedOver; len(candidates) > 0 {
+		a.passedOver = time.Time{}
+	}
 	e.disablePlacement(candidates)
 	i, ok := place.Choose(now, required, candidates)
 	if !ok {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"pomelofork/core/evac"
 	"pomelofork/core/fresh"
+	"pomelofork/core/home"
 	"pomelofork/core/model"
 	"pomelofork/core/trial"
 	"pomelofork/io/view"
@@ -36,6 +37,10 @@
 	Codec func(net.Conn) Caller
 	// Evacuation says what may be sent to servers in evacuated failure domains.
 	Evacuation evac.Policy
+	// ColdServers says that servers which have just started are limited in what they may get.
+	ColdServers bool
+	// Homes tells which servers may run the statements of routes and accounts with homes.
+	Homes home.Map
 	// Disabled are the mechanisms that are switched off.
 	Disabled trial.Disabled
 	// Meter counts answers and retries.
@@ -84,6 +89,8 @@
 	// suspectUntil is the time until which other servers are preferred, because an answer
 	// of this one was lost.
 	suspectUntil time.Time
+	// passedOverUntil is the time until which the server, which is cold, takes no read.
+	passedOverUntil time.Time
 }
 
 // New returns an entry that serves no callers yet.
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
 	"pomelofork/io/clock"
 )
@@ -35,7 +36,10 @@
 		return false
 	}
 	sc.conn = conn
-	p.downSince = time.Time{}
+	if p.lost || !p.downSince.IsZero() {
+		p.ramp.Returned(now)
+	}
+	p.lost, p.downSince = false, time.Time{}
 	sc.idleFrom = now
 	p.dispatch(now)
 	return true
@@ -114,7 +118,12 @@
 			p.finish(now, sc, e, answer)
 		case p.updateEvacuated(now):
 			// The connection is closed, whose reader ends the execution.
+		case !p.ramp.Permits(now, ramp.Open):
+			e.setupError = &stmt.Answer{Code: stmt.CodeBusy, Text: notGatewayText}
+			p.finish(now, sc, e, answer)
 		default:
+			p.release(e)
+			p.ramp.Send(now, len(e.main))
 			e.mainLeft = len(e.main)
 			e.sentAt = now
 			p.send(sc, e.main)
@@ -137,6 +146,7 @@
 	p.running--
 	p.updateEvacuated(now)
 	p.queue.Ended(e.request.item, now.Sub(e.startedAt))
+	p.release(e)
 	order := e.request.order
 	result := stmt.Result{Answer: e.answer}
 	if e.setupError != nil {
@@ -203,11 +213,13 @@
 	if !sc.closed {
 		p.log.LogAttrs(context.Background(), slog.LevelInfo, "receiving from a server failed, closing the connection",
 			slog.String("server", string(p.server.ID)), slog.Bool("at_work", e != nil), slog.String("error", err.Error()))
+		p.lost = p.lost || len(p.conns) == 1
 	}
 	p.discard(sc)
 	if e != nil {
 		p.running--
 		p.queue.Ended(e.request.item, now.Sub(e.startedAt))
+		p.release(e)
 		result := stmt.Result{Answer: e.answer, NotSent: e.mainLeft == 0 && !e.answered}
 		if !e.answered {
 			result.Answer = stmt.Refuse(stmt.CodeConnectionLost, stmt.StateIdle, "connection to the server lost")
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -11,9 +11,11 @@
 	"sync/atomic"
 	"time"
 
+	"pomelofork/core/home"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
+	"pomelofork/core/ramp"
 	"pomelofork/core/rank"
 	"pomelofork/core/reach"
 	"pomelofork/io/clock"
@@ -67,6 +69,10 @@
 	// run them.
 	transactions map[uint64]plan.Instance
 	encoded      *encodedValues
+	// cold is what this instance knows of its role as the gateway of cold servers.
+	cold coldGateways
+	// homesLogged is the version of the configuration whose homes were last checked.
+	homesLogged uint64
 	// pathRetryAt is the time until which an instance that failed to reach a server isn't
 	// asked for it.
 	pathRetryAt map[serverPath]time.Time
@@ -131,7 +137,7 @@
 		},
 	})
 	n.entry = entry.New(entry.Config{
-		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Evacuation: c.evacuation(), Disabled: c.Disabled, Log: c.Log,
+		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, ColdServers: c.ColdLimit != (ramp.Limit{}), Homes: home.NewMap(c.Regions), View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Evacuation: c.evacuation(), Disabled: c.Disabled, Log: c.Log,
 	})
 	close(ready)
 	n.entry.Serve(c.Callers)
@@ -172,6 +178,8 @@
 	if applied.Instances != s.ChangeCounts.Instances {
 		clear(n.holderOrder)
 	}
+	n.observeMembers(clock.Now(), s)
+	n.logUnmatchedHomes(s)
 	var closing []*pooler.Pool
 	if applied.Servers != s.ChangeCounts.Servers {
 		closing = n.updatePools(s)
@@ -202,12 +210,14 @@
 			closing = append(closing, pool)
 			delete(n.pools, id)
 			delete(n.holderOrder, id)
+			n.cold.poolClosed(clock.Now(), id)
 			continue
 		}
 		if server.Domain != pool.Server().Domain {
 			delete(n.holderOrder, id)
 		}
 		pool.Update(server)
+		pool.Cold(clock.Now(), n.coldClaim(clock.Now(), s, server))
 	}
 	return closing
 }
@@ -241,6 +251,7 @@
 		Server: server, Connections: connections, Dialer: n.config.Dialer, Observe: n.entry.Observe, Latest: n.entry.Latest, Evacuation: n.config.evacuation(), Disabled: n.config.Disabled, Log: n.config.Log,
 		Allows:    func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, server.Service, epoch) },
 		Contended: n.config.Contended, Weight: n.accountRate,
+		Claim: n.coldClaim(clock.Now(), state, server), UsedUntil: n.cold.usedUntil[id], ColdRefused: n.meter.ColdRefused,
 	})
 	n.pools[id] = pool
 	return pool
@@ -251,6 +262,11 @@
 func (n *Node) holders(server plan.Server) []plan.Instance {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.holdersLocked(server)
+}
+
+// holdersLocked returns the result of holders. The caller holds the lock.
+func (n *Node) holdersLocked(server plan.Server) []plan.Instance {
 	if order, ok := n.holderOrder[server.ID]; ok {
 		return order
 	}
