--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -217,3 +218,18 @@
 		})
 	}
 })
+
+var _ = Describe("Evacuations of failure domains", func() {
+	for bound, want := range map[time.Duration]bool{0: false, -1: false, time.Second: true} {
+		It(fmt.Sprintf("are found only if there is a bound for them: %s", bound), func() {
+			c := Config{EvacuationBound: bound, Decoder: evacuationDecoder{}, Log: slog.New(slog.DiscardHandler)}
+			_, ok := c.evacuationDecoder().Evacuation("evacuate/a")
+			Expect(ok).To(Equal(want))
+		})
+	}
+})
+
+// evacuationDecoder takes every key for that of an evacuation.
+type evacuationDecoder struct{ planDecoder }
+
+func (evacuationDecoder) Evacuation(key string) (model.Domain, bool) { return model.Domain(key), true }
