Treat a failure domain that falls silent as one event

After the loss of a failure domain each silent server and instance cost a time-out of its own, and each monitor waited as long as for one slow primary.

core/outage keeps the evidence of one instance about the other domains. Three silent members, at least half of those contacted in the last second, with no answer since, make a domain suspected. It counts as lost once an instance of another domain suspects it as well; any answer ends both. io/proxy feeds it from calls to peers, connection pools and probes of monitors, and contacts a few members when an answer is overdue. Reads and gateways leave a suspected domain, and calls in flight without lasting effect end. The monitor of a primary in a lost domain replaces it after 350 ms without a confirmation instead of 900 ms, and a probe under way ends. Permits and withdrawals are unchanged. The switch is domain_loss; it takes effect only where the settings tolerate the loss of a domain.

--- a/core/promo/promo.go
+++ b/core/promo/promo.go
@@ -28,6 +28,10 @@
 	// refused before it is replaced. It spans two probes, so that a single reset
 	// connection does not suffice.
 	refusedAfter = 250 * time.Millisecond
+	// lostAfter is the time without a confirmation after which a primary counts as failed if its
+	// failure domain counts as lost. It is longer than the pause between two probes and a usual
+	// answer, so that a primary that still answers this instance stays.
+	lostAfter = 350 * time.Millisecond
 	// noPrimaryAfter is how long no server may report the primary role. A change of
 	// roles becomes visible within one status report.
 	noPrimaryAfter = 1500 * time.Millisecond
@@ -82,6 +86,8 @@
 	// server that did so before, or empty if it isn't known.
 	noPrimarySince time.Time
 	former         model.ServerID
+	// domainLost is true while the failure domain of primary counts as lost.
+	domainLost bool
 	// removed is true when the entry of the last primary no longer exists.
 	removed bool
 	// promotionStartedAt and promotionTarget belong to the promotion under way. They
@@ -125,7 +131,7 @@
 	}
 	m.noPrimarySince, m.former, m.removed, m.promotionFailed = time.Time{}, "", false, false
 	if primary.ID != m.primary {
-		m.primary, m.confirmedAt, m.refusedSince = primary.ID, now, time.Time{}
+		m.primary, m.confirmedAt, m.refusedSince, m.domainLost = primary.ID, now, time.Time{}, false
 		if primary.ID == m.promotionTarget {
 			m.promotionStartedAt, m.promotionTarget = time.Time{}, ""
 		}
@@ -155,6 +161,10 @@
 	}
 }
 
+// DomainLost records whether the server's failure domain counts as lost: its members have fallen
+// silent together, as seen from two other domains.
+func (m *Machine) DomainLost(id model.ServerID, lost bool) { m.domainLost = lost && id == m.primary }
+
 // PromotionStarted records that target was asked to become primary. Until it has done
 // so, or promotionTimeout has passed, Decide returns no action.
 func (m *Machine) PromotionStarted(now time.Time, target model.ServerID) {
@@ -190,6 +200,8 @@
 		return Decision{}
 	case !m.refusedSince.IsZero() && now.Sub(m.refusedSince) >= refusedAfter:
 		return Decision{Action: ActionReplace, Primary: primary.ID, Reason: "connections to the primary's address are refused", Since: m.refusedSince}
+	case m.domainLost && now.Sub(m.confirmedAt) >= lostAfter:
+		return Decision{Action: ActionReplace, Primary: primary.ID, Reason: "the primary's failure domain is lost", Since: m.confirmedAt}
 	case now.Sub(m.confirmedAt) >= unconfirmedAfter:
 		return Decision{Action: ActionReplace, Primary: primary.ID, Reason: "primary did not confirm its role in time", Since: m.confirmedAt}
 	case primary.Draining && hasReplica(servers):
--- a/core/promo/promo_test.go
+++ b/core/promo/promo_test.go
@@ -51,6 +51,27 @@
 		Expect(decide(950, group)).To(HaveField("Action", promo.ActionReplace))
 	})
 
+	for name, c := range map[string]struct {
+		// lost is the server whose failure domain counts as lost, if any.
+		lost        model.ServerID
+		unconfirmed int
+		want        promo.Action
+	}{
+		"replaces a primary sooner if its failure domain is lost":         {"p", 360, promo.ActionReplace},
+		"keeps one of a lost domain that confirmed its role a moment ago": {"p", 340, promo.ActionNone},
+		"waits as long as ever if the domain of another server is lost":   {"r1", 850, promo.ActionNone},
+		"waits as long as ever if the suspicion of the domain has ended":  {"", 850, promo.ActionNone},
+		"replaces one that is silent for long also without lost domains":  {"", 950, promo.ActionReplace},
+	} {
+		It(name, func() {
+			decide(0, group)
+			m.PrimaryConfirmed(at(0), "p")
+			m.DomainLost("p", true)
+			m.DomainLost(c.lost, c.lost != "")
+			Expect(decide(c.unconfirmed, group).Action).To(Equal(c.want))
+		})
+	}
+
 	It("replaces a primary sooner if its connections are refused for some time, but not for one reset connection", func() {
 		decide(0, group)
 		m.PrimaryConfirmed(at(0), "p")
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -54,13 +54,16 @@
 	// VacancyTakeover counts the time without a primary from its loss when another instance takes
 	// over the monitoring.
 	VacancyTakeover Switch = "vacancy_takeover"
+	// DomainLoss treats servers and instances of one failure domain that fall silent together as one
+	// event.
+	DomainLoss Switch = "domain_loss"
 )
 
 // All returns all switches in a fixed order.
 func All() []Switch {
 	return []Switch{
 		ReturnedTokens, PrefetchedTokens, TokenWait, SharedIssuers, RestartTokens, KeptRights, PromotionWait, EarlyRejection, TargetOrder, Priority,
-		ReadRetry, SilentServers, DomainPlacement, WaitPlacement, LatencyPlacement, Followers, Isolation, WithdrawalAnswers, VacancyTakeover,
+		ReadRetry, SilentServers, DomainPlacement, WaitPlacement, LatencyPlacement, Followers, Isolation, WithdrawalAnswers, VacancyTakeover, DomainLoss,
 	}
 }
 
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -130,7 +130,7 @@
 			continue
 		}
 		stats := e.stats(id)
-		if !withSuspected && now.Before(stats.suspectUntil) {
+		if !withSuspected && (now.Before(stats.suspectUntil) || e.suspectsDomain(server.Domain)) {
 			continue
 		}
 		candidates = append(candidates, place.Candidate{
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -35,6 +35,9 @@
 	Codec func(net.Conn) Caller
 	// Disabled are the mechanisms that are switched off.
 	Disabled trial.Disabled
+	// SuspectsDomain reports whether a failure domain is suspected of having failed. Its servers are
+	// chosen only if there are no others. It may be nil.
+	SuspectsDomain func(model.Domain) bool
 	// Meter counts answers and retries.
 	Meter Meter
 	// Log receives one record for each decision about a request.
--- a/io/entry/server_stats.go
+++ b/io/entry/server_stats.go
@@ -54,3 +54,9 @@
 	}
 	return result
 }
+
+// suspectsDomain reports whether the servers of a failure domain are chosen only if there are no
+// others, because the domain is suspected of having failed.
+func (e *Entry) suspectsDomain(domain model.Domain) bool {
+	return e.config.SuspectsDomain != nil && e.config.SuspectsDomain(domain)
+}
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -83,6 +83,11 @@
 	Allows func(now time.Time, epoch uint64) bool
 	// Gateways are the instances through which callers use the servers.
 	Gateways Gateways
+	// Probed is called with each server that was probed and whether it answered. It may be nil.
+	Probed func(server plan.Server, answered bool)
+	// DomainLost reports whether a failure domain has failed as a whole, by the evidence of instances
+	// of two others. It may be nil.
+	DomainLost func(model.Domain) bool
 	// Observe is called with each point that the primary reports, and when that was asked for.
 	Observe func(service model.ServiceID, at time.Time, point model.Point)
 	// Log receives a record of each decision and of each failed call.
@@ -149,11 +154,14 @@
 	if primary, ok := m.machine.Primary(now, servers); ok {
 		m.lastPrimary = primary
 		confirmed := m.askIfDoubtful(ctx, now, primary)
-		m.probePrimary(ctx, now, primary)
+		probeCtx, cancel := m.untilLost(ctx)
+		m.probePrimary(probeCtx, now, primary)
+		cancel()
 		if at := <-confirmed; !at.IsZero() {
 			m.machine.PrimaryConfirmed(at, primary.ID)
 		}
 	}
+	m.machine.DomainLost(m.lastPrimary.ID, m.domainLost())
 	decision := m.machine.Decide(clock.Now(), servers)
 	if decision.Action == promo.ActionNone {
 		return
@@ -201,13 +209,15 @@
 				// have lost power still count towards it.
 				m.machine.PrimaryConfirmed(now, primary.ID)
 			}
+			m.probed(primary, Reached(err))
 			m.config.Log.LogAttrs(ctx, slog.LevelInfo, "primary not reached", slog.String("server", string(primary.ID)), slog.String("error", err.Error()))
 			return
 		}
 		m.conn, m.connServer = conn, primary.ID
 	}
 	sent := clock.Now()
-	begin, err := probe(m.conn, probeTimeout)
+	begin, err := probeUntil(ctx, m.conn, probeTimeout)
+	m.probed(primary, err == nil)
 	if err != nil {
 		m.config.Log.LogAttrs(ctx, slog.LevelInfo, "primary did not answer a probe", slog.String("server", string(primary.ID)), slog.String("error", err.Error()))
 		m.closeConn()
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -19,7 +19,7 @@
 	p.opening[sc.account]--
 	p.running--
 	if err == nil || errors.Is(err, ErrConnectionLimit) {
-		p.lastAnswer = now
+		p.recordAnswer(now)
 	}
 	if err != nil {
 		delete(p.conns, sc)
@@ -95,7 +95,7 @@
 func (p *Pool) handleAnswer(now time.Time, sc *serverConn, answer stmt.Answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastAnswer = now
+	p.recordAnswer(now)
 	e := sc.execution
 	if e == nil {
 		// An answer without a command: it is unknown which command the next one belongs to.
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -94,6 +94,8 @@
 	// lastAnswer is when the server last answered. It is also set when a statement is sent
 	// or a connection attempt begins while nothing is running.
 	lastAnswer time.Time
+	// answeredAt is when it last answered.
+	answeredAt time.Time
 	// confirmedAt is the latest time as of which the server is known to have been the
 	// service's primary.
 	confirmedAt time.Time
--- a/io/pooler/silent.go
+++ b/io/pooler/silent.go
@@ -20,6 +20,23 @@
 	return now.Sub(p.lastAnswer)
 }
 
+// Silent reports whether the server has been without an answer for so long that reads leave it.
+func (p *Pool) Silent(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silentFor(now) > silentAfter
+}
+
+// AnsweredAt returns when the server last answered, or the zero time.
+func (p *Pool) AnsweredAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answeredAt
+}
+
+// recordAnswer records that the server answered.
+func (p *Pool) recordAnswer(now time.Time) { p.lastAnswer, p.answeredAt = now, now }
+
 // reconnecting reports whether the server was lost and a first connection to it is being opened.
 // One read waits for that connection, to find out whether the server is back.
 func (p *Pool) reconnecting() bool {
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -35,6 +35,7 @@
 	if order.NeedsPrimary() {
 		holders = primaryHolders(holders)
 	}
+	holders = n.outages.suspectedLast(holders)
 	for _, inst := range holders {
 		if (inst.ID != n.config.Self.ID && !n.peer(inst).Reachable(now)) || n.pathFailedRecently(now, inst, server.ID) {
 			continue
--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -71,7 +71,7 @@
 func newNodeFor(table *kvsim.Table, count int, wanted ...right.Spec) *Node {
 	log := slog.New(slog.DiscardHandler)
 	n := &Node{
-		config: Config{Self: plan.Instance{ID: "self"}, Table: table.Client(), Log: log}, peers: map[string]*relay.Peer{}, holderOrder: map[model.ServerID][]plan.Instance{},
+		config: Config{Self: plan.Instance{ID: "self"}, Table: table.Client(), Log: log}, meter: newMeter(), peers: map[string]*relay.Peer{}, holderOrder: map[model.ServerID][]plan.Instance{},
 		pathRetryAt: map[serverPath]time.Time{}, primaryUses: map[model.ServiceID]*primaryUse{}, appointing: map[model.ServiceID]uint64{}, endedLeases: map[uint64]bool{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/io/proxy/meter.go
+++ b/io/proxy/meter.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"pomelofork/core/model"
 	"pomelofork/core/stmt"
 )
 
@@ -26,11 +27,13 @@
 	answers  map[string]int64
 	repeated map[string]int64
 	calls    map[string]int64
+	// beliefs counts the changes of the belief about failure domains.
+	beliefs map[string]int64
 	latency  map[string]*hdrhistogram.Histogram
 }
 
 func newMeter() *meter {
-	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
+	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, beliefs: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
 }
 
 // Statement implements entry.Meter.
@@ -61,11 +64,18 @@
 	m.calls[fmt.Sprintf("store_calls{call=%q,outcome=%q}", call, outcome)]++
 }
 
+// DomainBelief counts that a failure domain is now suspected or lost, or no longer suspected.
+func (m *meter) DomainBelief(domain model.Domain, belief string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.beliefs[fmt.Sprintf("domain_beliefs{domain=%q,belief=%q}", domain, belief)]++
+}
+
 // ServeHTTP writes one counter per line, and the quantiles of each route's latency.
 func (m *meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	m.mu.Lock()
 	var lines []string
-	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls} {
+	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls, m.beliefs} {
 		for name, n := range counters {
 			lines = append(lines, fmt.Sprintf("pomelofork_%s %d\n", name, n))
 		}
--- a/io/proxy/monitors.go
+++ b/io/proxy/monitors.go
@@ -66,6 +66,7 @@
 		Allows:   func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, service, epoch) },
 		Gateways: gateways{n},
 		Observe:  n.entry.Observe,
+		Probed:   n.outages.probed, DomainLost: n.outages.lost,
 	})
 	return cancel
 }
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -86,6 +86,8 @@
 	// peerUnresponsive is set when a peer does not answer and cleared by updateIsolation.
 	peerUnresponsive atomic.Bool
 	isolation        reach.Detector
+	// outages is nil if the loss of a failure domain doesn't have to be borne.
+	outages *outages
 
 	rightsCache  derived[[]right.Spec]
 	sourcesCache derived[[]view.Source]
@@ -111,6 +113,7 @@
 		holderOrder: map[model.ServerID][]plan.Instance{}, monitors: map[model.ServiceID]context.CancelFunc{}, buckets: map[issuerKey]*bucket{}, issuers: map[model.AccountID]*quota.IssuerStatus{},
 		transactions: map[uint64]plan.Instance{}, endedLeases: map[uint64]bool{}, pathRetryAt: map[serverPath]time.Time{}, encoded: newEncodedValues(), primaryUses: map[model.ServiceID]*primaryUse{}, appointing: map[model.ServiceID]uint64{},
 	}
+	n.outages = newOutages(n)
 	if err := relay.NewServer(relay.ServerConfig{Listener: c.Peers, Handler: &handler{n}, Disconnected: n.rollBackEntry, Log: c.Log}); err != nil {
 		return nil, fmt.Errorf("start answering peers: %w", err)
 	}
@@ -130,7 +133,7 @@
 		},
 	})
 	n.entry = entry.New(entry.Config{
-		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Disabled: c.Disabled, Log: c.Log,
+		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, View: n.view, Fleet: n, SuspectsDomain: n.outages.suspects, Codec: c.Codec, Meter: n.meter, Disabled: c.Disabled, Log: c.Log,
 	})
 	close(ready)
 	n.entry.Serve(c.Callers)
@@ -264,7 +267,9 @@
 	// run transactions of this one, which are rolled back when the connection closes.
 	p, ok := n.peers[inst.Address]
 	if !ok {
-		p = relay.NewPeer(relay.PeerConfig{Name: string(inst.ID), Address: inst.Address, Dial: sock.Dial, Log: n.config.Log})
+		c := relay.PeerConfig{Name: string(inst.ID), Address: inst.Address, Dial: sock.Dial, Log: n.config.Log}
+		n.outages.watchPeer(inst, &c)
+		p = relay.NewPeer(c)
 		n.peers[inst.Address] = p
 	}
 	return p
--- a/io/proxy/tick.go
+++ b/io/proxy/tick.go
@@ -35,7 +35,9 @@
 // instance is the one that should hold its server's connections.
 func (n *Node) tickPools(now time.Time) {
 	n.endorseInUse(now)
+	n.outages.tick(now)
 	for _, pool := range n.openPools() {
+		n.outages.watchPool(now, pool)
 		order := n.holders(pool.Server())
 		pool.Tick(now, len(order) == 0 || order[0].ID == n.config.Self.ID)
 	}
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -51,6 +51,11 @@
 	Address string
 	// Dial opens connections to the address.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Observe is called with each Event. It may be nil, and must not call the peer.
+	Observe func(Event)
+	// Abandoned returns a channel whose closing ends the calls in flight that may be repeated
+	// elsewhere, or nil. It may be nil.
+	Abandoned func() <-chan struct{}
 	// Log records when the instance becomes unreachable and when it is reached again.
 	Log *slog.Logger
 }
@@ -147,19 +152,25 @@
 	defer timer.Stop()
 	checkTimer := time.NewTimer(checkAfter)
 	defer checkTimer.Stop()
+	abandoned := p.abandoned(args)
 	for {
 		select {
+		case <-abandoned:
+			return none, fmt.Errorf("%w: %w", ErrNoAnswer, errAbandoned)
 		case call := <-done:
 			if call.Error == nil {
+				p.observe(EventAnswered)
 				return *result, nil
 			}
 			var remote rpc.ServerError
 			if errors.As(call.Error, &remote) {
+				p.observe(EventAnswered)
 				return none, fmt.Errorf("peer %s: %w", p.config.Name, call.Error)
 			}
 			p.disconnect(client)
 			return none, fmt.Errorf("%w: %w", ErrNoAnswer, call.Error)
 		case <-checkTimer.C:
+			p.observe(EventOverdue)
 			p.check(client)
 		case <-timer.C:
 			return none, fmt.Errorf("%w within %s", ErrNoAnswer, timeout)
@@ -186,10 +197,12 @@
 		select {
 		case call := <-ping.Done:
 			if call.Error == nil {
+				p.observe(EventAnswered)
 				return
 			}
 		default:
 		}
+		p.observe(EventSilent)
 		if p.client != client {
 			// The connection was replaced meanwhile, and the check says nothing about the new one.
 			return
@@ -228,6 +241,7 @@
 	close(p.opening)
 	p.opening = nil
 	if err != nil {
+		p.observe(EventSilent)
 		p.markUnreachable(err)
 		p.nextDial, p.unreachableErr = now.Add(reconnectPause), fmt.Errorf("%w: %w", ErrNotSent, err)
 		if errors.Is(err, syscall.ECONNREFUSED) {
--- a/io/relay/reconnect.go
+++ b/io/relay/reconnect.go
@@ -23,6 +23,11 @@
 	for range reconnectAttempts {
 		time.Sleep(reconnectPause)
 		client, err := p.dialAndCheck()
+		if err != nil {
+			p.observe(EventSilent)
+		} else {
+			p.observe(EventAnswered)
+		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			p.mu.Lock()
 			p.unresponsive, p.nextDial, p.unreachableErr = false, clock.Now().Add(reconnectPause), errors.Join(ErrNotSent, ErrConnRefused)
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -68,6 +68,11 @@
 	return nil
 }
 
+func (h *handler) Outage(args *relay.OutageRequest, result *relay.OutageResponse) error {
+	result.Suspected = args.Domain == "d"
+	return nil
+}
+
 func (h *handler) Endorse(args *relay.EndorseRequest, result *relay.EndorseResponse) error {
 	result.Endorsed, result.Epoch = args.Service == "s", 7
 	return nil
@@ -104,6 +109,39 @@
 	return conn, err
 }
 
+// Callers waited for the time-outs of calls to instances that had lost power.
+var _ = Describe("A call in flight to an instance that is believed to have failed", func() {
+	for name, c := range map[string]struct {
+		order stmt.Order
+		ends  bool
+	}{
+		"ends if any server may run the order":          {stmt.Order{Statement: stmt.Statement{Kind: stmt.KindRead}}, true},
+		"waits for the answer if the order writes":      {stmt.Order{Statement: stmt.Statement{Kind: stmt.KindWrite}}, false},
+		"waits for the answer to one of a transaction":  {stmt.Order{Statement: stmt.Statement{Kind: stmt.KindRead}, Unit: 1}, false},
+		"waits for the answer of the primary to a read": {stmt.Order{Statement: stmt.Statement{Kind: stmt.KindRead}, Prove: true}, false},
+	} {
+		It(name, func() {
+			h := &handler{hold: make(chan struct{}), seen: make(chan stmt.Order, 1)}
+			address, _, _ := serve(h)
+			failed, d := make(chan struct{}), &dialer{}
+			peer := relay.NewPeer(relay.PeerConfig{Address: address, Dial: d.dial, Log: slog.New(slog.DiscardHandler), Abandoned: func() <-chan struct{} { return failed }})
+			ended := make(chan error, 1)
+			go func() {
+				_, err := peer.Run(clock.Now(), &relay.RunRequest{Order: c.order}, 20*time.Second)
+				ended <- err
+			}()
+			Eventually(h.seen).Should(Receive())
+			close(failed)
+			if c.ends {
+				Eventually(ended).WithTimeout(10 * time.Second).Should(Receive(MatchError(relay.ErrNoAnswer)))
+			} else {
+				Consistently(ended).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+			}
+			close(h.hold)
+		})
+	}
+})
+
 var _ = Describe("Peer", func() {
 	var h *handler
 	var d *dialer
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -22,6 +22,8 @@
 	Endorse(args *EndorseRequest, result *EndorseResponse) error
 	// Confirm says when a server was last known to be the primary of its service.
 	Confirm(args *ConfirmRequest, result *ConfirmResponse) error
+	// Outage says whether a failure domain is suspected of having failed.
+	Outage(args *OutageRequest, result *OutageResponse) error
 	// Withdraw stops the work of a primary whose appointment was withdrawn.
 	Withdraw(args *WithdrawRequest, result *WithdrawResponse) error
 }
