Shorter permits where the loss of a failure domain has to be borne

After the loss of a domain the withdrawal of a primary waited 2.1 s for the permits of the silent gateways there, which was most of the time without writes.

The life of a permit is now a value: epoch.Permit.Life, which an instance states in its registration (permit_ms, absent for the usual 2 s), so that a withdrawal waits for the longest life of the gateways that are pending. Instances whose settings tolerate the loss of a domain use 700 ms. Their views are confirmed less often, so the monitor in another domain endorses primaries in use at least every 150 ms, and a gateway whose monitor doesn't answer asks its source whether the view is complete. A watcher answers such a question after one query to the store that followers share. The switch is short_permits.

--- a/core/epoch/epoch_test.go
+++ b/core/epoch/epoch_test.go
@@ -21,7 +21,7 @@
 
 var _ = Describe("Guard", func() {
 	// permit is in force for a long time and has a copy of the store's content as of start.
-	permit := epoch.Permit{Confirmed: start, Registered: start.Add(-time.Minute), ValidUntil: start.Add(time.Hour)}
+	permit := epoch.Permit{Confirmed: start, Registered: start.Add(-time.Minute), ValidUntil: start.Add(time.Hour), Life: epoch.PermitLife}
 	with := func(change func(*epoch.Permit)) epoch.Permit {
 		p := permit
 		change(&p)
@@ -39,6 +39,8 @@
 		"no appointment yet":                   {0, 0, time.Second, permit, true},
 		"a copy that is almost too old":        {4, 4, epoch.PermitLife - 1, permit, true},
 		"a copy that is too old":               {4, 4, epoch.PermitLife, permit, false},
+		"a copy too old for a short permit":    {4, 4, epoch.ShortPermitLife, with(func(p *epoch.Permit) { p.Life = epoch.ShortPermitLife }), false},
+		"a permit without a life":              {4, 4, 0, with(func(p *epoch.Permit) { p.Life = 0 }), false},
 		"a newer epoch but a copy of long ago": {4, 5, time.Minute, permit, false},
 		"a registration that may have ended":   {4, 4, time.Second, with(func(p *epoch.Permit) { p.ValidUntil = start.Add(time.Second) }), false},
 		"a copy from before a gap":             {4, 4, time.Second, with(func(p *epoch.Permit) { p.Registered = start.Add(1) }), false},
@@ -61,7 +63,7 @@
 })
 
 var _ = Describe("Withdrawal", func() {
-	ids := []model.InstanceID{"a", "b", "c"}
+	ids := map[model.InstanceID]time.Duration{"a": epoch.PermitLife, "b": epoch.PermitLife, "c": epoch.ShortPermitLife}
 	after := start.Add(time.Millisecond)
 
 	It("ends when every instance that may use the primary has stopped", func() {
@@ -86,7 +88,7 @@
 		w := epoch.NewWithdrawal(start)
 		w.Observe(true, ids)
 		w.Stopped("a")
-		w.Observe(true, ids[:1])
+		w.Observe(true, map[model.InstanceID]time.Duration{"a": epoch.PermitLife})
 		Expect(w.Left(after)).To(BeZero())
 	})
 
@@ -95,10 +97,30 @@
 		w.Observe(false, nil)
 		Expect(w.Left(after)).NotTo(BeZero())
 		w.Observe(true, ids)
-		Expect(w.Pending()).To(Equal(ids))
+		Expect(w.Pending()).To(Equal([]model.InstanceID{"a", "b", "c"}))
+	})
+
+	It("waits for the permits of those that are pending, and for the longest until all are known", func() {
+		w := epoch.NewWithdrawal(start)
+		w.Observe(false, map[model.InstanceID]time.Duration{"c": epoch.ShortPermitLife})
+		Expect(w.Left(start)).To(Equal(epoch.PermitLife + epoch.ClockSlack))
+		w.Observe(true, ids)
+		w.Stopped("a")
+		Expect(w.Left(start)).To(Equal(epoch.PermitLife + epoch.ClockSlack))
+		w.Stopped("b")
+		Expect(w.Left(start)).To(Equal(epoch.ShortPermitLife + epoch.ClockSlack))
 	})
 })
 
+var _ = DescribeTable("The life of the permits of an instance", func(registered, want time.Duration) {
+	Expect(epoch.LifeOf(registered)).To(Equal(want))
+},
+	Entry("of an older version", time.Duration(0), epoch.PermitLife),
+	Entry("as registered", epoch.ShortPermitLife, epoch.ShortPermitLife),
+	Entry("negative", -time.Second, epoch.PermitLife),
+	Entry("longer than any", time.Hour, epoch.PermitLife),
+)
+
 var _ = Describe("A fleet whose primary is replaced while messages are lost and machines suspended", func() {
 	const seeds = 60
 
@@ -121,6 +143,17 @@
 		}
 		Expect(violations).To(BeNumerically(">", seeds/2))
 	})
+	It("does so if instances use permits for longer than they have registered with", func() {
+		violations := 0
+		for seed := range uint64(seeds) {
+			m := newFleetModel(seed, true)
+			m.outlives = true
+			if m.run() != "" {
+				violations++
+			}
+		}
+		Expect(violations).To(BeNumerically(">", seeds/10))
+	})
 	It("does so if the promoter endorses withdrawn appointments", func() {
 		violations := 0
 		for seed := range uint64(seeds) {
--- a/core/epoch/model_test.go
+++ b/core/epoch/model_test.go
@@ -32,8 +32,11 @@
 	withdrawn  uint64
 	// users are the registered instances in the promoter's copy of the store's content, and
 	// observed is the epoch in that copy.
-	users    []model.InstanceID
+	users    map[model.InstanceID]time.Duration
 	observed uint64
+	// outlives is true in the variant in which instances use permits for longer than they have
+	// registered with.
+	outlives bool
 	// mustWait is false in the variant that promotes without waiting for the withdrawal.
 	mustWait bool
 	// endorsesAlways is true in the variant whose promoter endorses whatever appointment an instance
@@ -62,6 +65,8 @@
 	// question of the latest one that has arrived.
 	endorsements []modelEndorsement
 	endorsed     time.Time
+	// outlives is that of the model.
+	outlives bool
 }
 
 // modelEndorsement is an answer that the appointment of an epoch is in force.
@@ -90,9 +95,14 @@
 
 func newFleetModel(seed uint64, mustWait bool) *fleetModel {
 	m := &fleetModel{random: rand.New(rand.NewPCG(seed, 7)), now: start, mustWait: mustWait, serving: [3]bool{true}}
-	for range 4 {
+	for i := range 4 {
+		// Instances with short and long permits run side by side while the settings change.
+		life := epoch.ShortPermitLife
+		if i == 0 && seed%3 == 0 {
+			life = epoch.PermitLife
+		}
 		m.instances = append(m.instances, &modelInstance{
-			permit: epoch.Permit{Confirmed: start, Registered: start, ValidUntil: start.Add(modelLife)}, registeredUntil: start.Add(modelLife), reads: true,
+			permit: epoch.Permit{Confirmed: start, Registered: start, ValidUntil: start.Add(modelLife), Life: life}, registeredUntil: start.Add(modelLife), reads: true,
 		})
 	}
 	return m
@@ -106,6 +116,9 @@
 
 // run plays some minutes and returns the first violation.
 func (m *fleetModel) run() string {
+	for _, inst := range m.instances {
+		inst.outlives = m.outlives
+	}
 	for range 12_000 {
 		m.now = m.now.Add(modelStep)
 		if !m.effectAt.IsZero() && !m.now.Before(m.effectAt) {
@@ -194,6 +207,9 @@
 // currentPermit returns the permit with the latest confirmation.
 func (i *modelInstance) currentPermit() epoch.Permit {
 	p := i.permit
+	if i.outlives {
+		p.Life = epoch.PermitLife
+	}
 	if i.endorsed.After(p.Confirmed) {
 		p.Confirmed = i.endorsed
 	}
@@ -229,10 +245,10 @@
 		return
 	}
 	if m.withdrawal != nil && m.chance(5) {
-		m.observed, m.users = m.epoch, nil
+		m.observed, m.users = m.epoch, map[model.InstanceID]time.Duration{}
 		for i, inst := range m.instances {
 			if m.now.Before(inst.registeredUntil) {
-				m.users = append(m.users, model.InstanceID(fmt.Sprint(i)))
+				m.users[model.InstanceID(fmt.Sprint(i))] = inst.permit.Life
 			}
 		}
 	}
--- a/core/plan/instance.go
+++ b/core/plan/instance.go
@@ -24,4 +24,7 @@
 	Revision uint64
 	// LeaseLife is the lifetime of the lease. Zero means that it isn't known.
 	LeaseLife time.Duration
+	// PermitLife is the time after a confirmation for which the instance may use primaries. Zero means
+	// epoch.PermitLife.
+	PermitLife time.Duration
 }
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -57,13 +57,16 @@
 	// DomainLoss treats servers and instances of one failure domain that fall silent together as one
 	// event.
 	DomainLoss Switch = "domain_loss"
+	// ShortPermits lets gateways stop using a primary sooner without a confirmation where the loss of
+	// a failure domain has to be borne.
+	ShortPermits Switch = "short_permits"
 )
 
 // All returns all switches in a fixed order.
 func All() []Switch {
 	return []Switch{
 		ReturnedTokens, PrefetchedTokens, TokenWait, SharedIssuers, RestartTokens, KeptRights, PromotionWait, EarlyRejection, TargetOrder, Priority,
-		ReadRetry, SilentServers, DomainPlacement, WaitPlacement, LatencyPlacement, Followers, Isolation, WithdrawalAnswers, VacancyTakeover, DomainLoss,
+		ReadRetry, SilentServers, DomainPlacement, WaitPlacement, LatencyPlacement, Followers, Isolation, WithdrawalAnswers, VacancyTakeover, DomainLoss, ShortPermits,
 	}
 }
 
--- a/io/lead/gateways.go
+++ b/io/lead/gateways.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
-	"slices"
 	"time"
 
 	"pomelofork/core/epoch"
@@ -86,7 +84,7 @@
 			return false
 		}
 		gateways := m.gatewaysOf(decision.Primary, servers)
-		w.Observe(known >= withdrawal, slices.Sorted(maps.Keys(gateways)))
+		w.Observe(known >= withdrawal, permitLives(gateways))
 		m.tellPending(w, gateways, withdrawal)
 		now := clock.Now()
 		left, pending := w.Left(now), w.Pending()
@@ -126,6 +124,15 @@
 	return gateways
 }
 
+// permitLives returns the lives of the permits that instances have registered with.
+func permitLives(instances map[model.InstanceID]plan.Instance) map[model.InstanceID]time.Duration {
+	lives := map[model.InstanceID]time.Duration{}
+	for id, inst := range instances {
+		lives[id] = epoch.LifeOf(inst.PermitLife)
+	}
+	return lives
+}
+
 // tellPending tells the instances that may still use a primary of the withdrawal, and records
 // which of them have stopped.
 func (m *Monitor) tellPending(w *epoch.Withdrawal, gateways map[model.InstanceID]plan.Instance, withdrawal uint64) {
--- a/io/proxy/endorse.go
+++ b/io/proxy/endorse.go
@@ -11,11 +11,9 @@
 )
 
 const (
-	// endorseAge is the age of the view's confirmation from which the monitor of a primary in use is
-	// asked whether the appointment is in force.
-	endorseAge = epoch.PermitLife * 6 / 10
-	// endorseInterval is the time between two such questions about a service.
-	endorseInterval = epoch.PermitLife / 8
+	// minEndorseInterval is the least time between two questions about the appointment of a service,
+	// however short the permits are.
+	minEndorseInterval = 150 * time.Millisecond
 	// endorseTimeout bounds such a question: some tens of round trips.
 	endorseTimeout = 150 * time.Millisecond
 	// primaryUseMemory is the time for which a primary counts as in use.
@@ -29,24 +27,45 @@
 	usedAt time.Time
 	// endorsedAt is the time as of which the monitor said that the appointment is in force.
 	endorsedAt time.Time
-	// askedAt is when the monitor was last asked.
-	askedAt time.Time
+	// askedAt is when the monitor was last asked. pendingSince is when it was first asked since its
+	// last answer, or zero.
+	askedAt, pendingSince time.Time
+}
+
+// endorseAge returns the age of the view's confirmation from which the monitor of a primary in use is
+// asked whether the appointment is in force.
+func (n *Node) endorseAge() time.Duration { return epoch.LifeOf(n.config.Self.PermitLife) * 6 / 10 }
+
+// endorseInterval returns the time between two such questions about a service.
+func (n *Node) endorseInterval() time.Duration {
+	return max(epoch.LifeOf(n.config.Self.PermitLife)/8, minEndorseInterval)
 }
 
 // endorseInUse asks the monitors of the primaries in use whether the appointments are in force, if
 // the view wasn't confirmed for a while.
 func (n *Node) endorseInUse(now time.Time) {
 	confirmed, ok := n.view.CompleteAsOf()
-	if !ok || now.Sub(confirmed) < endorseAge {
+	if !ok || now.Sub(confirmed) < n.endorseAge() {
 		return
 	}
+	interval, unendorsed := n.endorseInterval(), false
 	n.guardsMu.Lock()
 	defer n.guardsMu.Unlock()
 	for service, use := range n.primaryUses {
-		if now.Sub(use.usedAt) < primaryUseMemory && now.Sub(use.askedAt) >= endorseInterval && now.Sub(use.endorsedAt) >= endorseInterval {
+		if now.Sub(use.usedAt) >= primaryUseMemory {
+			continue
+		}
+		if now.Sub(use.askedAt) >= interval && now.Sub(use.endorsedAt) >= interval {
 			use.askedAt = now
+			if use.pendingSince.IsZero() {
+				use.pendingSince = now
+			}
 			go func() { n.askMonitor(clock.Now(), service) }()
 		}
+		unendorsed = unendorsed || (!use.pendingSince.IsZero() && now.Sub(use.pendingSince) >= interval && now.Sub(use.endorsedAt) >= n.endorseAge())
+	}
+	if unendorsed {
+		n.confirmView(now)
 	}
 }
 
@@ -74,7 +93,9 @@
 	n.withdrawLocally(service, response.Epoch)
 	n.guardsMu.Lock()
 	defer n.guardsMu.Unlock()
-	if use := n.primaryUse(service); now.After(use.endorsedAt) {
+	use := n.primaryUse(service)
+	use.pendingSince = time.Time{}
+	if now.After(use.endorsedAt) {
 		use.endorsedAt = now
 	}
 }
--- a/io/proxy/meter.go
+++ b/io/proxy/meter.go
@@ -29,7 +29,7 @@
 	calls    map[string]int64
 	// beliefs counts the changes of the belief about failure domains.
 	beliefs map[string]int64
-	latency  map[string]*hdrhistogram.Histogram
+	latency map[string]*hdrhistogram.Histogram
 }
 
 func newMeter() *meter {
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -80,6 +80,8 @@
 	// appointing are the fences of the rights under which this instance has begun to write an
 	// appointment.
 	appointing map[model.ServiceID]uint64
+	// confirmingAt is when the view was last confirmed beyond its own queries.
+	confirmingAt time.Time
 	// applied are the change counts of the state that applyChange was last given.
 	applied view.ChangeCounts
 
@@ -107,6 +109,7 @@
 // so that callers can finish. Start fails if the instance can't answer its peers.
 func Start(ctx context.Context, c Config) (*Node, error) {
 	meter := newMeter()
+	c.Self.PermitLife = permitLife(c)
 	c.Table = store.Metered{Table: c.Table, Count: meter.StoreCall}
 	n := &Node{
 		config: c, startedAt: clock.Now(), meter: meter, pools: map[model.ServerID]*pooler.Pool{}, peers: map[string]*relay.Peer{},
--- a/io/proxy/primary.go
+++ b/io/proxy/primary.go
@@ -59,7 +59,7 @@
 		confirmed = endorsed
 	}
 	n.guardsMu.Unlock()
-	permit := epoch.Permit{Confirmed: confirmed}
+	permit := epoch.Permit{Confirmed: confirmed, Life: epoch.LifeOf(n.config.Self.PermitLife)}
 	permit.Registered, permit.ValidUntil = n.rights.Registration()
 	return permit
 }
--- a/io/proxy/source.go
+++ b/io/proxy/source.go
@@ -128,8 +128,8 @@
 
 // Fetch implements view.Source.
 func (s peerSource) Fetch(_ context.Context, q view.Query) (view.Update, error) {
-	now := clock.Now()
-	response, err := s.node.peer(s.peer).Follow(now, &relay.FollowRequest{After: q.After, All: q.All, Wait: followWait}, followWait+followSlack)
+	now, wait := clock.Now(), min(followWait, q.Wait)
+	response, err := s.node.peer(s.peer).Follow(now, &relay.FollowRequest{After: q.After, All: q.All, Wait: wait}, wait+followSlack)
 	if err != nil {
 		s.node.endLeaseIfRefused(s.peer, err)
 		if errors.Is(err, relay.ErrConnRefused) {
@@ -145,7 +145,7 @@
 	}
 	update := view.Update{Entries: response.Entries, All: response.All, Revision: response.Revision, Age: response.Age}
 	if len(update.Entries) == 0 {
-		update.Waited = followWait
+		update.Waited = wait
 	}
 	return update, nil
 }
@@ -154,6 +154,9 @@
 func (h *handler) Follow(args *relay.FollowRequest, result *relay.FollowResponse) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+lookTimeout)
 	defer cancel()
+	if args.Wait == 0 {
+		h.node.confirmForFollower()
+	}
 	update, err := h.node.view.Serve(ctx, view.Query{After: args.After, All: args.All, Wait: args.Wait})
 	if err != nil {
 		// The empty result tells the peer that this instance has no configuration yet.
--- a/io/right/former.go
+++ b/io/right/former.go
@@ -6,9 +6,11 @@
 	"log/slog"
 	"time"
 
+	"pomelofork/core/epoch"
 	"pomelofork/core/pace"
 	"pomelofork/core/plan"
 	"pomelofork/core/trial"
+	"pomelofork/io/clock"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
@@ -68,11 +70,21 @@
 		mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "lease of the former run not reused", slog.Uint64("lease", former.Lease), slog.String("error", err.Error()))
 		return false
 	}
-	mgr.recordRegistration(now, mgr.startedAt, grantedLease{id: store.LeaseID(former.Lease), era: era, until: now.Add(terms.TTL), terms: terms}, nil, 0)
+	mgr.recordRegistration(now, mgr.keptSince(state), grantedLease{id: store.LeaseID(former.Lease), era: era, until: now.Add(terms.TTL), terms: terms}, nil, 0)
 	mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "registered under the lease of the former run", slog.Uint64("lease", former.Lease))
 	return true
 }
 
+// keptSince returns the time since which this instance counts as registered if it takes over the
+// registration of its former run. A withdrawal that began before waits only for the life of the
+// permits that the former run had registered with.
+func (mgr *Manager) keptSince(state *view.State) time.Time {
+	if epoch.LifeOf(mgr.config.Self.PermitLife) > epoch.LifeOf(state.Instances[mgr.config.Self.ID].PermitLife) {
+		return clock.Now()
+	}
+	return mgr.startedAt
+}
+
 // holdsRights reports whether the store names this instance as the holder of a right.
 func (mgr *Manager) holdsRights(state *view.State) bool {
 	for _, right := range state.Rights {
--- a/io/right/lease.go
+++ b/io/right/lease.go
@@ -62,7 +62,7 @@
 	since := clock.Now()
 	if len(kept) > 0 {
 		// The former registration was replaced before it ended.
-		since = mgr.startedAt
+		since = mgr.keptSince(state)
 	}
 	mgr.recordRegistration(now, since, lease, kept, revision)
 	mgr.config.Log.LogAttrs(ctx, slog.LevelInfo, "registered under a lease", slog.Uint64("lease", uint64(lease.id)), slog.Duration("life", lease.terms.TTL),
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -98,6 +98,8 @@
 	lastFailure time.Time
 	restore     restore
 	feed        feed
+	// lastSource is the source that answered last.
+	lastSource Source
 }
 
 // New returns a View and starts to keep it up to date.
@@ -158,6 +160,9 @@
 			continue
 		}
 		retry = retryPause
+		v.mu.Lock()
+		v.lastSource = source
+		v.mu.Unlock()
 		if picker.recordAnswer(clock.Now(), source, update.Age) {
 			v.config.Log.LogAttrs(ctx, slog.LevelInfo, "configuration confirmation received", slog.String("source", source.Name()), slog.Duration("age", update.Age))
 		}
