--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -70,6 +70,12 @@
 	// ColdPlacement prefers warm servers to cold ones, and leaves a cold one alone for as long as it
 	// says that it can take no more.
 	ColdPlacement Switch = "cold_placement"
+	// DomainLoss treats servers and instances of one failure domain that fall silent together as one
+	// event.
+	DomainLoss Switch = "domain_loss"
+	// ShortPermits lets gateways stop using a primary sooner without a confirmation where the loss of
+	// a failure domain has to be borne.
+	ShortPermits Switch = "short_permits"
 )
 
 // All returns all switches in a fixed order.
@@ -80,6 +86,7 @@
 		EvacuationSteps, EvacuationPace,
 		AccountShares, GapWait, ReturnPlaces, OpeningWork,
 		ColdPlacement,
+		DomainLoss, ShortPermits,
 	}
 }
 
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -145,7 +145,7 @@
 			passedOver = earlier(passedOver, stats.passedOverUntil)
 			continue
 		}
-		if !s.withSuspected && now.Before(stats.suspectUntil) {
+		if !s.withSuspected && (now.Before(stats.suspectUntil) || e.suspectsDomain(server.Domain)) {
 			continue
 		}
 		candidates = append(candidates, place.Candidate{
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -43,6 +43,9 @@
 	Homes home.Map
 	// Disabled are the mechanisms that are switched off.
 	Disabled trial.Disabled
+	// SuspectsDomain reports whether a failure domain is suspected of having failed. Its servers are
+	// chosen only if there are no others. It may be nil.
+	SuspectsDomain func(model.Domain) bool
 	// Meter counts answers and retries.
 	Meter Meter
 	// Log receives one record for each decision about a request.
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -86,12 +86,16 @@
 	// appointing are the fences of the rights under which this instance has begun to write an
 	// appointment.
 	appointing map[model.ServiceID]uint64
+	// confirmingAt is when the view was last confirmed beyond its own queries.
+	confirmingAt time.Time
 	// applied are the change counts of the state that applyChange was last given.
 	applied view.ChangeCounts
 
 	// peerUnresponsive is set when a peer does not answer and cleared by updateIsolation.
 	peerUnresponsive atomic.Bool
 	isolation        reach.Detector
+	// outages is nil if the loss of a failure domain doesn't have to be borne.
+	outages *outages
 
 	rightsCache  derived[[]right.Spec]
 	sourcesCache derived[[]view.Source]
@@ -111,6 +115,7 @@
 // so that callers can finish. Start fails if the instance can't answer its peers.
 func Start(ctx context.Context, c Config) (*Node, error) {
 	meter := newMeter()
+	c.Self.PermitLife = permitLife(c)
 	c.Table = store.Metered{Table: c.Table, Count: meter.StoreCall}
 	c.Decoder = c.evacuationDecoder()
 	n := &Node{
@@ -118,6 +123,7 @@
 		holderOrder: map[model.ServerID][]plan.Instance{}, monitors: map[model.ServiceID]context.CancelFunc{}, buckets: map[issuerKey]*bucket{}, issuers: map[model.AccountID]*quota.IssuerStatus{},
 		transactions: map[uint64]plan.Instance{}, endedLeases: map[uint64]bool{}, pathRetryAt: map[serverPath]time.Time{}, encoded: newEncodedValues(), primaryUses: map[model.ServiceID]*primaryUse{}, appointing: map[model.ServiceID]uint64{},
 	}
+	n.outages = newOutages(n)
 	if err := relay.NewServer(relay.ServerConfig{Listener: c.Peers, Handler: &handler{n}, Disconnected: n.rollBackEntry, Log: c.Log}); err != nil {
 		return nil, fmt.Errorf("start answering peers: %w", err)
 	}
@@ -137,7 +143,7 @@
 		},
 	})
 	n.entry = entry.New(entry.Config{
-		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, ColdServers: c.ColdLimit != (ramp.Limit{}), Homes: home.NewMap(c.Regions), View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Evacuation: c.evacuation(), Disabled: c.Disabled, Log: c.Log,
+		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, ColdServers: c.ColdLimit != (ramp.Limit{}), Homes: home.NewMap(c.Regions), View: n.view, Fleet: n, SuspectsDomain: n.outages.suspects, Codec: c.Codec, Meter: n.meter, Evacuation: c.evacuation(), Disabled: c.Disabled, Log: c.Log,
 	})
 	close(ready)
 	n.entry.Serve(c.Callers)
@@ -283,7 +289,9 @@
 	// run transactions of this one, which are rolled back when the connection closes.
 	p, ok := n.peers[inst.Address]
 	if !ok {
-		p = relay.NewPeer(relay.PeerConfig{Name: string(inst.ID), Address: inst.Address, Dial: sock.Dial, Log: n.config.Log})
+		c := relay.PeerConfig{Name: string(inst.ID), Address: inst.Address, Dial: sock.Dial, Log: n.config.Log}
+		n.outages.watchPeer(inst, &c)
+		p = relay.NewPeer(c)
 		n.peers[inst.Address] = p
 	}
 	return p
--- a/io/proxy/tick.go
+++ b/io/proxy/tick.go
@@ -36,7 +36,9 @@
 func (n *Node) tickPools(now time.Time) {
 	n.endorseInUse(now)
 	n.updateClaims(now)
+	n.outages.tick(now)
 	for _, pool := range n.openPools() {
+		n.outages.watchPool(now, pool)
 		order := n.holders(pool.Server())
 		pool.Tick(now, len(order) == 0 || order[0].ID == n.config.Self.ID)
 	}
