--- a/core/wait/contended.go
+++ b/core/wait/contended.go
@@ -87,7 +87,7 @@
 		q.demand(item.Priority).onTime.Add(now, loadWindow, cost)
 		item.flow.onTime.Add(now, loadWindow, cost)
 	}
-	q.flows.queued(item.key(), item.flow)
+	q.flows.queued(item.key(), item.flow, q.Cost(item.Class))
 	q.bytes += item.Bytes
 	q.items = append(q.items, item)
 	if !q.makeRoom(now) {
@@ -161,7 +161,7 @@
 	for _, f := range q.flows.byKey {
 		f.others = 0
 	}
-	own := 0.0
+	own, onTime := 0.0, 0.0
 	for i := range q.items {
 		other := &q.items[i]
 		cost := q.Cost(other.Class).Seconds()
@@ -173,6 +173,9 @@
 			if late {
 				sum += cost
 			}
+			if late && other.flow == item.flow {
+				onTime += cost
+			}
 		case other.Priority != item.Priority:
 			if other.Priority < item.Priority {
 				sum += cost
@@ -189,6 +192,9 @@
 			other.flow.others += cost
 		}
 	}
+	if late {
+		sum += q.ownRate(now, item, onTime) * within.Seconds()
+	}
 	if !q.shared() {
 		return sum
 	}
@@ -199,8 +205,12 @@
 // what they have waiting and send within the given time, but no more than what brings their start
 // tag to that of the item.
 func (q *Queue[T]) othersBefore(now time.Time, item Item[T], own float64, within time.Duration, late bool) float64 {
-	virtual := q.flows.virtual[item.Priority]
-	tag := max(item.flow.tag, virtual) + own/item.flow.weight
+	cost := q.Cost(item.Class)
+	tag := item.flow.tag
+	if item.flow.waiting == 0 {
+		tag = q.flows.resumes(item.key(), item.flow, cost)
+	}
+	tag += own / item.flow.weight
 	sum := 0.0
 	for key, f := range q.flows.byKey {
 		if key.priority != item.Priority || f == item.flow {
@@ -212,7 +222,7 @@
 		}
 		start := f.tag
 		if f.waiting == 0 {
-			start = max(start, virtual)
+			start = q.flows.resumes(key, f, cost)
 		}
 		sum += min(work, max(tag-start, 0)*f.weight)
 	}
--- a/core/wait/flow.go
+++ b/core/wait/flow.go
@@ -8,8 +8,16 @@
 	"pomelofork/core/model"
 )
 
-// maxFlows is the number of flows above which idle ones are forgotten.
-const maxFlows = 1024
+const (
+	// maxFlows is the number of flows above which idle ones are forgotten.
+	maxFlows = 1024
+	// creditStatements is the number of statements for which an account that had nothing waiting may be
+	// behind the others. Without a credit, an account that sends few statements gets each of them served
+	// at the interval of its share, and those that arrive together miss their target. In a replay of 71
+	// accounts at 1.6 times the slots, the mean share that small accounts got rose from 0.86 with 1 to
+	// 0.99 with 8; with 16 the large ones got less than theirs.
+	creditStatements = 8
+)
 
 // flowKey identifies a flow.
 type flowKey struct {
@@ -81,11 +89,16 @@
 	}
 }
 
-// queued counts an item that begins to wait. A flow that had none waiting continues at the
-// virtual time.
-func (f *flows) queued(key flowKey, fl *flow) {
+// resumes returns the tag at which a flow without waiting items continues with an item of the given
+// cost: it is no further behind the others than its credit.
+func (f *flows) resumes(key flowKey, fl *flow, cost time.Duration) float64 {
+	return max(fl.tag, f.virtual[key.priority]-creditStatements*cost.Seconds()/fl.weight)
+}
+
+// queued counts an item of the given cost that begins to wait.
+func (f *flows) queued(key flowKey, fl *flow, cost time.Duration) {
 	if fl.waiting == 0 {
-		fl.tag = max(fl.tag, f.virtual[key.priority])
+		fl.tag = f.resumes(key, fl, cost)
 	}
 	fl.waiting++
 }
