io/pooler: openings of connections count as work; waiting statements leave a gateway that has moved

Cause: a server whose slots are full of connections being opened refuses statements with BUSY, since one statement more than its slots is sent. While statements can run, no slot is left for openings, so that accounts without a connection wait until they can't be served any more.

Change: where callers compete for the server, statements and openings together never exceed its slots while one is being opened. The pool measures openings and charges them to the account. An account gets another connection only if waiting for its own ones takes longer, and its first one ahead of other statements after half of the time to its target. Connections of accounts with queued statements are closed last. When another instance becomes the holder, queued statements are refused as not run.

--- a/core/wait/contended.go
+++ b/core/wait/contended.go
@@ -28,26 +28,6 @@
 // shared reports whether accounts have shares.
 func (q *Queue[T]) shared() bool { return q.policy.Contended && !q.policy.EqualAccounts }
 
-// SetOpenings sets the number of running items that are openings of connections.
-func (q *Queue[T]) SetOpenings(openings int) { q.openings = openings }
-
-// ObserveOpening updates the cost of opening a connection.
-func (q *Queue[T]) ObserveOpening(took time.Duration) {
-	if q.openingCost == 0 {
-		q.openingCost = took
-		return
-	}
-	q.openingCost += time.Duration(costWeight * float64(took-q.openingCost))
-}
-
-// OpeningCost returns the mean time for which opening a connection holds a slot.
-func (q *Queue[T]) OpeningCost() time.Duration {
-	if q.openingCost == 0 {
-		return firstCost
-	}
-	return q.openingCost
-}
-
 // Ended charges the account of an item that Next returned the slot time that the item used beyond
 // what was expected.
 func (q *Queue[T]) Ended(item Item[T], took time.Duration) {
--- a/core/wait/queue.go
+++ b/core/wait/queue.go
@@ -241,12 +241,7 @@
 
 // Next removes and returns the first item that fits. It returns false when none does.
 func (q *Queue[T]) Next(now time.Time, fits func(T) bool) (Item[T], bool) {
-	best := -1
-	for i := range q.items {
-		if (best < 0 || q.before(now, q.items[i], q.items[best])) && fits(q.items[i].Value) {
-			best = i
-		}
-	}
+	best := q.first(now, func(i Item[T]) bool { return fits(i.Value) })
 	if best < 0 {
 		var none Item[T]
 		return none, false
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -16,7 +16,7 @@
 func (p *Pool) handleOpened(now time.Time, sc *serverConn, conn Conn, err error) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.opening[sc.account]--
+	p.opened(now, sc)
 	p.running--
 	if err == nil || errors.Is(err, ErrConnectionLimit) {
 		p.lastAnswer = now
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -15,6 +15,11 @@
 	for _, item := range p.queue.RemoveUnservable(now) {
 		item.Value.result <- p.refusedByQueue(now, "no free slot in time", p.queue.RefusalOf(now, item, p.running))
 	}
+	if p.contended {
+		p.startContended(now)
+		p.openContended(now)
+		return
+	}
 	for p.running < p.server.Slots+extraStatements && p.queue.Len() > 0 {
 		item, ok := p.queue.Next(now, func(r *request) bool { return p.connFor(r) != nil })
 		if !ok {
@@ -24,7 +29,6 @@
 			r.result <- refused(stmt.CodeReadOnly, withdrawnText, 0)
 			continue
 		}
-		item.Value.item = item
 		p.start(now, p.connFor(item.Value), item.Value)
 	}
 	p.openConns(now)
@@ -37,7 +41,7 @@
 	if r.continuesTransaction() {
 		return p.transactions[r.key]
 	}
-	if r.order.Begin != stmt.OpPass && len(p.transactions) >= p.limit-p.limit/nonTransactionDivisor {
+	if !p.mayBegin(r) {
 		return nil
 	}
 	var best *serverConn
@@ -54,6 +58,11 @@
 	return best
 }
 
+// mayBegin reports whether a request opens no transaction or may open one.
+func (p *Pool) mayBegin(r *request) bool {
+	return r.order.Begin == stmt.OpPass || len(p.transactions) < p.limit-p.limit/nonTransactionDivisor
+}
+
 // openConns opens connections for the accounts whose queued statements have too few to run
 // on. Opening a connection takes a slot of the server for as long as a statement does, so
 // an account waits for connections that it has outside of transactions, if these are as
@@ -88,12 +97,14 @@
 		}
 		p.opening[account]++
 		p.countRunning(now)
-		p.conns[newServerConn(p, account)] = struct{}{}
+		sc := newServerConn(p, account)
+		sc.openingSince = now
+		p.conns[sc] = struct{}{}
 	}
 }
 
 // makeRoom reports whether a connection may be opened for the account. At the limit, it
-// closes the connection of another account that has been idle the longest.
+// closes the least useful connection of another account.
 func (p *Pool) makeRoom(now time.Time, account model.AccountID) bool {
 	limit := p.limit
 	if now.Before(p.observedLimitUntil) {
@@ -102,12 +113,7 @@
 	if len(p.conns) < limit {
 		return true
 	}
-	var oldest *serverConn
-	for sc := range p.conns {
-		if sc.idle() && sc.account != account && (oldest == nil || sc.idleFrom.Before(oldest.idleFrom)) {
-			oldest = sc
-		}
-	}
+	oldest := p.leastUseful(account)
 	if oldest == nil {
 		return false
 	}
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -99,7 +99,9 @@
 	// confirmedAt is the latest time as of which the server is known to have been the
 	// service's primary.
 	confirmedAt time.Time
-	closed      bool
+	// holder says that this instance should hold the server's connections, as of the last Tick.
+	holder bool
+	closed bool
 }
 
 // NewPool returns a pool without connections. It opens them when statements need them.
@@ -145,7 +147,7 @@
 // Run queues an order, runs it and returns its result. It returns by the order's timeout,
 // unless the statement has been sent: then the deadline of the connection ends the wait.
 func (p *Pool) Run(now time.Time, order *stmt.Order) stmt.Result {
-	r := &request{order: order, deadline: now.Add(order.Timeout), result: make(chan stmt.Result, 1)}
+	r := &request{order: order, received: now, deadline: now.Add(order.Timeout), result: make(chan stmt.Result, 1)}
 	if order.Unit != 0 {
 		r.key = txKey{order.Entry, order.Unit}
 	}
@@ -241,6 +243,7 @@
 func (p *Pool) Tick(now time.Time, holder bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.releaseIfMoved(holder)
 	if p.queue.Len() > 0 {
 		if !p.disabled.Has(trial.SilentServers) {
 			p.releaseReads(now)
--- a/io/pooler/request.go
+++ b/io/pooler/request.go
@@ -11,7 +11,9 @@
 type request struct {
 	order *stmt.Order
 	// key identifies the order's transaction. Zero means none.
-	key      txKey
+	key txKey
+	// received is when the request came to the pool.
+	received time.Time
 	deadline time.Time
 	// item is the request as the queue returned it, when it starts.
 	item wait.Item[*request]
--- a/io/pooler/serverconn.go
+++ b/io/pooler/serverconn.go
@@ -18,6 +18,10 @@
 // pool's lock guards all fields.
 type serverConn struct {
 	account model.AccountID
+	// openingSince is when the opening began, and openedFor the priority of the statement for which
+	// the connection was opened.
+	openingSince time.Time
+	openedFor    int
 	// conn is nil until the connection is open.
 	conn Conn
 	// values and prepared are the session values and the prepared statements that the
