Unservable statements leave early; one place per caller in the line of a contended server; counters

Cause: late statements of a priority were removed from the queue only shortly before their timeout, since the demand of their own priority wasn't counted. An entry repeated a refused read up to six times at the same server, and each attempt took another place in the line.

Change: the check of waiting statements counts the demand of their own priority. The entry doesn't try a server again whose queue refused the statement and reports its waits. pomelofork_queue_decisions counts what queues decide.

--- a/core/wait/contended.go
+++ b/core/wait/contended.go
@@ -279,17 +279,22 @@
 	q.checkedAt = now
 	unservable := make([]bool, len(q.items))
 	ahead := 0.0
-	rates := map[flowKey]float64{}
+	type group struct {
+		priority int
+		late     bool
+	}
+	rates := map[group]float64{}
 	for _, i := range q.serviceOrder(now) {
 		item := q.items[i]
 		late := q.late(now, item)
-		key := flowKey{priority: item.Priority}
-		if late {
-			key.account = "late"
-		}
+		key := group{item.Priority, late}
 		rate, ok := rates[key]
 		if !ok {
-			rate = max(float64(q.slots)-q.urgentRate(now, item.Priority, late), minSpare*float64(q.slots))
+			urgent := q.urgentRate(now, item.Priority, late)
+			if late {
+				urgent += q.demand(item.Priority).onTime.Value(now, loadWindow) / loadWindow.Seconds()
+			}
+			rate = max(float64(q.slots)-urgent, minSpare*float64(q.slots))
 			rates[key] = rate
 		}
 		start := now
--- a/core/wait/contended_test.go
+++ b/core/wait/contended_test.go
@@ -139,6 +139,36 @@
 		Entry("up to soon after the target", wait.Policy{Contended: true, TargetWait: true}, 19),
 	)
 
+	It("tells refused callers times at which the slots that more urgent work leaves can serve them", func() {
+		for now := time.Duration(0); now < 3*time.Second; now += 7 * time.Millisecond {
+			urgent := wait.Item[int]{Class: "c", Target: at(now + 200*time.Millisecond), Deadline: at(now + time.Second)}
+			_, ok := queue.Add(at(now), urgent, 1)
+			Expect(ok).To(BeTrue())
+			_, ok = queue.Next(at(now), fitsAll)
+			Expect(ok).To(BeTrue())
+		}
+		const now = 3 * time.Second
+		told, hopeless := map[time.Duration]time.Duration{}, 0
+		for i := range 400 {
+			refusal, ok := queue.Add(at(now), wait.Item[int]{Value: i, Class: "c", Priority: 1, Target: at(now + 100*time.Millisecond), Deadline: at(now + time.Second)}, 2)
+			switch {
+			case ok:
+			case refusal.Hopeless:
+				hopeless++
+				Expect(refusal.RetryAfter).To(Equal(2*time.Second), "two timeouts")
+			default:
+				Expect(refusal.RetryAfter).To(BeNumerically("<", 2*time.Second))
+				told[refusal.RetryAfter/time.Second] += cost
+			}
+		}
+		Expect(hopeless).To(BeNumerically(">", 100))
+		Expect(told).NotTo(BeEmpty())
+		for _, work := range told {
+			// 1.43 of the two slots are used by more urgent work.
+			Expect(work).To(BeNumerically("<=", 570*time.Millisecond))
+		}
+	})
+
 	It("queues within its limits of items and bytes, and drops what would be served last", func() {
 		all := wait.NewWithPolicy[int](2, wait.Policy{Contended: true, AcceptAll: true})
 		for i := range 5 {
--- a/core/wait/replay_test.go
+++ b/core/wait/replay_test.go
@@ -79,6 +79,9 @@
 	// earned and offered are the worth by class.
 	earned, offered [3]float64
 	refused         int
+	// dropped is the number of statements that left the queue unserved, and droppedWait the sum of
+	// the parts of their timeout for which they had waited.
+	dropped, droppedWait float64
 	// asked and got are the slot seconds by contest and account: of all calls, and of those that
 	// were answered.
 	asked, got [2][replayAccounts]float64
@@ -191,6 +194,8 @@
 		}
 		if drop {
 			for _, item := range queue.RemoveUnservable(at(now)) {
+				o.dropped++
+				o.droppedWait += 1 - item.Deadline.Sub(at(now)).Seconds()/replayClasses[item.Value.class].timeout.Seconds()
 				refuse(item.Value, queue.RefusalOf(at(now), item, len(running)).RetryAfter)
 			}
 		}
@@ -230,6 +235,7 @@
 			Expect(o.total()).To(BeNumerically(">", outcomes["by_target"].total()+0.01))
 			Expect(o.total()).To(BeNumerically(">", 3*outcomes["arrival_order"].total()))
 			Expect(o.refused).To(BeNumerically("<", outcomes["no_line"].refused*3/4))
+			Expect(o.droppedWait/o.dropped).To(BeNumerically("<", 0.4), "what can't be served leaves long before its timeout")
 			worst, mean := o.shares(0)
 			Expect(worst).To(BeNumerically(">=", 0.9), "accounts at their usual load beside one at six times its own")
 			Expect(mean).To(BeNumerically(">=", 0.98))
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -26,6 +26,10 @@
 		}
 		chosen, ok := a.chooseServer(now)
 		if !ok {
+			if a.queueRefusal != nil {
+				last = *a.queueRefusal
+				break
+			}
 			if !a.awaitServer(now) {
 				if a.retryAfter > 0 {
 					last = refuseWithoutServer(a.retryAfter)
@@ -43,6 +47,7 @@
 		a.order.Timeout = a.received.Add(a.route.Timeout).Sub(now)
 		last = e.runOrder(now, chosen, &a.order)
 		a.sent = a.sent || !last.NotSent
+		a.noteQueueRefusal(last)
 		if a.primary && last.Answer.Code == stmt.CodeDone {
 			e.recordWork(a.route.Service, now, last.Wait)
 		}
--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -68,6 +68,8 @@
 	waits bool
 	// retryAfter is the time after which to retry if it may not wait for that, or zero.
 	retryAfter time.Duration
+	// queueRefusal is the refusal of a server that callers compete for, or nil.
+	queueRefusal *stmt.Result
 	// excluded are the servers that have been tried. It is cleared when no server is left.
 	excluded map[model.ServerID]bool
 }
--- a/io/pooler/config.go
+++ b/io/pooler/config.go
@@ -23,6 +23,10 @@
 	Contended bool
 	// Weight returns the weight of a client account's share. Nil means that all are equal.
 	Weight func(model.AccountID) float64
+	// Count is called with the outcome of each decision about a queued statement where callers compete
+	// for the server: "queued", "refused", "refused_without_retry", "unservable" or "moved". The pool's
+	// lock is held. Nil counts nothing.
+	Count func(outcome string)
 	// Dialer opens connections.
 	Dialer Dialer
 	// Observe is called with a point in the service's log that covers every commit
--- a/io/pooler/contended.go
+++ b/io/pooler/contended.go
@@ -24,6 +24,15 @@
 	return result
 }
 
+// countRefusal counts a statement that the queue refused on arrival.
+func (p *Pool) countRefusal(refusal wait.Refusal) {
+	if refusal.Hopeless {
+		p.count("refused_without_retry")
+		return
+	}
+	p.count("refused")
+}
+
 // countsOpenings reports whether the opening of connections counts as work of the server.
 func (p *Pool) countsOpenings() bool { return p.contended && !p.disabled.Has(trial.OpeningWork) }
 
@@ -191,6 +200,7 @@
 			return false
 		}
 		released++
+		p.count("moved")
 		r.result <- refused(stmt.CodeMoved, "another instance holds the server's connections", 0)
 		return true
 	})
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -13,6 +13,7 @@
 // run now, and opens connections for the others.
 func (p *Pool) dispatch(now time.Time) {
 	for _, item := range p.queue.RemoveUnservable(now) {
+		p.count("unservable")
 		item.Value.result <- p.refusedByQueue(now, "no free slot in time", p.queue.RefusalOf(now, item, p.running))
 	}
 	if p.contended {
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -70,6 +70,7 @@
 	disabled  trial.Disabled
 	contended bool
 	weight    func(model.AccountID) float64
+	count     func(outcome string)
 
 	mu sync.Mutex
 	// limit is the maximum number of open and opening connections.
@@ -113,11 +114,14 @@
 	if c.Allows == nil {
 		c.Allows = func(time.Time, uint64) bool { return true }
 	}
+	if c.Count == nil || !c.Contended {
+		c.Count = func(string) {}
+	}
 	if c.Weight == nil {
 		c.Weight = func(model.AccountID) float64 { return 1 }
 	}
 	return &Pool{
-		contended: c.Contended, weight: c.Weight,
+		contended: c.Contended, weight: c.Weight, count: c.Count,
 		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, log: c.Log, disabled: c.Disabled,
 		limit: max(limit-max(minFreeConns, limit/freeDivisor), 1), queue: wait.NewWithPolicy[*request](c.Server.Slots, wait.Policy{
 			ArrivalOrder: c.Disabled.Has(trial.TargetOrder), AcceptAll: c.Disabled.Has(trial.EarlyRejection),
@@ -217,6 +221,7 @@
 		Account: r.order.Account, Weight: p.weight(r.order.Account), Bytes: r.size(),
 	}, p.running)
 	if !ok {
+		p.countRefusal(refusal)
 		result := p.refusedByQueue(now, "queue is too long", refusal)
 		p.log.LogAttrs(context.Background(), slog.LevelInfo, "statement not queued", slog.String("request", r.order.Statement.ID),
 			slog.String("server", string(p.server.ID)), slog.Duration("wait", refusal.Wait), slog.Duration("target", r.order.Target),
@@ -224,6 +229,7 @@
 		r.result <- result
 		return
 	}
+	p.count("queued")
 	p.dispatch(now)
 }
 
--- a/io/proxy/meter.go
+++ b/io/proxy/meter.go
@@ -26,11 +26,12 @@
 	answers  map[string]int64
 	repeated map[string]int64
 	calls    map[string]int64
+	queue    map[string]int64
 	latency  map[string]*hdrhistogram.Histogram
 }
 
 func newMeter() *meter {
-	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
+	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, queue: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
 }
 
 // Statement implements entry.Meter.
@@ -54,6 +55,13 @@
 	m.repeated[fmt.Sprintf("attempts_repeated{code=%q}", code)]++
 }
 
+// Queue counts a decision about a statement that waits for a server.
+func (m *meter) Queue(outcome string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.queue[fmt.Sprintf("queue_decisions{outcome=%q}", outcome)]++
+}
+
 // StoreCall counts a call to the store by its name and outcome.
 func (m *meter) StoreCall(call, outcome string) {
 	m.mu.Lock()
@@ -65,7 +73,7 @@
 func (m *meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	m.mu.Lock()
 	var lines []string
-	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls} {
+	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls, m.queue} {
 		for name, n := range counters {
 			lines = append(lines, fmt.Sprintf("pomelofork_%s %d\n", name, n))
 		}
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -238,7 +238,7 @@
 	pool := pooler.NewPool(pooler.Config{
 		Server: server, Connections: connections, Dialer: n.config.Dialer, Observe: n.entry.Observe, Latest: n.entry.Latest, Disabled: n.config.Disabled, Log: n.config.Log,
 		Allows:    func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, server.Service, epoch) },
-		Contended: n.config.Contended, Weight: n.accountRate,
+		Contended: n.config.Contended, Weight: n.accountRate, Count: n.meter.Queue,
 	})
 	n.pools[id] = pool
 	return pool
