--- a/core/wait/contended.go
+++ b/core/wait/contended.go
@@ -28,26 +28,6 @@
 // shared reports whether accounts have shares.
 func (q *Queue[T]) shared() bool { return q.policy.Contended && !q.policy.EqualAccounts }
 
-// SetOpenings sets the number of running items that are openings of connections.
-func (q *Queue[T]) SetOpenings(openings int) { q.openings = openings }
-
-// ObserveOpening updates the cost of opening a connection.
-func (q *Queue[T]) ObserveOpening(took time.Duration) {
-	if q.openingCost == 0 {
-		q.openingCost = took
-		return
-	}
-	q.openingCost += time.Duration(costWeight * float64(took-q.openingCost))
-}
-
-// OpeningCost returns the mean time for which opening a connection holds a slot.
-func (q *Queue[T]) OpeningCost() time.Duration {
-	if q.openingCost == 0 {
-		return firstCost
-	}
-	return q.openingCost
-}
-
 // Ended charges the account of an item that Next returned the slot time that the item used beyond
 // what was expected.
 func (q *Queue[T]) Ended(item Item[T], took time.Duration) {
@@ -87,7 +67,7 @@
 		q.demand(item.Priority).onTime.Add(now, loadWindow, cost)
 		item.flow.onTime.Add(now, loadWindow, cost)
 	}
-	q.flows.queued(item.key(), item.flow)
+	q.flows.queued(item.key(), item.flow, q.Cost(item.Class))
 	q.bytes += item.Bytes
 	q.items = append(q.items, item)
 	if !q.makeRoom(now) {
@@ -161,7 +141,7 @@
 	for _, f := range q.flows.byKey {
 		f.others = 0
 	}
-	own := 0.0
+	own, onTime := 0.0, 0.0
 	for i := range q.items {
 		other := &q.items[i]
 		cost := q.Cost(other.Class).Seconds()
@@ -173,6 +153,9 @@
 			if late {
 				sum += cost
 			}
+			if late && other.flow == item.flow {
+				onTime += cost
+			}
 		case other.Priority != item.Priority:
 			if other.Priority < item.Priority {
 				sum += cost
@@ -189,6 +172,9 @@
 			other.flow.others += cost
 		}
 	}
+	if late {
+		sum += q.ownRate(now, item, onTime) * within.Seconds()
+	}
 	if !q.shared() {
 		return sum
 	}
@@ -199,8 +185,12 @@
 // what they have waiting and send within the given time, but no more than what brings their start
 // tag to that of the item.
 func (q *Queue[T]) othersBefore(now time.Time, item Item[T], own float64, within time.Duration, late bool) float64 {
-	virtual := q.flows.virtual[item.Priority]
-	tag := max(item.flow.tag, virtual) + own/item.flow.weight
+	cost := q.Cost(item.Class)
+	tag := item.flow.tag
+	if item.flow.waiting == 0 {
+		tag = q.flows.resumes(item.key(), item.flow, cost)
+	}
+	tag += own / item.flow.weight
 	sum := 0.0
 	for key, f := range q.flows.byKey {
 		if key.priority != item.Priority || f == item.flow {
@@ -212,7 +202,7 @@
 		}
 		start := f.tag
 		if f.waiting == 0 {
-			start = max(start, virtual)
+			start = q.flows.resumes(key, f, cost)
 		}
 		sum += min(work, max(tag-start, 0)*f.weight)
 	}
@@ -289,17 +279,22 @@
 	q.checkedAt = now
 	unservable := make([]bool, len(q.items))
 	ahead := 0.0
-	rates := map[flowKey]float64{}
+	type group struct {
+		priority int
+		late     bool
+	}
+	rates := map[group]float64{}
 	for _, i := range q.serviceOrder(now) {
 		item := q.items[i]
 		late := q.late(now, item)
-		key := flowKey{priority: item.Priority}
-		if late {
-			key.account = "late"
-		}
+		key := group{item.Priority, late}
 		rate, ok := rates[key]
 		if !ok {
-			rate = max(float64(q.slots)-q.urgentRate(now, item.Priority, late), minSpare*float64(q.slots))
+			urgent := q.urgentRate(now, item.Priority, late)
+			if late {
+				urgent += q.demand(item.Priority).onTime.Value(now, loadWindow) / loadWindow.Seconds()
+			}
+			rate = max(float64(q.slots)-urgent, minSpare*float64(q.slots))
 			rates[key] = rate
 		}
 		start := now
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -32,6 +32,10 @@
 			break
 		}
 		if !ok {
+			if a.queueRefusal != nil {
+				last = *a.queueRefusal
+				break
+			}
 			if a.coldForLong(now) || !a.awaitServer(now) {
 				if a.retryAfter > 0 {
 					last = refuseWithoutServer(a.retryAfter)
@@ -49,6 +53,7 @@
 		a.order.Timeout = a.received.Add(a.route.Timeout).Sub(now)
 		last = e.runOrder(now, chosen, &a.order)
 		a.sent = a.sent || !last.NotSent
+		a.noteQueueRefusal(last)
 		if a.primary && last.Answer.Code == stmt.CodeDone {
 			e.recordWork(a.route.Service, now, last.Wait)
 		}
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -76,6 +76,7 @@
 	disabled  trial.Disabled
 	contended bool
 	weight    func(model.AccountID) float64
+	count     func(outcome string)
 
 	mu sync.Mutex
 	// limit is the maximum number of open and opening connections.
@@ -110,10 +111,12 @@
 	// service's primary.
 	confirmedAt time.Time
 	// ramp limits what the server gets while it is cold.
-	ramp   *ramp.Ramp
-	closed bool
+	ramp *ramp.Ramp
 	// evacuated says that nothing is sent because the failure domain is evacuated.
 	evacuated bool
+	// holder says that this instance should hold the server's connections, as of the last Tick.
+	holder bool
+	closed bool
 }
 
 // NewPool returns a pool without connections. It opens them when statements need them.
@@ -128,12 +131,15 @@
 	if c.Allows == nil {
 		c.Allows = func(time.Time, uint64) bool { return true }
 	}
+	if c.Count == nil || !c.Contended {
+		c.Count = func(string) {}
+	}
 	if c.Weight == nil {
 		c.Weight = func(model.AccountID) float64 { return 1 }
 	}
 	return &Pool{
 		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, evacuation: c.Evacuation, coldRefused: c.ColdRefused, log: c.Log, disabled: c.Disabled,
-		contended: c.Contended, weight: c.Weight,
+		contended: c.Contended, weight: c.Weight, count: c.Count,
 		limit: max(limit-max(minFreeConns, limit/freeDivisor), 1), queue: wait.NewWithPolicy[*request](c.Server.Slots, wait.Policy{
 			ArrivalOrder: c.Disabled.Has(trial.TargetOrder), AcceptAll: c.Disabled.Has(trial.EarlyRejection),
 			Contended: c.Contended, EqualAccounts: c.Disabled.Has(trial.AccountShares), TargetWait: c.Disabled.Has(trial.GapWait),
@@ -163,7 +169,7 @@
 // Run queues an order, runs it and returns its result. It returns by the order's timeout,
 // unless the statement has been sent: then the deadline of the connection ends the wait.
 func (p *Pool) Run(now time.Time, order *stmt.Order) stmt.Result {
-	r := &request{order: order, deadline: now.Add(order.Timeout), result: make(chan stmt.Result, 1)}
+	r := &request{order: order, received: now, deadline: now.Add(order.Timeout), result: make(chan stmt.Result, 1)}
 	if order.Unit != 0 {
 		r.key = txKey{order.Entry, order.Unit}
 	}
@@ -249,6 +255,7 @@
 		Account: r.order.Account, Weight: p.weight(r.order.Account), Bytes: r.size(),
 	}, p.running)
 	if !ok {
+		p.countRefusal(refusal)
 		result := p.refusedByQueue(now, "queue is too long", refusal)
 		p.log.LogAttrs(context.Background(), slog.LevelInfo, "statement not queued", slog.String("request", r.order.Statement.ID),
 			slog.String("server", string(p.server.ID)), slog.Duration("wait", refusal.Wait), slog.Duration("target", r.order.Target),
@@ -256,6 +263,7 @@
 		r.result <- result
 		return
 	}
+	p.count("queued")
 	p.dispatch(now)
 }
 
@@ -276,6 +284,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.updateEvacuated(now)
+	p.releaseIfMoved(holder)
 	if p.queue.Len() > 0 {
 		p.shedCold(now)
 		if !p.disabled.Has(trial.SilentServers) {
--- a/io/proxy/meter.go
+++ b/io/proxy/meter.go
@@ -33,11 +33,12 @@
 	coldRefusals int64
 	// beliefs counts the changes of the belief about failure domains.
 	beliefs map[string]int64
+	queue   map[string]int64
 	latency map[string]*hdrhistogram.Histogram
 }
 
 func newMeter() *meter {
-	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, beliefs: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
+	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, beliefs: map[string]int64{}, queue: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
 }
 
 // Statement implements entry.Meter.
@@ -68,6 +69,13 @@
 	m.coldRefusals++
 }
 
+// Queue counts a decision about a statement that waits for a server.
+func (m *meter) Queue(outcome string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.queue[fmt.Sprintf("queue_decisions{outcome=%q}", outcome)]++
+}
+
 // StoreCall counts a call to the store by its name and outcome.
 func (m *meter) StoreCall(call, outcome string) {
 	m.mu.Lock()
@@ -93,7 +101,7 @@
 func (m *meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	m.mu.Lock()
 	lines := []string{fmt.Sprintf("pomelofork_evacuated_domains %d\n", m.evacuated)}
-	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls, m.beliefs} {
+	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls, m.beliefs, m.queue} {
 		for name, n := range counters {
 			lines = append(lines, fmt.Sprintf("pomelofork_%s %d\n", name, n))
 		}
