Ask other domains about a suspected one at once, and give no rights to it

Two monitors were transferred to frozen instances of the lost domain, which are registered until their leases end.

Questions now follow each other after 50 ms, and ever more slowly while the others don't agree. Instances of a suspected domain are given no rights.

--- a/core/outage/tracker.go
+++ b/core/outage/tracker.go
@@ -14,9 +14,15 @@
 	// contactSpan is the time over which the members that were contacted are compared with the
 	// silent ones. It spans several calls to each member that is in use.
 	contactSpan = time.Second
-	// AskInterval is the time between two questions to the other domains about a suspected one, and
-	// between two contacts of members that are made only to find out whether they answer.
-	AskInterval = 200 * time.Millisecond
+	// examineInterval is the time between two contacts of members that are made only to find out
+	// whether they answer.
+	examineInterval = 200 * time.Millisecond
+	// minAskInterval is the least time between two questions to the other domains about a suspected
+	// one. Their instances suspect it some milliseconds sooner or later than this one.
+	minAskInterval = 50 * time.Millisecond
+	// askShare is the part of the age of a suspicion after which the question is repeated, so that two
+	// domains that are only cut off from each other ask less and less.
+	askShare = 4
 )
 
 // Change says how the belief about a domain has changed.
@@ -49,6 +55,8 @@
 	// suspectedAt is when the suspicion began, or zero. lost says that it was confirmed.
 	suspectedAt time.Time
 	lost        bool
+	// askedAt is when other domains were last asked about this one.
+	askedAt time.Time
 	// examinedAt is when members were last contacted only to find out whether they answer.
 	examinedAt time.Time
 }
@@ -119,13 +127,24 @@
 // any more would never end.
 func (t *Tracker) Examine(now time.Time, domain model.Domain) bool {
 	e := t.evidence(domain)
-	if e == nil || now.Sub(e.examinedAt) < AskInterval {
+	if e == nil || now.Sub(e.examinedAt) < examineInterval {
 		return false
 	}
 	e.examinedAt = now
 	return true
 }
 
+// Ask returns whether instances of the other domains should be asked about the domain now, and records
+// that they are: it is suspected and doesn't count as lost yet.
+func (t *Tracker) Ask(now time.Time, domain model.Domain) bool {
+	e, ok := t.domains[domain]
+	if !ok || e.suspectedAt.IsZero() || e.lost || now.Sub(e.askedAt) < max(minAskInterval, now.Sub(e.suspectedAt)/askShare) {
+		return false
+	}
+	e.askedAt = now
+	return true
+}
+
 // Doubtful returns the domains that are suspected, or of which a member is silent and none has
 // answered since.
 func (t *Tracker) Doubtful(now time.Time) []model.Domain {
--- a/core/outage/tracker_test.go
+++ b/core/outage/tracker_test.go
@@ -77,6 +77,24 @@
 		})
 	}
 
+	It("has other domains asked at once, and less and less often while they don't agree", func() {
+		now, t := time.Unix(1000, 0), outage.New("o")
+		Expect(t.Ask(now, "d")).To(BeFalse())
+		for _, id := range []model.InstanceID{"a", "b", "c"} {
+			t.Silent(now, "d", outage.Instance(id))
+		}
+		questions := map[time.Duration]int{}
+		for elapsed := time.Duration(0); elapsed < time.Minute; elapsed += 10 * time.Millisecond {
+			if t.Ask(now.Add(elapsed), "d") {
+				questions[elapsed.Truncate(10*time.Second)]++
+			}
+		}
+		Expect(questions[0]).To(BeNumerically("~", 20, 8))
+		Expect(questions[50*time.Second]).To(BeNumerically("<=", 2))
+		t.Confirmed(now, "d")
+		Expect(t.Ask(now.Add(time.Hour), "d")).To(BeFalse(), "it counts as lost")
+	})
+
 	It("forgets a domain of which no member is registered any more", func() {
 		now, t := time.Unix(1000, 0), outage.New("o")
 		for _, id := range []model.InstanceID{"a", "b", "c"} {
@@ -97,8 +115,8 @@
 		t.Silent(now, "d", outage.Server("s"))
 		Expect(t.Doubtful(now)).To(ConsistOf(model.Domain("d")))
 		Expect(t.Examine(now, "d")).To(BeTrue())
-		Expect(t.Examine(now.Add(outage.AskInterval-1), "d")).To(BeFalse())
-		Expect(t.Examine(now.Add(outage.AskInterval), "d")).To(BeTrue())
+		Expect(t.Examine(now.Add(199*time.Millisecond), "d")).To(BeFalse())
+		Expect(t.Examine(now.Add(200*time.Millisecond), "d")).To(BeTrue())
 		t.Answered(now.Add(time.Second), "d", outage.Server("s"))
 		Expect(t.Doubtful(now.Add(2 * time.Second))).To(BeEmpty())
 		Expect(t.Examine(now, "o")).To(BeFalse(), "its own domain")
--- a/io/proxy/examine.go
+++ b/io/proxy/examine.go
@@ -40,8 +40,7 @@
 	o.retain(now, state)
 	doubtful := o.tracker.Doubtful(now)
 	for _, domain := range doubtful {
-		if o.tracker.Suspected(domain) && !o.tracker.Lost(domain) && now.Sub(o.askedAt[domain]) >= outage.AskInterval {
-			o.askedAt[domain] = now
+		if o.tracker.Ask(now, domain) {
 			asked = append(asked, domain)
 		}
 	}
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -129,7 +129,7 @@
 		},
 	})
 	n.rights = right.NewManager(ctx, right.Config{
-		Table: c.Table, View: n.view, Self: c.Self, StoreWrites: c.StoreWrites, Wanted: n.wantedRights, Dependent: n.dependentEntries, Disabled: c.Disabled, Log: c.Log,
+		Table: c.Table, View: n.view, Self: c.Self, StoreWrites: c.StoreWrites, Wanted: n.wantedRights, Dependent: n.dependentEntries, Usable: n.outages.usable, Disabled: c.Disabled, Log: c.Log,
 		Changed: func(held []string) {
 			<-ready
 			n.updateMonitors(ctx, held)
--- a/io/proxy/outages.go
+++ b/io/proxy/outages.go
@@ -35,8 +35,6 @@
 	tracker *outage.Tracker
 	// abandoned are closed when a domain is suspected, and removed when the suspicion ends.
 	abandoned map[model.Domain]chan struct{}
-	// askedAt is when other domains were last asked about a suspected one.
-	askedAt map[model.Domain]time.Time
 	// doubtful says that the answers of a domain count at once.
 	doubtful map[model.Domain]bool
 	// retained are the change counts of the state whose members were last retained.
@@ -52,7 +50,7 @@
 		return nil
 	}
 	return &outages{
-		node: n, tracker: outage.New(n.config.Self.Domain), abandoned: map[model.Domain]chan struct{}{}, askedAt: map[model.Domain]time.Time{},
+		node: n, tracker: outage.New(n.config.Self.Domain), abandoned: map[model.Domain]chan struct{}{},
 		doubtful: map[model.Domain]bool{}, answeredAt: map[outage.Member]time.Time{},
 	}
 }
@@ -67,6 +65,9 @@
 	return o.tracker.Suspected(domain)
 }
 
+// usable reports whether an instance isn't in a suspected failure domain.
+func (o *outages) usable(inst plan.Instance) bool { return !o.suspects(inst.Domain) }
+
 // lost reports whether a failure domain has failed as a whole, also by the evidence of another one.
 func (o *outages) lost(domain model.Domain) bool {
 	if o == nil {
--- a/io/right/manager.go
+++ b/io/right/manager.go
@@ -83,6 +83,8 @@
 	Dependent func(name string, era uint64) []store.Put
 	// Wanted returns the rights that some instance should hold.
 	Wanted func(*view.State) []Spec
+	// Usable reports whether an instance may be given rights. Nil means that every one may.
+	Usable func(plan.Instance) bool
 	// Changed is called after this instance has acquired, received or lost rights, with the
 	// sorted names of all that it holds. It may be nil.
 	Changed func(held []string)
--- a/io/right/manager_test.go
+++ b/io/right/manager_test.go
@@ -61,6 +61,11 @@
 
 // joinIn does the same in a failure domain.
 func joinIn(t *kvsim.Table, id model.InstanceID, domain model.Domain, wanted func() []right.Spec) *member {
+	return joinAvoiding(t, id, domain, wanted, "")
+}
+
+// joinAvoiding does the same for an instance that suspects a failure domain.
+func joinAvoiding(t *kvsim.Table, id model.InstanceID, domain model.Domain, wanted func() []right.Spec, suspected model.Domain) *member {
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	client := t.Client()
@@ -72,6 +77,7 @@
 	return &member{client, right.NewManager(ctx, right.Config{
 		Table: client, View: v, Self: plan.Instance{ID: id, Domain: domain, Weight: 1}, Log: log,
 		Wanted: func(*view.State) []right.Spec { return wanted() },
+		Usable: func(inst plan.Instance) bool { return suspected == "" || inst.Domain != suspected },
 	}), cancel}
 }
 
--- a/io/right/rebalance_test.go
+++ b/io/right/rebalance_test.go
@@ -121,6 +121,23 @@
 })
 
 var _ = Describe("Rights that avoid a failure domain", func() {
+	// A lost domain's instances are registered until their leases end. Rights that were transferred to
+	// them in that time were unused for seconds.
+	It("stay rather than go to an instance that may have failed", func() {
+		t := kvsim.New()
+		t.Set("config", nil)
+		wanted := []right.Spec{{Name: "r", Domain: "lost", Avoid: "a"}}
+		want := func() []right.Spec { return wanted }
+		first := joinAvoiding(t, "first", "a", want, "lost")
+		Eventually(first.holds).WithTimeout(waitTimeout).Should(BeTrue())
+		joinIn(t, "other", "lost", want)
+		Consistently(first.holds).WithTimeout(3 * time.Second).Should(BeTrue())
+		joinIn(t, "third", "b", want)
+		Eventually(first.holds).WithTimeout(waitTimeout).Should(BeFalse())
+		entry, _ := t.Get("own/right/r")
+		Expect(string(entry.Value)).To(ContainSubstring("third"))
+	})
+
 	It("leave an instance there soon, also if it holds hundreds, and don't return as excess", func() {
 		t := kvsim.New()
 		t.Set("config", nil)
--- a/io/right/transfer.go
+++ b/io/right/transfer.go
@@ -59,11 +59,14 @@
 	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value, Lease: lease})
 }
 
-// others returns the other instances that have a lease to hold a right by, granted in the present
-// era of the store.
+// others returns the other instances that may be given rights and have a lease to hold one by, granted
+// in the present era of the store.
 func (mgr *Manager) others(state *view.State) []plan.Instance {
 	var out []plan.Instance
 	for id, inst := range state.Instances {
+		if mgr.config.Usable != nil && !mgr.config.Usable(inst) {
+			continue
+		}
 		if id != mgr.config.Self.ID && inst.Lease != 0 && store.Era(inst.Revision) == mgr.config.View.Era() {
 			out = append(out, inst)
 		}
