Openings of connections ahead of other statements take at most a tenth of the slots

Cause: with far fewer connections than accounts, each opening served one statement and closed a connection that another account needed next. And while statements could run, one more than the slots was always running, so that no opening ever began.

Change: openings ahead of statements that can run are bounded by a tenth of the slot time, and the next free slot is kept for one that is due.

--- a/core/wait/contended_test.go
+++ b/core/wait/contended_test.go
@@ -184,6 +184,19 @@
 		Expect([]int{removed[0].Value, removed[1].Value}).To(Equal([]int{0, 1}), "those with the latest targets")
 	})
 
+	It("lets openings of connections go ahead after half of the time to the target, and for a part of the slots", func() {
+		i := of("a", 1, 1)
+		Expect(queue.OpeningDue(at(400*time.Millisecond), start, i)).To(BeFalse())
+		Expect(queue.OpeningDue(at(500*time.Millisecond), start, i)).To(BeTrue())
+		queue.ObserveOpening(at(500*time.Millisecond), 1, "a", 240*time.Millisecond)
+		Expect(queue.OpeningDue(at(500*time.Millisecond), start, i)).To(BeFalse(), "a tenth of two slots is 200 ms in a second")
+		Expect(queue.OpeningDue(at(700*time.Millisecond), start, i)).To(BeTrue())
+		By("comparing the wait for the account's own connections with the opening")
+		Expect(queue.WorthOpening("c", 1, 0)).To(BeTrue())
+		Expect(queue.WorthOpening("c", 10, 1)).To(BeFalse(), "95 ms for the last of ten, 240 ms for the opening")
+		Expect(queue.WorthOpening("c", 30, 1)).To(BeTrue())
+	})
+
 	It("estimates a longer wait for lower priorities", func() {
 		for i := range 20 {
 			urgent := of("a", 1, i)
--- a/core/wait/opening.go
+++ b/core/wait/opening.go
@@ -11,17 +11,23 @@
 // about as long as a short statement, so it should serve several.
 const openingWaitDivisor = 2
 
+// openingShare is the part of the slots that openings use at most ahead of items that can run. If
+// there are far fewer connections than accounts, each opening serves a single statement and closes a
+// connection that another account needs next.
+const openingShare = 0.1
+
 // SetOpenings sets the number of running items that are openings of connections.
 func (q *Queue[T]) SetOpenings(openings int) { q.openings = openings }
 
 // ObserveOpening updates the cost of opening a connection, and charges the account for which it was
 // opened.
-func (q *Queue[T]) ObserveOpening(priority int, account model.AccountID, took time.Duration) {
+func (q *Queue[T]) ObserveOpening(now time.Time, priority int, account model.AccountID, took time.Duration) {
 	if q.openingCost == 0 {
 		q.openingCost = took
 	} else {
 		q.openingCost += time.Duration(costWeight * float64(took-q.openingCost))
 	}
+	q.openingWork.Add(now, loadWindow, took.Seconds())
 	if f, ok := q.flows.byKey[flowKey{priority, account}]; ok {
 		f.tag += took.Seconds() / f.weight
 	}
@@ -47,9 +53,10 @@
 }
 
 // OpeningDue reports whether an item without a connection has waited so long that one has to be
-// opened although other items can run.
+// opened although other items can run, and whether recent openings leave slot time for that.
 func (q *Queue[T]) OpeningDue(now, received time.Time, item Item[T]) bool {
-	return !now.Before(received.Add(item.Target.Sub(received) / openingWaitDivisor))
+	return !now.Before(received.Add(item.Target.Sub(received)/openingWaitDivisor)) &&
+		q.openingWork.Value(now, loadWindow) < openingShare*float64(q.slots)*loadWindow.Seconds()
 }
 
 // Peek returns the item that Next would return.
--- a/core/wait/queue.go
+++ b/core/wait/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"pomelofork/core/line"
 	"pomelofork/core/model"
 )
 
@@ -105,6 +106,8 @@
 	// mean time for which an opening holds a slot.
 	openings    int
 	openingCost time.Duration
+	// openingWork is the slot seconds that openings used over loadWindow.
+	openingWork line.Sum
 }
 
 // New returns an empty queue for a server with this number of slots, at least 1.
--- a/io/pooler/contended.go
+++ b/io/pooler/contended.go
@@ -77,7 +77,7 @@
 		delete(p.opening, sc.account)
 	}
 	p.queue.SetOpenings(p.openings())
-	p.queue.ObserveOpening(sc.openedFor, sc.account, now.Sub(sc.openingSince))
+	p.queue.ObserveOpening(now, sc.openedFor, sc.account, now.Sub(sc.openingSince))
 }
 
 // startContended starts the queued requests that can run now, in the order of the queue. A request
@@ -100,6 +100,10 @@
 		r := item.Value
 		sc := p.connFor(r)
 		if sc == nil {
+			if p.countsOpenings() && p.running >= p.server.Slots {
+				// The next slot is for the opening.
+				return
+			}
 			blocked[r.order.Account] = !p.open(now, r)
 			continue
 		}
