--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
 	"pomelofork/io/clock"
 )
@@ -19,7 +20,7 @@
 	p.opened(now, sc)
 	p.running--
 	if err == nil || errors.Is(err, ErrConnectionLimit) {
-		p.lastAnswer = now
+		p.recordAnswer(now)
 	}
 	if err != nil {
 		delete(p.conns, sc)
@@ -29,13 +30,16 @@
 		p.dispatch(now)
 		return false
 	}
-	if p.closed || sc.closed {
+	if p.updateEvacuated(now); p.closed || sc.closed || p.evacuated {
 		delete(p.conns, sc)
 		closeConn(conn)
 		return false
 	}
 	sc.conn = conn
-	p.downSince = time.Time{}
+	if p.lost || !p.downSince.IsZero() {
+		p.ramp.Returned(now)
+	}
+	p.lost, p.downSince = false, time.Time{}
 	sc.idleFrom = now
 	p.dispatch(now)
 	return true
@@ -95,7 +99,7 @@
 func (p *Pool) handleAnswer(now time.Time, sc *serverConn, answer stmt.Answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastAnswer = now
+	p.recordAnswer(now)
 	e := sc.execution
 	if e == nil {
 		// An answer without a command: it is unknown which command the next one belongs to.
@@ -112,7 +116,14 @@
 		case e.setupLeft > 0:
 		case e.setupError != nil:
 			p.finish(now, sc, e, answer)
+		case p.updateEvacuated(now):
+			// The connection is closed, whose reader ends the execution.
+		case !p.ramp.Permits(now, ramp.Open):
+			e.setupError = &stmt.Answer{Code: stmt.CodeBusy, Text: notGatewayText}
+			p.finish(now, sc, e, answer)
 		default:
+			p.release(e)
+			p.ramp.Send(now, len(e.main))
 			e.mainLeft = len(e.main)
 			e.sentAt = now
 			p.send(sc, e.main)
@@ -133,7 +144,9 @@
 	sc.execution = nil
 	sc.idleFrom = now
 	p.running--
+	p.updateEvacuated(now)
 	p.queue.Ended(e.request.item, now.Sub(e.startedAt))
+	p.release(e)
 	order := e.request.order
 	result := stmt.Result{Answer: e.answer}
 	if e.setupError != nil {
@@ -158,6 +171,8 @@
 	}
 	switch {
 	case sc.closed:
+	case p.evacuated:
+		p.discard(sc)
 	case last.State == stmt.StateIdle:
 		p.endTransaction(sc)
 	case order.Unit == 0:
@@ -198,11 +213,13 @@
 	if !sc.closed {
 		p.log.LogAttrs(context.Background(), slog.LevelInfo, "receiving from a server failed, closing the connection",
 			slog.String("server", string(p.server.ID)), slog.Bool("at_work", e != nil), slog.String("error", err.Error()))
+		p.lost = p.lost || len(p.conns) == 1
 	}
 	p.discard(sc)
 	if e != nil {
 		p.running--
 		p.queue.Ended(e.request.item, now.Sub(e.startedAt))
+		p.release(e)
 		result := stmt.Result{Answer: e.answer, NotSent: e.mainLeft == 0 && !e.answered}
 		if !e.answered {
 			result.Answer = stmt.Refuse(stmt.CodeConnectionLost, stmt.StateIdle, "connection to the server lost")
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -8,8 +8,10 @@
 	"sync"
 	"time"
 
+	"pomelofork/core/evac"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
+	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
 	"pomelofork/core/trial"
 	"pomelofork/core/wait"
@@ -65,7 +67,11 @@
 	observe func(model.ServiceID, time.Time, model.Point)
 	latest  func(model.ServiceID) (time.Time, model.Point, bool)
 	allows  func(now time.Time, epoch uint64) bool
-	log     *slog.Logger
+	// evacuation says what may be sent while the server's failure domain is evacuated.
+	evacuation evac.Policy
+	// coldRefused counts refusals of a cold server.
+	coldRefused func()
+	log         *slog.Logger
 	// disabled are the mechanisms that are switched off.
 	disabled  trial.Disabled
 	contended bool
@@ -94,12 +100,20 @@
 	// downSince is the time of the first failure to connect since the last success. Zero
 	// means that there was none.
 	downSince time.Time
+	// lost says that the server ended the last connection, and no other has been opened since.
+	lost bool
 	// lastAnswer is when the server last answered. It is also set when a statement is sent
 	// or a connection attempt begins while nothing is running.
 	lastAnswer time.Time
+	// answeredAt is when it last answered.
+	answeredAt time.Time
 	// confirmedAt is the latest time as of which the server is known to have been the
 	// service's primary.
 	confirmedAt time.Time
+	// ramp limits what the server gets while it is cold.
+	ramp *ramp.Ramp
+	// evacuated says that nothing is sent because the failure domain is evacuated.
+	evacuated bool
 	// holder says that this instance should hold the server's connections, as of the last Tick.
 	holder bool
 	closed bool
@@ -111,6 +125,9 @@
 	if limit == 0 {
 		limit = defaultConns
 	}
+	if c.ColdRefused == nil {
+		c.ColdRefused = func() {}
+	}
 	if c.Allows == nil {
 		c.Allows = func(time.Time, uint64) bool { return true }
 	}
@@ -121,13 +138,14 @@
 		c.Weight = func(model.AccountID) float64 { return 1 }
 	}
 	return &Pool{
+		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, evacuation: c.Evacuation, coldRefused: c.ColdRefused, log: c.Log, disabled: c.Disabled,
 		contended: c.Contended, weight: c.Weight, count: c.Count,
-		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, log: c.Log, disabled: c.Disabled,
 		limit: max(limit-max(minFreeConns, limit/freeDivisor), 1), queue: wait.NewWithPolicy[*request](c.Server.Slots, wait.Policy{
 			ArrivalOrder: c.Disabled.Has(trial.TargetOrder), AcceptAll: c.Disabled.Has(trial.EarlyRejection),
 			Contended: c.Contended, EqualAccounts: c.Disabled.Has(trial.AccountShares), TargetWait: c.Disabled.Has(trial.GapWait),
 			EqualReturn: c.Disabled.Has(trial.ReturnPlaces),
 		}),
+		ramp:  ramp.New(c.UsedUntil, c.Claim, c.Server.ColdUntil),
 		conns: map[*serverConn]struct{}{}, transactions: map[txKey]*serverConn{}, opening: map[model.AccountID]int{},
 	}
 }
@@ -188,6 +206,7 @@
 // enqueue adds a request to the queue, or answers it at once if it can't be served. The
 // rollback of a transaction doesn't wait.
 func (p *Pool) enqueue(now time.Time, r *request) {
+	p.updateEvacuated(now)
 	inTransaction := r.continuesTransaction()
 	switch {
 	case p.closed:
@@ -196,12 +215,23 @@
 	case inTransaction && p.transactions[r.key] == nil:
 		r.result <- refused(stmt.CodeAborted, "transaction is gone", 0)
 		return
+	case p.evacuated && r.order.Statement.Kind != stmt.KindRollback:
+		r.result <- p.refuseEvacuated(r)
+		return
 	case r.order.Statement.Kind == stmt.KindRollback && p.transactions[r.key] == nil:
 		r.result <- stmt.Result{Answer: stmt.Answer{Code: stmt.CodeDone}}
 		return
+	case r.order.Statement.Kind == stmt.KindRollback && p.evacuated:
+		p.discard(p.transactions[r.key])
+		r.result <- stmt.Result{Answer: stmt.Answer{Code: stmt.CodeDone}}
+		return
 	case r.order.Statement.Kind == stmt.KindRollback:
 		p.start(now, p.transactions[r.key], r)
 		return
+	case inTransaction && !p.ramp.Permits(now, ramp.Open):
+		p.discard(p.transactions[r.key])
+		r.result <- refused(stmt.CodeAborted, notGatewayText, 0)
+		return
 	case !inTransaction && !p.mayUse(now, r.order):
 		r.result <- refused(stmt.CodeReadOnly, withdrawnText, 0)
 		return
@@ -215,6 +245,10 @@
 		r.result <- refused(stmt.CodeConnectionLost, silentText, silentAfter)
 		return
 	}
+	if after, ok := p.admitCold(now, r); !ok {
+		r.result <- p.refuseCold(after)
+		return
+	}
 	refusal, ok := p.queue.Add(now, wait.Item[*request]{
 		Value: r, Class: r.order.Class, Priority: r.order.Priority, InTransaction: inTransaction,
 		Target: now.Add(r.order.Target), Deadline: r.deadline,
@@ -249,8 +283,10 @@
 func (p *Pool) Tick(now time.Time, holder bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.updateEvacuated(now)
 	p.releaseIfMoved(holder)
 	if p.queue.Len() > 0 {
+		p.shedCold(now)
 		if !p.disabled.Has(trial.SilentServers) {
 			p.releaseReads(now)
 		}
@@ -284,11 +320,12 @@
 }
 
 // Update sets the role, the draining state and the revision that the server registered
-// last. The other fields keep their values.
+// last, the time until which it is cold, and since when its failure domain is evacuated. The other fields keep their values.
 func (p *Pool) Update(server plan.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.server.Primary, p.server.Draining, p.server.Revision = server.Primary, server.Draining, server.Revision
+	p.server.Primary, p.server.Draining, p.server.Revision, p.server.EvacuatedSince = server.Primary, server.Draining, server.Revision, server.EvacuatedSince
+	p.server.ColdUntil = server.ColdUntil
 }
 
 // Idle reports whether no statement is queued or running and no transaction is open.
--- a/io/proxy/meter.go
+++ b/io/proxy/meter.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"pomelofork/core/model"
 	"pomelofork/core/stmt"
 )
 
@@ -26,12 +27,18 @@
 	answers  map[string]int64
 	repeated map[string]int64
 	calls    map[string]int64
-	queue    map[string]int64
-	latency  map[string]*hdrhistogram.Histogram
+	// evacuated is the number of evacuated failure domains.
+	evacuated int
+	// coldRefusals counts the statements that cold servers could not take in time.
+	coldRefusals int64
+	// beliefs counts the changes of the belief about failure domains.
+	beliefs map[string]int64
+	queue   map[string]int64
+	latency map[string]*hdrhistogram.Histogram
 }
 
 func newMeter() *meter {
-	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, queue: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
+	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, beliefs: map[string]int64{}, queue: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
 }
 
 // Statement implements entry.Meter.
@@ -55,6 +62,13 @@
 	m.repeated[fmt.Sprintf("attempts_repeated{code=%q}", code)]++
 }
 
+// ColdRefused counts a statement that a cold server couldn't take in time.
+func (m *meter) ColdRefused() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.coldRefusals++
+}
+
 // Queue counts a decision about a statement that waits for a server.
 func (m *meter) Queue(outcome string) {
 	m.mu.Lock()
@@ -69,11 +83,25 @@
 	m.calls[fmt.Sprintf("store_calls{call=%q,outcome=%q}", call, outcome)]++
 }
 
+// SetEvacuated records the number of evacuated failure domains.
+func (m *meter) SetEvacuated(domains int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.evacuated = domains
+}
+
+// DomainBelief counts that a failure domain is now suspected or lost, or no longer suspected.
+func (m *meter) DomainBelief(domain model.Domain, belief string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.beliefs[fmt.Sprintf("domain_beliefs{domain=%q,belief=%q}", domain, belief)]++
+}
+
 // ServeHTTP writes one counter per line, and the quantiles of each route's latency.
 func (m *meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	m.mu.Lock()
-	var lines []string
-	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls, m.queue} {
+	lines := []string{fmt.Sprintf("pomelofork_evacuated_domains %d\n", m.evacuated)}
+	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls, m.beliefs, m.queue} {
 		for name, n := range counters {
 			lines = append(lines, fmt.Sprintf("pomelofork_%s %d\n", name, n))
 		}
@@ -83,6 +111,7 @@
 			lines = append(lines, fmt.Sprintf("pomelofork_latency_us{route=%q,quantile=\"%g\"} %d\n", route, q, h.ValueAtQuantile(q)))
 		}
 	}
+	lines = append(lines, fmt.Sprintf("pomelofork_cold_refusals %d\n", m.coldRefusals))
 	m.mu.Unlock()
 	slices.Sort(lines)
 	for _, line := range lines {
