--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -71,6 +71,8 @@
 	// passedOver is the earliest end of the times until which cold servers take no read, if there is
 	// no other server. Otherwise it is zero.
 	passedOver time.Time
+	// queueRefusal is the refusal of a server that callers compete for, or nil.
+	queueRefusal *stmt.Result
 	// excluded are the servers that have been tried. It is cleared when no server is left.
 	excluded map[model.ServerID]bool
 }
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"pomelofork/core/evac"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/promo"
@@ -36,6 +37,9 @@
 	promoteTimeout = time.Second
 	// retryPause is the pause after a refused promotion.
 	retryPause = 300 * time.Millisecond
+	// laggingPause is the pause after a promotion that was refused because the replicas lacked a part
+	// of the log of a primary in an evacuated failure domain. Each try may write to the store.
+	laggingPause = time.Second
 )
 
 // Errors of a promotion.
@@ -77,12 +81,19 @@
 	// before. As a fencing token it keeps a promotion that is carried out late from undoing a
 	// later one.
 	Appoint func(ctx context.Context, server model.ServerID) (uint64, error)
+	// Evacuation says when primaries in evacuated failure domains are replaced.
+	Evacuation evac.Policy
 	// Disabled are the mechanisms that are switched off.
 	Disabled trial.Disabled
 	// Allows reports whether answers of a primary that was appointed under an epoch may be used.
 	Allows func(now time.Time, epoch uint64) bool
 	// Gateways are the instances through which callers use the servers.
 	Gateways Gateways
+	// Probed is called with each server that was probed and whether it answered. It may be nil.
+	Probed func(server plan.Server, answered bool)
+	// DomainLost reports whether a failure domain has failed as a whole, by the evidence of instances
+	// of two others. It may be nil.
+	DomainLost func(model.Domain) bool
 	// Observe is called with each point that the primary reports, and when that was asked for.
 	Observe func(service model.ServiceID, at time.Time, point model.Point)
 	// Log receives a record of each decision and of each failed call.
@@ -101,6 +112,13 @@
 	term model.Term
 	// lastPrimary is the server that was last known to be the primary.
 	lastPrimary plan.Server
+	// reported is the last point that the primary reported, and steppedDown the end of the log of the
+	// last primary that stepped down.
+	reported, steppedDown logEnd
+	turn                  turn
+	// laggingUntil is the time until which no promotion is tried again after one was refused because
+	// the replicas lacked a part of the log.
+	laggingUntil time.Time
 }
 
 // New returns a Monitor and runs it until the context ends.
@@ -148,20 +166,24 @@
 	}
 	if primary, ok := m.machine.Primary(now, servers); ok {
 		m.lastPrimary = primary
-		confirmed := m.askIfDoubtful(ctx, now, primary)
-		m.probePrimary(ctx, now, primary)
-		if at := <-confirmed; !at.IsZero() {
-			m.machine.PrimaryConfirmed(at, primary.ID)
+		handOverAt := m.takeTurn(now, primary)
+		m.machine.HandOverAt(handOverAt)
+		if sealed := m.sealed(now, primary); sealed && now.Before(handOverAt) {
+			return
+		} else if !sealed {
+			m.confirm(ctx, now, primary)
 		}
 	}
+	m.machine.DomainLost(m.lastPrimary.ID, m.domainLost())
 	decision := m.machine.Decide(clock.Now(), servers)
-	if decision.Action == promo.ActionNone {
+	former, evacuated := evacuatedFormer(decision, servers)
+	if decision.Action == promo.ActionNone || (evacuated && now.Before(m.laggingUntil)) {
 		return
 	}
 	m.config.Log.LogAttrs(ctx, slog.LevelWarn, "service needs another primary", slog.String("service", string(m.config.Service)),
 		slog.String("primary", string(decision.Primary)), slog.String("reason", decision.Reason), slog.Duration("for", now.Sub(decision.Since)))
 	var minPoint model.Point
-	if decision.Action == promo.ActionHandOver {
+	if decision.Action == promo.ActionHandOver && !m.sealed(clock.Now(), former) {
 		minPoint = m.stepDown(ctx, decision.Primary)
 	}
 	if minPoint.IsZero() && !m.withdraw(ctx, decision, servers) {
@@ -170,6 +192,17 @@
 	m.promoteBest(ctx, decision, servers, minPoint)
 }
 
+// confirm probes the primary, and asks its gateways if the last confirmation is old.
+func (m *Monitor) confirm(ctx context.Context, now time.Time, primary plan.Server) {
+	confirmed := m.askIfDoubtful(ctx, now, primary)
+	probeCtx, cancel := m.untilLost(ctx)
+	m.probePrimary(probeCtx, now, primary)
+	cancel()
+	if at := <-confirmed; !at.IsZero() {
+		m.machine.PrimaryConfirmed(at, primary.ID)
+	}
+}
+
 // closeConn closes the connection for probes, if there is one.
 func (m *Monitor) closeConn() {
 	if m.conn != nil {
@@ -201,13 +234,15 @@
 				// have lost power still count towards it.
 				m.machine.PrimaryConfirmed(now, primary.ID)
 			}
+			m.probed(primary, Reached(err))
 			m.config.Log.LogAttrs(ctx, slog.LevelInfo, "primary not reached", slog.String("server", string(primary.ID)), slog.String("error", err.Error()))
 			return
 		}
 		m.conn, m.connServer = conn, primary.ID
 	}
 	sent := clock.Now()
-	begin, err := probe(m.conn, probeTimeout)
+	begin, err := probeUntil(ctx, m.conn, probeTimeout)
+	m.probed(primary, err == nil)
 	if err != nil {
 		m.config.Log.LogAttrs(ctx, slog.LevelInfo, "primary did not answer a probe", slog.String("server", string(primary.ID)), slog.String("error", err.Error()))
 		m.closeConn()
@@ -217,6 +252,7 @@
 		m.machine.PrimaryConfirmed(sent, primary.ID)
 		if !begin.Point.IsZero() {
 			m.term = begin.Point.Term()
+			m.reported = logEnd{primary.ID, begin.Point}
 			m.config.Observe(m.config.Service, sent, begin.Point)
 		}
 	}
--- a/io/pooler/config.go
+++ b/io/pooler/config.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"pomelofork/core/evac"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/ramp"
@@ -19,6 +20,15 @@
 	// Connections is the number of connections that the server accepts from all instances
 	// together. Zero means 16.
 	Connections int
+	// Contended says that callers compete for the server, so that its slots are shared among client
+	// accounts.
+	Contended bool
+	// Weight returns the weight of a client account's share. Nil means that all are equal.
+	Weight func(model.AccountID) float64
+	// Count is called with the outcome of each decision about a queued statement where callers compete
+	// for the server: "queued", "refused", "refused_without_retry", "unservable" or "moved". The pool's
+	// lock is held. Nil counts nothing.
+	Count func(outcome string)
 	// Dialer opens connections.
 	Dialer Dialer
 	// Observe is called with a point in the service's log that covers every commit
@@ -31,6 +41,8 @@
 	// may be sent to the server, and whether its answer may be passed on. The pool's lock is
 	// held. Nil allows all.
 	Allows func(now time.Time, epoch uint64) bool
+	// Evacuation says what may be sent to the server while its failure domain is evacuated.
+	Evacuation evac.Policy
 	// Claim is what entitles this instance to send statements to the server while it is cold. Cold
 	// updates it.
 	Claim ramp.Claim
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -17,10 +17,10 @@
 func (p *Pool) handleOpened(now time.Time, sc *serverConn, conn Conn, err error) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.opening[sc.account]--
+	p.opened(now, sc)
 	p.running--
 	if err == nil || errors.Is(err, ErrConnectionLimit) {
-		p.lastAnswer = now
+		p.recordAnswer(now)
 	}
 	if err != nil {
 		delete(p.conns, sc)
@@ -30,7 +30,7 @@
 		p.dispatch(now)
 		return false
 	}
-	if p.closed || sc.closed {
+	if p.updateEvacuated(now); p.closed || sc.closed || p.evacuated {
 		delete(p.conns, sc)
 		closeConn(conn)
 		return false
@@ -99,7 +99,7 @@
 func (p *Pool) handleAnswer(now time.Time, sc *serverConn, answer stmt.Answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastAnswer = now
+	p.recordAnswer(now)
 	e := sc.execution
 	if e == nil {
 		// An answer without a command: it is unknown which command the next one belongs to.
@@ -116,6 +116,8 @@
 		case e.setupLeft > 0:
 		case e.setupError != nil:
 			p.finish(now, sc, e, answer)
+		case p.updateEvacuated(now):
+			// The connection is closed, whose reader ends the execution.
 		case !p.ramp.Permits(now, ramp.Open):
 			e.setupError = &stmt.Answer{Code: stmt.CodeBusy, Text: notGatewayText}
 			p.finish(now, sc, e, answer)
@@ -142,6 +144,8 @@
 	sc.execution = nil
 	sc.idleFrom = now
 	p.running--
+	p.updateEvacuated(now)
+	p.queue.Ended(e.request.item, now.Sub(e.startedAt))
 	p.release(e)
 	order := e.request.order
 	result := stmt.Result{Answer: e.answer}
@@ -167,6 +171,8 @@
 	}
 	switch {
 	case sc.closed:
+	case p.evacuated:
+		p.discard(sc)
 	case last.State == stmt.StateIdle:
 		p.endTransaction(sc)
 	case order.Unit == 0:
@@ -182,7 +188,7 @@
 // respond sends a request's result, with the estimated wait at the server and the newest
 // known point of its service.
 func (p *Pool) respond(now time.Time, r *request, result stmt.Result) {
-	result.Wait = p.queue.EstimateWait(p.running)
+	result.Wait, result.Waits = p.queue.EstimateWait(p.running), p.queue.Waits(now, p.running)
 	if at, point, ok := p.latest(p.server.Service); ok {
 		result.Latest, result.LatestAge = point, now.Sub(at)
 	}
@@ -212,6 +218,7 @@
 	p.discard(sc)
 	if e != nil {
 		p.running--
+		p.queue.Ended(e.request.item, now.Sub(e.startedAt))
 		p.release(e)
 		result := stmt.Result{Answer: e.answer, NotSent: e.mainLeft == 0 && !e.answered}
 		if !e.answered {
--- a/io/pooler/serverconn.go
+++ b/io/pooler/serverconn.go
@@ -18,6 +18,10 @@
 // pool's lock guards all fields.
 type serverConn struct {
 	account model.AccountID
+	// openingSince is when the opening began, and openedFor the priority of the statement for which
+	// the connection was opened.
+	openingSince time.Time
+	openedFor    int
 	// conn is nil until the connection is open.
 	conn Conn
 	// values and prepared are the session values and the prepared statements that the
@@ -67,6 +71,8 @@
 	main []stmt.Command
 	// mainLeft is the number of outstanding answers to main, or zero until it is sent.
 	mainLeft int
+	// startedAt is when the first command was sent. The statement holds a slot from then on.
+	startedAt time.Time
 	// reserved is the number of commands of main for which the ramp keeps room until they are sent.
 	reserved int
 	// sentAt is when main was sent, or the setup commands while they are outstanding.
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -38,7 +38,7 @@
 	if order.NeedsPrimary() {
 		holders = primaryHolders(holders)
 	}
-	holders = n.homeHolders(order, holders)
+	holders = n.outages.suspectedLast(n.homeHolders(order, holders))
 	for _, inst := range holders {
 		if (inst.ID != n.config.Self.ID && !n.peer(inst).Reachable(now)) || n.pathFailedRecently(now, inst, server.ID) {
 			continue
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -86,12 +86,16 @@
 	// appointing are the fences of the rights under which this instance has begun to write an
 	// appointment.
 	appointing map[model.ServiceID]uint64
+	// confirmingAt is when the view was last confirmed beyond its own queries.
+	confirmingAt time.Time
 	// applied are the change counts of the state that applyChange was last given.
 	applied view.ChangeCounts
 
 	// peerUnresponsive is set when a peer does not answer and cleared by updateIsolation.
 	peerUnresponsive atomic.Bool
 	isolation        reach.Detector
+	// outages is nil if the loss of a failure domain doesn't have to be borne.
+	outages *outages
 
 	rightsCache  derived[[]right.Spec]
 	sourcesCache derived[[]view.Source]
@@ -111,12 +115,15 @@
 // so that callers can finish. Start fails if the instance can't answer its peers.
 func Start(ctx context.Context, c Config) (*Node, error) {
 	meter := newMeter()
+	c.Self.PermitLife = permitLife(c)
 	c.Table = store.Metered{Table: c.Table, Count: meter.StoreCall}
+	c.Decoder = c.evacuationDecoder()
 	n := &Node{
 		config: c, startedAt: clock.Now(), meter: meter, pools: map[model.ServerID]*pooler.Pool{}, peers: map[string]*relay.Peer{},
 		holderOrder: map[model.ServerID][]plan.Instance{}, monitors: map[model.ServiceID]context.CancelFunc{}, buckets: map[issuerKey]*bucket{}, issuers: map[model.AccountID]*quota.IssuerStatus{},
 		transactions: map[uint64]plan.Instance{}, endedLeases: map[uint64]bool{}, pathRetryAt: map[serverPath]time.Time{}, encoded: newEncodedValues(), primaryUses: map[model.ServiceID]*primaryUse{}, appointing: map[model.ServiceID]uint64{},
 	}
+	n.outages = newOutages(n)
 	if err := relay.NewServer(relay.ServerConfig{Listener: c.Peers, Handler: &handler{n}, Disconnected: n.rollBackEntry, Log: c.Log}); err != nil {
 		return nil, fmt.Errorf("start answering peers: %w", err)
 	}
@@ -129,14 +136,14 @@
 		},
 	})
 	n.rights = right.NewManager(ctx, right.Config{
-		Table: c.Table, View: n.view, Self: c.Self, StoreWrites: c.StoreWrites, Wanted: n.wantedRights, Dependent: n.dependentEntries, Disabled: c.Disabled, Log: c.Log,
+		Table: c.Table, View: n.view, Self: c.Self, StoreWrites: c.StoreWrites, Wanted: n.wantedRights, Dependent: n.dependentEntries, Usable: n.outages.usable, Disabled: c.Disabled, Log: c.Log,
 		Changed: func(held []string) {
 			<-ready
 			n.updateMonitors(ctx, held)
 		},
 	})
 	n.entry = entry.New(entry.Config{
-		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, ColdServers: c.ColdLimit != (ramp.Limit{}), Homes: home.NewMap(c.Regions), View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Disabled: c.Disabled, Log: c.Log,
+		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, ColdServers: c.ColdLimit != (ramp.Limit{}), Homes: home.NewMap(c.Regions), View: n.view, Fleet: n, SuspectsDomain: n.outages.suspects, Codec: c.Codec, Meter: n.meter, Evacuation: c.evacuation(), Disabled: c.Disabled, Log: c.Log,
 	})
 	close(ready)
 	n.entry.Serve(c.Callers)
@@ -188,6 +195,7 @@
 		pool.Close()
 	}
 	if applied.Servers != s.ChangeCounts.Servers {
+		n.meter.SetEvacuated(len(s.Evacuations))
 		n.entry.StateChanged(clock.Now(), s)
 	}
 	if applied.Appointments != s.ChangeCounts.Appointments {
@@ -246,9 +254,10 @@
 		connections = state.Plan.Connections(server.Service)
 	}
 	pool := pooler.NewPool(pooler.Config{
-		Server: server, Connections: connections, Dialer: n.config.Dialer, Observe: n.entry.Observe, Latest: n.entry.Latest, Disabled: n.config.Disabled, Log: n.config.Log,
+		Server: server, Connections: connections, Dialer: n.config.Dialer, Observe: n.entry.Observe, Latest: n.entry.Latest, Evacuation: n.config.evacuation(), Disabled: n.config.Disabled, Log: n.config.Log,
+		Allows:    func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, server.Service, epoch) },
+		Contended: n.config.Contended, Weight: n.accountRate, Count: n.meter.Queue,
 		Claim: n.coldClaim(clock.Now(), state, server), UsedUntil: n.cold.usedUntil[id], ColdRefused: n.meter.ColdRefused,
-		Allows: func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, server.Service, epoch) },
 	})
 	n.pools[id] = pool
 	return pool
@@ -280,7 +289,9 @@
 	// run transactions of this one, which are rolled back when the connection closes.
 	p, ok := n.peers[inst.Address]
 	if !ok {
-		p = relay.NewPeer(relay.PeerConfig{Name: string(inst.ID), Address: inst.Address, Dial: sock.Dial, Log: n.config.Log})
+		c := relay.PeerConfig{Name: string(inst.ID), Address: inst.Address, Dial: sock.Dial, Log: n.config.Log}
+		n.outages.watchPeer(inst, &c)
+		p = relay.NewPeer(c)
 		n.peers[inst.Address] = p
 	}
 	return p
--- a/io/right/transfer.go
+++ b/io/right/transfer.go
@@ -10,7 +10,6 @@
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
-	"pomelofork/core/rank"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
 )
@@ -26,7 +25,7 @@
 	if len(others) == 0 {
 		return plan.Instance{}, false
 	}
-	return rank.Order(spec.Name, spec.Domain, others)[0], true
+	return spec.preference().Order(spec.Name, others)[0], true
 }
 
 // transferTxn returns the transaction that transfers rights to their recipients, under the
@@ -60,11 +59,14 @@
 	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: value, Lease: lease})
 }
 
-// others returns the other instances that have a lease to hold a right by, granted in the present
-// era of the store.
+// others returns the other instances that may be given rights and have a lease to hold one by, granted
+// in the present era of the store.
 func (mgr *Manager) others(state *view.State) []plan.Instance {
 	var out []plan.Instance
 	for id, inst := range state.Instances {
+		if mgr.config.Usable != nil && !mgr.config.Usable(inst) {
+			continue
+		}
 		if id != mgr.config.Self.ID && inst.Lease != 0 && store.Era(inst.Revision) == mgr.config.View.Era() {
 			out = append(out, inst)
 		}
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -98,6 +98,8 @@
 	lastFailure time.Time
 	restore     restore
 	feed        feed
+	// lastSource is the source that answered last.
+	lastSource Source
 }
 
 // New returns a View and starts to keep it up to date.
@@ -158,6 +160,9 @@
 			continue
 		}
 		retry = retryPause
+		v.mu.Lock()
+		v.lastSource = source
+		v.mu.Unlock()
 		if picker.recordAnswer(clock.Now(), source, update.Age) {
 			v.config.Log.LogAttrs(ctx, slog.LevelInfo, "configuration confirmation received", slog.String("source", source.Name()), slog.Duration("age", update.Age))
 		}
@@ -217,6 +222,7 @@
 	if v.mayBeRestored(b) {
 		v.beginEra(ctx, now, b)
 	}
+	v.logEvacuations(ctx, b)
 	if b.initial {
 		v.config.Log.LogAttrs(ctx, slog.LevelInfo, "initial content read", slog.Int("servers", len(b.next.Servers)), slog.Int("instances", len(b.next.Instances)),
 			slog.Int("rights", len(b.next.Rights)), slog.Uint64("revision", update.Revision))
@@ -311,7 +317,7 @@
 	}
 	for domain := range former.Evacuations {
 		if !present[v.config.Decoder.EvacuationKey(domain)] {
-			v.endEvacuation(ctx, b, domain)
+			v.endMissingEvacuation(ctx, b, domain)
 		}
 	}
 	b.next.StaleRights = maps.Clone(b.next.StaleRights)
