io/pooler: limit cold servers also where callers compete

Cause: the order of starts where callers compete for a server doesn't go through the code that asks the ramp, so that a cold server got 79 starts in a second with a limit of 12 (cold_test.go without the change).

Change: starting a statement and opening a connection ask the ramp there as well.

Result: the test runs in both modes and stays within the limit.

--- a/io/pooler/cold_test.go
+++ b/io/pooler/cold_test.go
@@ -53,9 +53,9 @@
 }
 
 // newColdPool returns a pool for a cold primary.
-func newColdPool(dialer pooler.Dialer, claim ramp.Claim) *pooler.Pool {
+func newColdPool(dialer pooler.Dialer, claim ramp.Claim, contended bool) *pooler.Pool {
 	p := pooler.NewPool(pooler.Config{
-		Server: plan.Server{ID: "p", Service: "s", Slots: 4, Primary: true, ColdUntil: clock.Now().Add(time.Minute)}, Dialer: dialer, Claim: claim, Log: slog.New(slog.DiscardHandler),
+		Server: plan.Server{ID: "p", Service: "s", Slots: 4, Primary: true, ColdUntil: clock.Now().Add(time.Minute)}, Dialer: dialer, Claim: claim, Contended: contended, Log: slog.New(slog.DiscardHandler),
 		Observe: func(model.ServiceID, time.Time, model.Point) {},
 		Latest:  func(model.ServiceID) (time.Time, model.Point, bool) { return time.Time{}, model.Point{}, false },
 	})
@@ -70,61 +70,63 @@
 }
 
 var _ = Describe("The pool of a cold server", func() {
-	It("sends no more than the limit in any second, and refuses truthfully what can't be served in time", func() {
-		const limit = 12
-		d := &countingDialer{}
-		p := newColdPool(d, gatewayClaim(limit))
-		stop := make(chan struct{})
-		defer close(stop)
-		go func() {
-			for {
-				select {
-				case <-stop:
-					return
-				case <-time.After(20 * time.Millisecond):
-					p.Tick(clock.Now(), true)
-				}
-			}
-		}()
-		orders := []func(i int) *stmt.Order{
-			func(int) *stmt.Order { return order("w", "WRITE x one", stmt.KindWrite) },
-			func(int) *stmt.Order { return order("r", "READ x", stmt.KindRead) },
-			func(i int) *stmt.Order {
-				return inTransaction(order("t", "WRITE x two", stmt.KindWrite), uint64(i+1), stmt.OpBegin)
-			},
-			func(int) *stmt.Order {
-				o := order("v", "READ x", stmt.KindRead)
-				o.Prove, o.Values = true, []stmt.Value{{Name: "a", Content: "b"}}
-				return o
-			},
-		}
-		var wg sync.WaitGroup
-		codes := make([]stmt.Result, 80)
-		for i := range codes {
-			wg.Add(1)
+	for name, contended := range map[string]bool{"by targets": false, "where callers compete": true} {
+		It("sends no more than the limit in any second, and refuses truthfully what can't be served in time: "+name, func() {
+			const limit = 12
+			d := &countingDialer{}
+			p := newColdPool(d, gatewayClaim(limit), contended)
+			stop := make(chan struct{})
+			defer close(stop)
 			go func() {
-				defer wg.Done()
-				o := orders[i%len(orders)](i)
-				o.Target, o.Timeout = 1500*time.Millisecond, 3*time.Second
-				codes[i] = p.Run(clock.Now(), o)
-				if o.Unit != 0 && codes[i].Answer.Code == stmt.CodeDone {
-					p.Run(clock.Now(), inTransaction(order("c", "COMMIT", stmt.KindCommit), o.Unit, stmt.OpPass))
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(20 * time.Millisecond):
+						p.Tick(clock.Now(), true)
+					}
 				}
 			}()
-		}
-		wg.Wait()
-		Expect(d.most()).To(BeNumerically("<=", limit))
-		served := 0
-		for _, result := range codes {
-			if result.Answer.Code == stmt.CodeDone {
-				served++
-				continue
+			orders := []func(i int) *stmt.Order{
+				func(int) *stmt.Order { return order("w", "WRITE x one", stmt.KindWrite) },
+				func(int) *stmt.Order { return order("r", "READ x", stmt.KindRead) },
+				func(i int) *stmt.Order {
+					return inTransaction(order("t", "WRITE x two", stmt.KindWrite), uint64(i+1), stmt.OpBegin)
+				},
+				func(int) *stmt.Order {
+					o := order("v", "READ x", stmt.KindRead)
+					o.Prove, o.Values = true, []stmt.Value{{Name: "a", Content: "b"}}
+					return o
+				},
 			}
-			Expect(result.Answer.Code).To(Equal(stmt.CodeBusy))
-			Expect(result.NotSent).To(BeTrue())
-		}
-		Expect(served).To(BeNumerically(">=", limit/4))
-	})
+			var wg sync.WaitGroup
+			codes := make([]stmt.Result, 80)
+			for i := range codes {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					o := orders[i%len(orders)](i)
+					o.Target, o.Timeout = 1500*time.Millisecond, 3*time.Second
+					codes[i] = p.Run(clock.Now(), o)
+					if o.Unit != 0 && codes[i].Answer.Code == stmt.CodeDone {
+						p.Run(clock.Now(), inTransaction(order("c", "COMMIT", stmt.KindCommit), o.Unit, stmt.OpPass))
+					}
+				}()
+			}
+			wg.Wait()
+			Expect(d.most()).To(BeNumerically("<=", limit))
+			served := 0
+			for _, result := range codes {
+				if result.Answer.Code == stmt.CodeDone {
+					served++
+					continue
+				}
+				Expect(result.Answer.Code).To(Equal(stmt.CodeBusy))
+				Expect(result.NotSent).To(BeTrue())
+			}
+			Expect(served).To(BeNumerically(">=", limit/4))
+		})
+	}
 
 	for name, c := range map[string]struct {
 		change func(*ramp.Claim)
@@ -141,7 +143,7 @@
 			claim := gatewayClaim(50)
 			c.change(&claim)
 			d := &countingDialer{}
-			result := newColdPool(d, claim).Run(clock.Now(), order("i", "x", c.kind))
+			result := newColdPool(d, claim, false).Run(clock.Now(), order("i", "x", c.kind))
 			Expect(result.Answer.Code == stmt.CodeDone).To(Equal(c.sent))
 			if !c.sent {
 				Expect(result.NotSent).To(BeTrue())
@@ -153,7 +155,7 @@
 
 	It("ends an open transaction when this instance isn't the gateway any more", func() {
 		d := &countingDialer{}
-		p := newColdPool(d, gatewayClaim(50))
+		p := newColdPool(d, gatewayClaim(50), false)
 		Expect(p.Run(clock.Now(), inTransaction(order("w", "WRITE x one", stmt.KindWrite), 7, stmt.OpBegin)).Answer.Code).To(Equal(stmt.CodeDone))
 		sent := d.most()
 		p.Cold(clock.Now(), ramp.Claim{Limited: true, Max: 50})
--- a/io/pooler/contended.go
+++ b/io/pooler/contended.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
 	"pomelofork/core/trial"
 	"pomelofork/core/wait"
@@ -58,9 +59,10 @@
 // room for one.
 func (p *Pool) open(now time.Time, r *request) bool {
 	account := r.order.Account
-	if (p.countsOpenings() && p.running >= p.server.Slots) || !p.makeRoom(now, account) {
+	if (p.countsOpenings() && p.running >= p.server.Slots) || !p.ramp.Allows(now, ramp.Bound, 1) || !p.makeRoom(now, account) {
 		return false
 	}
+	p.ramp.Send(now, 1)
 	p.opening[account]++
 	p.queue.SetOpenings(p.openings())
 	p.countRunning(now)
@@ -90,7 +92,7 @@
 		item, ok := p.queue.Peek(now, func(i wait.Item[*request]) bool {
 			r := i.Value
 			if p.connFor(r) != nil {
-				return true
+				return p.fits(now, r)
 			}
 			return !blocked[r.order.Account] && p.queue.OpeningDue(now, r.received, i) && p.needsConn(now, r, waiting[r.order.Account])
 		})
