Keep evacuations in mind where homes and the loss of a domain count

Cause: a monitor that avoids its primary's domain could prefer an evacuated one, and a statement whose homes are all evacuated waited for a server elsewhere that may not run it.

Change: the first replica elsewhere that isn't evacuated is preferred, and only servers in the statement's homes count when it is decided whether all are closed.

--- a/io/entry/evacuation.go
+++ b/io/entry/evacuation.go
@@ -47,12 +47,12 @@
 	}
 }
 
-// allClosed reports whether all servers of a service that could take a statement are in evacuated
-// failure domains, where nothing may be sent any more.
-func (e *Entry) allClosed(now time.Time, servers []plan.Server) bool {
+// allClosed reports whether all servers of a service that could take a statement with the given homes
+// are in evacuated failure domains, where nothing may be sent any more.
+func (e *Entry) allClosed(now time.Time, homes []model.Region, servers []plan.Server) bool {
 	var since []time.Time
 	for _, s := range servers {
-		if s.Primary || !s.Draining {
+		if (s.Primary || !s.Draining) && e.config.Homes.Allows(homes, s.Domain) {
 			since = append(since, s.EvacuatedSince)
 		}
 	}
--- a/io/entry/hold.go
+++ b/io/entry/hold.go
@@ -62,7 +62,7 @@
 	e := a.session.entry
 	state := e.config.View.State()
 	servers := state.Services[a.route.Service]
-	if e.allClosed(now, servers) {
+	if e.allClosed(now, a.order.Homes, servers) {
 		a.retryAfter = evac.ReturnAfter
 		return false
 	}
--- a/io/proxy/monitor_rights.go
+++ b/io/proxy/monitor_rights.go
@@ -8,7 +8,7 @@
 )
 
 // setApart makes the right to monitor a service's primary avoid the failure domain of the primary,
-// and prefer that of the first replica elsewhere. The loss of a domain would otherwise take the
+// and prefer that of the first replica elsewhere, if possible in one that isn't evacuated. The loss of a domain would otherwise take the
 // monitor together with the primary, and nobody would check the primary until the lease of the
 // monitor has ended. Without a primary the right stays where it is, because its holder is having
 // another server promoted.
@@ -18,7 +18,12 @@
 		return
 	}
 	spec.Avoid = primary.Domain
-	if i := slices.IndexFunc(servers, func(s plan.Server) bool { return !s.Primary && s.Domain != spec.Avoid }); i >= 0 {
+	elsewhere := func(s plan.Server) bool { return !s.Primary && s.Domain != spec.Avoid }
+	i := slices.IndexFunc(servers, func(s plan.Server) bool { return elsewhere(s) && !s.Evacuated() })
+	if i < 0 {
+		i = slices.IndexFunc(servers, elsewhere)
+	}
+	if i >= 0 {
 		spec.Domain = servers[i].Domain
 	}
 }
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -185,13 +185,14 @@
 
 	for name, c := range map[string]struct {
 		evacuated, issuers []model.Domain
-		monitor            model.Domain
+		// apart is where the monitor is preferred if the loss of a domain has to be borne.
+		monitor, apart model.Domain
 	}{
-		"a replica's":       {[]model.Domain{"b"}, []model.Domain{"a", "c"}, "c"},
-		"the primary's":     {[]model.Domain{"a"}, []model.Domain{"b", "c"}, "b"},
-		"those of replicas": {[]model.Domain{"b", "c"}, []model.Domain{"a"}, "a"},
-		"all":               {[]model.Domain{"a", "b", "c"}, []model.Domain{"a", "b", "c"}, "b"},
-		"an unknown one":    {[]model.Domain{"x"}, []model.Domain{"a", "b", "c"}, "b"},
+		"a replica's":       {[]model.Domain{"b"}, []model.Domain{"a", "c"}, "c", "c"},
+		"the primary's":     {[]model.Domain{"a"}, []model.Domain{"b", "c"}, "b", "b"},
+		"those of replicas": {[]model.Domain{"b", "c"}, []model.Domain{"a"}, "a", "b"},
+		"all":               {[]model.Domain{"a", "b", "c"}, []model.Domain{"a", "b", "c"}, "b", "b"},
+		"an unknown one":    {[]model.Domain{"x"}, []model.Domain{"a", "b", "c"}, "b", "b"},
 	} {
 		It("don't prefer evacuated failure domains: "+name, func() {
 			s := state(nil)
@@ -203,15 +204,20 @@
 				}
 				s.Servers[id] = server
 			}
+			for _, id := range slices.Sorted(maps.Keys(s.Servers)) {
+				s.Services = map[model.ServiceID][]plan.Server{"s": append(s.Services["s"], s.Servers[id])}
+			}
 			for _, domain := range c.evacuated {
 				s.Evacuations[domain] = view.Evacuation{Since: clock.Now()}
 			}
 			issuers := map[model.Domain]bool{}
-			for _, spec := range findWantedRights(s, false) {
-				if spec.Name == monitorRight("s") {
-					Expect(spec.Domain).To(Equal(c.monitor))
-				} else {
-					issuers[spec.Domain] = true
+			for apart, monitor := range map[bool]model.Domain{false: c.monitor, true: c.apart} {
+				for _, spec := range findWantedRights(s, apart) {
+					if spec.Name == monitorRight("s") {
+						Expect(spec.Domain).To(Equal(monitor))
+					} else {
+						issuers[spec.Domain] = true
+					}
 				}
 			}
 			Expect(slices.Sorted(maps.Keys(issuers))).To(Equal(c.issuers))
