--- a/io/proxy/examine.go
+++ b/io/proxy/examine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -39,6 +38,7 @@
 	o.mu.Lock()
 	o.retain(now, state)
 	doubtful := o.tracker.Doubtful(now)
+	o.inDoubt.Store(len(doubtful) > 0)
 	for _, domain := range doubtful {
 		if o.tracker.Ask(now, domain) {
 			asked = append(asked, domain)
@@ -63,11 +63,6 @@
 	for _, change := range o.tracker.Retain(now, exists) {
 		o.apply(change, true)
 	}
-	clear(o.doubtful)
-	for _, domain := range o.tracker.Doubtful(now) {
-		o.doubtful[domain] = true
-	}
-	maps.DeleteFunc(o.answeredAt, func(m outage.Member, _ time.Time) bool { return !exists(m) })
 }
 
 // examine contacts some members of a failure domain to find out whether they answer, unless that was
--- a/io/proxy/outages.go
+++ b/io/proxy/outages.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pomelofork/core/model"
@@ -22,7 +23,7 @@
 	// reported: two checks of the pools.
 	poolAnswerAge = 100 * time.Millisecond
 	// answerInterval is the least time between two reports that a peer answers, while no failure
-	// domain is in doubt. It keeps the common case of a call free of a shared lock.
+	// domain is in doubt. It keeps the usual answer free of a shared lock.
 	answerInterval = 100 * time.Millisecond
 )
 
@@ -31,16 +32,17 @@
 type outages struct {
 	node *Node
 
+	// suspected are the suspected domains, or nil if there are none. inDoubt says that the answers of
+	// some domain count at once. Both are read for each statement, without the lock.
+	suspected atomic.Pointer[map[model.Domain]bool]
+	inDoubt   atomic.Bool
+
 	mu      sync.Mutex
 	tracker *outage.Tracker
 	// abandoned are closed when a domain is suspected, and removed when the suspicion ends.
 	abandoned map[model.Domain]chan struct{}
-	// doubtful says that the answers of a domain count at once.
-	doubtful map[model.Domain]bool
 	// retained are the change counts of the state whose members were last retained.
 	retained view.ChangeCounts
-	// answeredAt is when an answer of a member was last recorded.
-	answeredAt map[outage.Member]time.Time
 }
 
 // newOutages returns the outages of a node, or nil if the loss of a failure domain doesn't have to be
@@ -49,10 +51,7 @@
 	if n.config.ToleratedDomains <= 0 || n.config.Disabled.Has(trial.DomainLoss) {
 		return nil
 	}
-	return &outages{
-		node: n, tracker: outage.New(n.config.Self.Domain), abandoned: map[model.Domain]chan struct{}{},
-		doubtful: map[model.Domain]bool{}, answeredAt: map[outage.Member]time.Time{},
-	}
+	return &outages{node: n, tracker: outage.New(n.config.Self.Domain), abandoned: map[model.Domain]chan struct{}{}}
 }
 
 // suspects reports whether a failure domain is suspected of having failed.
@@ -60,9 +59,8 @@
 	if o == nil {
 		return false
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.tracker.Suspected(domain)
+	suspected := o.suspected.Load()
+	return suspected != nil && (*suspected)[domain]
 }
 
 // usable reports whether an instance isn't in a suspected failure domain.
@@ -80,7 +78,7 @@
 
 // suspectedLast returns the instances with those of suspected failure domains after the others.
 func (o *outages) suspectedLast(instances []plan.Instance) []plan.Instance {
-	if o == nil || !slices.ContainsFunc(instances, func(i plan.Instance) bool { return o.suspects(i.Domain) }) {
+	if o == nil || o.suspected.Load() == nil {
 		return instances
 	}
 	var first, last []plan.Instance
@@ -96,15 +94,9 @@
 
 // answered records that a member of a failure domain answered.
 func (o *outages) answered(domain model.Domain, m outage.Member) {
-	now := clock.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.doubtful[domain] && now.Sub(o.answeredAt[m]) < answerInterval {
-		return
-	}
-	o.answeredAt[m] = now
-	change, changed := o.tracker.Answered(now, domain, m)
-	delete(o.doubtful, domain)
+	change, changed := o.tracker.Answered(clock.Now(), domain, m)
 	o.apply(change, changed)
 }
 
@@ -113,7 +105,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	change, changed := o.tracker.Silent(clock.Now(), domain, m)
-	o.doubtful[domain] = true
+	o.inDoubt.Store(true)
 	o.apply(change, changed)
 }
 
@@ -122,6 +114,7 @@
 	if !changed {
 		return
 	}
+	o.setSuspected(c.Domain, c.Suspected)
 	attrs := []slog.Attr{slog.String("domain", string(c.Domain)), slog.Int("silent", c.Silent), slog.Int("contacted", c.Contacted), slog.Duration("for", c.Lasted)}
 	log, belief := o.node.config.Log, "answers"
 	defer func() { o.node.meter.DomainBelief(c.Domain, belief) }()
@@ -144,6 +137,24 @@
 	}
 }
 
+// setSuspected replaces the set of suspected domains. The lock is held.
+func (o *outages) setSuspected(domain model.Domain, suspected bool) {
+	next := map[model.Domain]bool{}
+	if former := o.suspected.Load(); former != nil {
+		maps.Copy(next, *former)
+	}
+	if suspected {
+		next[domain] = true
+	} else {
+		delete(next, domain)
+	}
+	if len(next) == 0 {
+		o.suspected.Store(nil)
+		return
+	}
+	o.suspected.Store(&next)
+}
+
 // calls returns the channel that is closed when the calls in flight to a domain are to be abandoned,
 // or nil for a domain that is suspected already: calls to it are made to find out whether it answers.
 func (o *outages) calls(domain model.Domain) <-chan struct{} {
@@ -166,10 +177,17 @@
 		return
 	}
 	member := outage.Instance(inst.ID)
+	// answeredAt is when an answer was last recorded, in Unix nanoseconds of package clock.
+	var answeredAt atomic.Int64
 	c.Abandoned = func() <-chan struct{} { return o.calls(inst.Domain) }
 	c.Observe = func(e relay.Event) {
 		switch e {
 		case relay.EventAnswered:
+			now := clock.Now().UnixNano()
+			if !o.inDoubt.Load() && now-answeredAt.Load() < int64(answerInterval) {
+				return
+			}
+			answeredAt.Store(now)
 			o.answered(inst.Domain, member)
 		case relay.EventOverdue:
 			// The instance may just take long.
