core/place: a cold server costs more whatever else a read costs; no probes of cold servers by others

Cause: instances that examine a failure domain would probe its cold servers, which counts for their limit, and an estimate that replaces the cost of a read would leave out that the server is cold.

Change: the cost of a cold server is added to any cost, and cold servers are not examined.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -98,7 +98,7 @@
 			}
 			continue
 		}
-		if cost := costOf(now, required, c); best < 0 || cost < bestCost {
+		if cost := costOf(now, required, c) + coldCostOf(c); best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
@@ -116,12 +116,17 @@
 	return !c.Point.Less(required.After) || now.Sub(c.PointAt) >= laggingRetryAfter
 }
 
+// coldCostOf returns what a read costs more at the server because it is cold.
+func coldCostOf(c Candidate) time.Duration {
+	if !c.Cold {
+		return 0
+	}
+	return coldCost + time.Duration(c.InFlight)*c.ColdInterval
+}
+
 // costOf returns the expected cost of choosing the server, as a time.
 func costOf(now time.Time, required Requirement, c Candidate) time.Duration {
 	cost := time.Duration(c.InFlight) * inFlightCost / time.Duration(max(c.Server.Slots, 1))
-	if c.Cold {
-		cost = coldCost + max(cost, time.Duration(c.InFlight)*c.ColdInterval)
-	}
 	if now.Sub(c.WaitAt) < waitMaxAge {
 		cost = max(cost, c.Wait)
 	}
--- a/io/proxy/examine.go
+++ b/io/proxy/examine.go
@@ -89,7 +89,8 @@
 	}
 	left := examinedMembers - len(members)
 	for _, server := range state.Servers {
-		if left > 0 && server.Domain == domain {
+		// A cold server takes few commands, and only from its gateway.
+		if left > 0 && server.Domain == domain && !server.Cold(now) {
 			left--
 			go func() { o.contactServer(server) }()
 		}
