core/ramp: share the limit until the view shows whether a returned server was started anew

Cause: the soak as a trial with contracts = pressure found cold servers with up to 150 statements in 0.8 s (limit 50): several instances used the whole limit in the moment before they learned of the new start, a gateway with an old view sent as to a warm server for more than a second, and a pool without connections didn't notice that the server had been lost.

Change: until the view was confirmed as of 0.3 s after a lost server answered again, the gateway uses half of the limit and every other instance a sixth. An instance that isn't the gateway does so from its first connection, and every instance when it opens a connection while it has no other.

--- a/core/ramp/claim.go
+++ b/core/ramp/claim.go
@@ -34,6 +34,8 @@
 	// Max is the number of statements that the server may get in any second. Zero means that the
 	// limit is invalid.
 	Max int
+	// ColdFor is the time after its start for which a server is cold, or zero if it isn't stated.
+	ColdFor time.Duration
 	// First says that this instance is the first holder of the server in its own view, as it has
 	// been without interruption since Since.
 	First bool
--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -31,9 +31,17 @@
 	unlimited = math.MaxInt32
 	// maxRetry is the longest time after which a caller is told to return.
 	maxRetry = 2 * time.Second
-	// presumption is the time for which a server counts as cold after it was lost and answers again:
-	// the time in which its entry shows whether it was started anew.
-	presumption = time.Second
+	// entryDelay is the time in which a server that was started writes its entry. A view that was
+	// confirmed later than that after the server was lost and answered again shows a new start.
+	entryDelay = 300 * time.Millisecond
+	// maxPresumption is the time for which a server may be cold meanwhile, if the configuration doesn't
+	// state for how long servers are cold after their start.
+	maxPresumption = 3 * time.Second
+	// presumedDivisor and strangerDivisor give the parts of the limit that the gateway and any other
+	// instance may use meanwhile. An order is tried at three instances, and at one more while entries
+	// differ in which ones failed.
+	presumedDivisor = 2
+	strangerDivisor = 6
 )
 
 // Ramp decides what a gateway may send to one server. A start is a command that is sent, or a new
@@ -41,8 +49,10 @@
 type Ramp struct {
 	claim     Claim
 	coldUntil time.Time
-	// presumedUntil is the time until which the server may be cold, because it was lost.
-	presumedUntil time.Time
+	// returned is when the server answered again after it was lost, or zero.
+	returned time.Time
+	// sharedUntil is the time until which other instances may have used a part of the limit.
+	sharedUntil time.Time
 	// sent are the times of the starts of the last span, earliest first, or the last of them up to
 	// twice the limit. That is enough when the limit changes with the server's role.
 	sent []time.Time
@@ -71,24 +81,55 @@
 	r.claim, r.coldUntil = claim, coldUntil
 }
 
-// Returned records that the server answers again after all connections to it were lost. Its process
-// may have been started anew. As long as that isn't known, the limit applies, but any instance may use
-// it: most servers that were lost were only unreachable.
-func (r *Ramp) Returned(now time.Time) {
-	if r.claim.counts() {
-		r.presumedUntil = now.Add(presumption)
+// Opened records that a connection was opened: the first one of this instance, or one after all others
+// were lost. In both cases the server's process may have been started anew before its entry says so,
+// unless this instance is the gateway and has just become that. Any instance may use a part of the limit
+// then, since most servers that were lost were only unreachable.
+func (r *Ramp) Opened(now time.Time, first, lost bool) {
+	if r.claim.counts() && (lost || (first && !r.claim.First)) {
+		r.returned = now
+	}
+}
+
+// presumed reports whether the server may have been started anew although its entry, as far as this
+// instance knows it, doesn't say so.
+func (r *Ramp) presumed(now time.Time) bool {
+	longest := r.claim.ColdFor
+	if longest == 0 {
+		longest = maxPresumption
+	}
+	return !r.returned.IsZero() && r.claim.Confirmed.Before(r.returned.Add(entryDelay)) && now.Before(r.returned.Add(longest))
+}
+
+// budget returns the number of starts that this instance may use in any span.
+func (r *Ramp) budget(now time.Time) int {
+	permitted := r.claim.permits(now)
+	switch {
+	case r.known(now) && !permitted:
+		return 0
+	case !permitted:
+		return max(r.claim.Max/strangerDivisor, 1)
+	case r.presumed(now):
+		r.sharedUntil = now.Add(span)
+		return max(r.claim.Max/presumedDivisor, 1)
+	case now.Before(r.sharedUntil):
+		return max(r.claim.Max/presumedDivisor, 1)
+	default:
+		return r.claim.Max
 	}
 }
 
 // Cold reports whether a limit applies.
-func (r *Ramp) Cold(now time.Time) bool { return r.claim.Limited && now.Before(r.end()) }
+func (r *Ramp) Cold(now time.Time) bool {
+	return r.claim.Limited && (r.known(now) || r.presumed(now))
+}
 
-// end returns the time until which the server is cold or may be.
-func (r *Ramp) end() time.Time {
-	if r.coldUntil.Before(r.presumedUntil) {
-		return r.presumedUntil
+// left returns how much longer the server is cold, or may be.
+func (r *Ramp) left(now time.Time) time.Duration {
+	if r.known(now) {
+		return r.coldUntil.Sub(now)
 	}
-	return r.coldUntil
+	return maxRetry
 }
 
 // Permits reports whether this instance may send work of the kind to the server at all.
@@ -107,15 +148,15 @@
 
 // Allows reports whether work with the given number of starts may be sent now.
 func (r *Ramp) Allows(now time.Time, work Work, starts int) bool {
-	return r.Permits(now, work) && r.room(now) >= r.needed(work, starts)
+	return r.Permits(now, work) && r.room(now) >= r.needed(now, work, starts)
 }
 
 // needed returns the room that is needed for work with the given number of starts.
-func (r *Ramp) needed(work Work, starts int) int {
+func (r *Ramp) needed(now time.Time, work Work, starts int) int {
 	if work == Open {
 		return starts
 	}
-	return max(starts, min(openRoom, r.claim.Max))
+	return max(starts, min(openRoom, r.budget(now)))
 }
 
 // room returns the number of starts that are allowed now.
@@ -127,7 +168,7 @@
 		return 0
 	}
 	r.forget(now)
-	return r.claim.Max - len(r.sent) - r.reserved
+	return r.budget(now) - len(r.sent) - r.reserved
 }
 
 // Admit decides whether new work with the given number of starts may wait at the server, where work
@@ -138,7 +179,7 @@
 		return 0, true
 	}
 	if r.claim.Max == 0 {
-		return min(r.end().Sub(now), maxRetry), work != Movable
+		return min(r.left(now), maxRetry), work != Movable
 	}
 	if work == Movable {
 		patience /= movableDivisor
@@ -146,8 +187,8 @@
 	if r.known(now) && !r.claim.gateway(now) {
 		return elsewhereRetry, false
 	}
-	wait := r.wait(now, queued, r.needed(work, starts))
-	return min(wait, r.end().Sub(now), maxRetry), wait <= patience
+	wait := r.wait(now, queued, r.needed(now, work, starts))
+	return min(wait, r.left(now), maxRetry), wait <= patience
 }
 
 // wait returns the time until the needed room is there, after the queued starts.
@@ -158,16 +199,16 @@
 	r.forget(now)
 	// The starts that were sent leave the span one by one. A full limit of queued work takes a whole
 	// span more.
-	ahead := queued + needed
-	rounds, rest := ahead/r.claim.Max, ahead%r.claim.Max
+	ahead, budget := queued+needed, r.budget(now)
+	rounds, rest := ahead/budget, ahead%budget
 	if rest == 0 {
-		rounds, rest = rounds-1, r.claim.Max
+		rounds, rest = rounds-1, budget
 	}
 	wait := time.Duration(rounds) * span
 	if now.Before(r.fullUntil) {
 		return wait + r.fullUntil.Sub(now)
 	}
-	if missing := rest - (r.claim.Max - len(r.sent) - r.reserved); missing > 0 {
+	if missing := rest - (budget - len(r.sent) - r.reserved); missing > 0 {
 		// Reserved starts are sent soon, and leave the span after those that were sent.
 		if missing > len(r.sent) {
 			return wait + span
--- a/core/ramp/ramp_test.go
+++ b/core/ramp/ramp_test.go
@@ -82,16 +82,34 @@
 		Expect(r.Allows(at(1100), ramp.Bound, 1)).To(BeTrue())
 	})
 
-	It("limits a server that was lost and answers again, at any instance, until its entry can say more", func() {
-		r := ramp.New(time.Time{}, ramp.Claim{Limited: true, Max: 10}, time.Time{})
-		r.Returned(start)
-		Expect(r.Allows(start, ramp.Movable, 3)).To(BeTrue())
-		r.Send(start, 10)
-		Expect(r.Allows(at(10), ramp.Open, 1)).To(BeFalse())
-		Expect(r.Allows(at(1000), ramp.Open, 1)).To(BeTrue())
-		r.Update(at(10), ramp.Claim{Limited: true, Max: 10}, at(5000))
-		Expect(r.Permits(at(1000), ramp.Open)).To(BeFalse(), "its entry says that it is cold, and this instance isn't the gateway")
-	})
+	for name, c := range map[string]struct {
+		claim       ramp.Claim
+		first, lost bool
+		part        int
+	}{
+		"half of it at its gateway if it was lost":                   {gateway(start, 24), false, true, 12},
+		"all it takes at its gateway at first":                       {gateway(start, 24), true, false, 99},
+		"a sixth of it at another instance if it was lost":           {ramp.Claim{Limited: true, Max: 24}, false, true, 4},
+		"a sixth of it at another instance that uses it for once":    {ramp.Claim{Limited: true, Max: 24}, true, false, 4},
+		"all it takes at another instance that has used it for long": {ramp.Claim{Limited: true, Max: 24}, false, false, 99},
+	} {
+		It("gives a server that may have been started anew, until its entry can say so, "+name, func() {
+			r := ramp.New(time.Time{}, c.claim, time.Time{})
+			r.Opened(start, c.first, c.lost)
+			sent := 0
+			for ; sent < 99 && r.Allows(at(10), ramp.Open, 1); sent++ {
+				r.Send(at(10), 1)
+			}
+			Expect(sent).To(Equal(c.part))
+			Expect(r.Allows(at(1000), ramp.Open, 12)).To(Equal(c.part == 99), "the view is older than the return of the server")
+			later := c.claim
+			later.Confirmed = at(400)
+			r.Update(at(500), later, time.Time{})
+			Expect(r.Allows(at(500), ramp.Open, 99)).To(BeTrue(), "the view shows that it wasn't started anew")
+			r.Update(at(500), later, at(5000))
+			Expect(r.Permits(at(500), ramp.Open)).To(Equal(c.claim.First), "its entry says that it is cold")
+		})
+	}
 
 	It("assumes that the limit was used up by a pool before it, or before there was a limit", func() {
 		Expect(ramp.New(at(-500), gateway(start, 10), at(9000)).Allows(start, ramp.Open, 1)).To(BeFalse())
@@ -235,7 +253,7 @@
 // byTenure sends what Tenure and Ramp allow.
 func (m *model) byTenure(now time.Time, i uint64, one *member) int {
 	one.tenure.Observe(now, ramp.View{First: one.first == i && one.own != 0, Registration: one.own, Confirmed: one.confirmed})
-	one.ramp.Update(now, one.tenure.Claim(m.limit), start.Add(time.Hour))
+	one.ramp.Update(now, one.tenure.Claim(m.limit, 0), start.Add(time.Hour))
 	sent := 0
 	for one.ramp.Allows(now, ramp.Open, 1) && m.rng.Float64() < 0.7 {
 		one.ramp.Send(now, 1)
@@ -247,7 +265,7 @@
 // byShares sends up to a quarter of the limit while the gateway is new, and half of it later.
 func (m *model) byShares(now time.Time, i uint64, one *member) int {
 	one.tenure.Observe(now, ramp.View{First: one.first == i && one.own != 0, Registration: one.own, Confirmed: now})
-	claim := one.tenure.Claim(m.limit)
+	claim := one.tenure.Claim(m.limit, 0)
 	share := 0
 	switch held := now.Sub(claim.Since); {
 	case !claim.First || held < time.Second:
--- a/core/ramp/tenure.go
+++ b/core/ramp/tenure.go
@@ -35,7 +35,8 @@
 	t.since = now
 }
 
-// Claim returns the claim of this instance to the gateway's part of a limit.
-func (t *Tenure) Claim(limit int) Claim {
-	return Claim{Limited: true, Max: limit, First: t.view.First, Since: t.since, Confirmed: t.view.Confirmed}
+// Claim returns the claim of this instance to the gateway's part of a limit, for a service whose servers
+// are cold for the given time after their start.
+func (t *Tenure) Claim(limit int, coldFor time.Duration) Claim {
+	return Claim{Limited: true, Max: limit, ColdFor: coldFor, First: t.view.First, Since: t.since, Confirmed: t.view.Confirmed}
 }
--- a/io/pooler/cold.go
+++ b/io/pooler/cold.go
@@ -28,6 +28,17 @@
 	p.ramp.Update(now, claim, p.server.ColdUntil)
 }
 
+// alone reports whether no other connection than the given one is open. The server's process may have
+// been started anew while there was none.
+func (p *Pool) alone(sc *serverConn) bool {
+	for other := range p.conns {
+		if other != sc && other.conn != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // workOf returns how a request depends on the server.
 func workOf(r *request) ramp.Work {
 	switch {
--- a/io/pooler/cold_test.go
+++ b/io/pooler/cold_test.go
@@ -167,8 +167,10 @@
 var _ = Describe("The pool of a server that was lost", func() {
 	It("takes it as cold until its entry can show whether it was started anew", func() {
 		first, second := newScriptedConn(done), newScriptedConn(done)
+		claim := gatewayClaim(4)
+		claim.Confirmed = clock.Now()
 		p := pooler.NewPool(pooler.Config{
-			Server: plan.Server{ID: "p", Service: "s", Slots: 2}, Dialer: &scriptedDialer{conns: []*scriptedConn{first, second}}, Claim: gatewayClaim(4), Log: slog.New(slog.DiscardHandler),
+			Server: plan.Server{ID: "p", Service: "s", Slots: 2}, Dialer: &scriptedDialer{conns: []*scriptedConn{first, second}}, Claim: claim, Log: slog.New(slog.DiscardHandler),
 			Observe: func(model.ServiceID, time.Time, model.Point) {},
 			Latest:  func(model.ServiceID) (time.Time, model.Point, bool) { return time.Time{}, model.Point{}, false },
 		})
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -36,10 +36,8 @@
 		return false
 	}
 	sc.conn = conn
-	if p.lost || !p.downSince.IsZero() {
-		p.ramp.Returned(now)
-	}
-	p.lost, p.downSince = false, time.Time{}
+	p.ramp.Opened(now, !p.reached, !p.downSince.IsZero() || (p.reached && p.alone(sc)))
+	p.reached, p.downSince = true, time.Time{}
 	sc.idleFrom = now
 	p.dispatch(now)
 	return true
@@ -213,7 +211,6 @@
 	if !sc.closed {
 		p.log.LogAttrs(context.Background(), slog.LevelInfo, "receiving from a server failed, closing the connection",
 			slog.String("server", string(p.server.ID)), slog.Bool("at_work", e != nil), slog.String("error", err.Error()))
-		p.lost = p.lost || len(p.conns) == 1
 	}
 	p.discard(sc)
 	if e != nil {
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -100,8 +100,8 @@
 	// downSince is the time of the first failure to connect since the last success. Zero
 	// means that there was none.
 	downSince time.Time
-	// lost says that the server ended the last connection, and no other has been opened since.
-	lost bool
+	// reached says that a connection was opened once.
+	reached bool
 	// lastAnswer is when the server last answered. It is also set when a statement is sent
 	// or a connection attempt begins while nothing is running.
 	lastAnswer time.Time
--- a/io/proxy/cold.go
+++ b/io/proxy/cold.go
@@ -78,10 +78,11 @@
 		tenure = ramp.NewTenure(n.cold.members, seen)
 		n.cold.tenures[server.ID] = tenure
 	}
-	was := tenure.Claim(limit)
+	coldFor := s.Plan.ColdStart(server.Service).Duration
+	was := tenure.Claim(limit, coldFor)
 	tenure.Observe(now, seen)
-	claim := tenure.Claim(limit)
-	if server.Cold(now) && (was.First != claim.First || !was.Since.Equal(claim.Since)) {
+	claim := tenure.Claim(limit, coldFor)
+	if server.Cold(now) && was.First != claim.First {
 		n.config.Log.LogAttrs(context.Background(), slog.LevelInfo, "role as the gateway of a cold server changed", slog.String("server", string(server.ID)),
 			slog.Bool("gateway", claim.First), slog.Int("limit", limit), slog.Duration("view_age", now.Sub(confirmed)))
 	}
