A gateway asks the monitor when its short permit has ended

Cause: permits of 700 ms end between two confirmations of the view. The monitor was asked only about primaries in use, and a statement that was refused for want of a permit didn't count as use.

Change: the gateway asks the monitor once for all statements that need the permit at the time. Deployments without short permits are unchanged.

--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -182,6 +182,16 @@
 		Expect(n.endorseLocally(clock.Now(), "s").Epoch).To(Equal(n.view.State().Appointments["s"].Epoch))
 	})
 
+	// Short permits end between two confirmations of the view. The first statements at each gateway of a
+	// primary that wasn't in use were refused for seconds.
+	It("is endorsed at once for the first statement after a pause, where permits are short", func() {
+		n := newMonitor()
+		n.config.Self.PermitLife = epoch.ShortPermitLife
+		server := plan.Server{ID: "p", Service: "s", Domain: "d"}
+		Eventually(func() bool { return !n.primaryPermit("s").Valid(clock.Now()) }).WithTimeout(10 * time.Second).Should(BeTrue())
+		Expect(n.mayHoldPrimary(clock.Now(), server)).To(BeTrue())
+	})
+
 	It("keeps the primary in use while the store doesn't answer", func() {
 		n := newMonitor()
 		later := clock.Now().Add(epoch.PermitLife * 3 / 2)
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"pomelofork/core/home"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
@@ -81,7 +83,9 @@
 	endedLeases map[uint64]bool
 	// primaryUses decide, for each service, whether the work of its primary may be passed on.
 	// guardsMu guards them and appointing. It is held while no other lock is taken.
-	guardsMu    sync.Mutex
+	guardsMu sync.Mutex
+	// renewals are the questions to monitors that statements wait for, by service.
+	renewals    singleflight.Group
 	primaryUses map[model.ServiceID]*primaryUse
 	// appointing are the fences of the rights under which this instance has begun to write an
 	// appointment.
--- a/io/proxy/permit.go
+++ b/io/proxy/permit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pomelofork/core/epoch"
+	"pomelofork/core/model"
 	"pomelofork/core/trial"
 	"pomelofork/io/clock"
 )
@@ -25,6 +26,30 @@
 	return 0
 }
 
+// renewPermit asks the monitor of a service's primary whether the appointment is in force, and reports
+// whether this instance may use the primary then. Statements that need the answer at the same time share
+// one question. Short permits end while a primary isn't used, and its next statement would be refused.
+func (n *Node) renewPermit(now time.Time, service model.ServiceID) bool {
+	if n.config.Self.PermitLife == 0 {
+		return false
+	}
+	_, _, _ = n.renewals.Do(string(service), func() (any, error) {
+		n.guardsMu.Lock()
+		use := n.primaryUse(service)
+		use.usedAt = now
+		due := now.Sub(use.askedAt) >= minEndorseInterval
+		if due {
+			use.askedAt = now
+		}
+		n.guardsMu.Unlock()
+		if due {
+			n.askMonitor(clock.Now(), service)
+		}
+		return nil, nil
+	})
+	return n.primaryPermit(service).Valid(clock.Now())
+}
+
 // confirmView asks the source of the view whether the view is complete, unless that was done a moment
 // ago. Permits that are shorter than the time between two confirmations of the view would end while
 // the monitor of a primary doesn't answer. The caller holds guardsMu.
--- a/io/proxy/primary.go
+++ b/io/proxy/primary.go
@@ -77,10 +77,10 @@
 
 // mayHoldPrimary reports whether this instance may use the server as a primary now.
 func (n *Node) mayHoldPrimary(now time.Time, server plan.Server) bool {
-	if !n.primaryPermit(server.Service).Valid(now) {
+	if !slices.ContainsFunc(primaryHolders(n.holders(server)), func(inst plan.Instance) bool { return inst.ID == n.config.Self.ID }) {
 		return false
 	}
-	return slices.ContainsFunc(primaryHolders(n.holders(server)), func(inst plan.Instance) bool { return inst.ID == n.config.Self.ID })
+	return n.primaryPermit(server.Service).Valid(now) || n.renewPermit(now, server.Service)
 }
 
 // primaryHolders returns those of a server's holders that may use it as a primary.
