Never pause a replica in an evacuated failure domain

Cause: a replica that was told to pause shortly before its domain was sealed was never told to resume, and received nothing more of the log after the return of the domain.

Change: such servers get no command to pause, and don't count among those that hold the acknowledged commits.

--- a/io/lead/evacuation_test.go
+++ b/io/lead/evacuation_test.go
@@ -125,6 +125,7 @@
 			s.write()
 			s.evacuate(c.evacuated...)
 			Consistently(s.fences, 4*time.Second).Should(BeEmpty())
+			Expect(s.group.Server("r1").Paused()).To(BeFalse(), "nobody may tell it to resume")
 			s.evacuate()
 			Eventually(s.primary).WithTimeout(waitTimeout).ShouldNot(BeEmpty())
 			Expect(s.group.Log()).To(HaveLen(1))
--- a/io/lead/promote.go
+++ b/io/lead/promote.go
@@ -159,7 +159,10 @@
 	results := make(chan promo.ReplicaLog, len(servers))
 	queried := 0
 	for _, s := range servers {
-		if s.ID == except || m.sealed(clock.Now(), s) {
+		// A server in an evacuated domain isn't paused, since the domain may be sealed before it is to
+		// resume. Without a pause its log doesn't count.
+		pauses := command.Op == stmt.OpPause || command.Op == stmt.OpResume
+		if s.ID == except || (pauses && s.Evacuated()) || m.sealed(clock.Now(), s) {
 			continue
 		}
 		queried++
