--- a/io/lead/evacuation_test.go
+++ b/io/lead/evacuation_test.go
@@ -100,6 +100,16 @@
 		Expect(s.group.Log()).To(HaveLen(1))
 	})
 
+	It("never pause an evacuated replica, which nobody may tell to resume once its domain is sealed", func() {
+		s := startReplicated(0, 1)
+		s.set(func(s *testCluster) { s.refuse = true })
+		Eventually(s.confirmed).WithTimeout(waitTimeout).Should(BeTrue())
+		s.evacuate("b")
+		time.Sleep(100 * time.Millisecond)
+		s.group.Server("p").SetDown(true)
+		Consistently(s.group.Server("r1").Paused, 1500*time.Millisecond).Should(BeFalse())
+	})
+
 	It("replace it by a withdrawal when it may not be asked to step down any more", func() {
 		s := &testCluster{group: newGroup(0), stopped: true, bound: 20 * time.Millisecond, evacuated: []model.Domain{"a"}}
 		s.monitor()
@@ -125,7 +135,6 @@
 			s.write()
 			s.evacuate(c.evacuated...)
 			Consistently(s.fences, 4*time.Second).Should(BeEmpty())
-			Expect(s.group.Server("r1").Paused()).To(BeFalse(), "nobody may tell it to resume")
 			s.evacuate()
 			Eventually(s.primary).WithTimeout(waitTimeout).ShouldNot(BeEmpty())
 			Expect(s.group.Log()).To(HaveLen(1))
