io/pooler: the limit of a cold server holds where callers compete for it

Change: startContended asks the ramp like the usual order, and openings count as starts. The spec of the limit runs in both orders.

--- a/core/wait/doc.go
+++ b/core/wait/doc.go
@@ -8,4 +8,9 @@
 // target, by priority and then by the time left, and then the late ones. A statement that
 // cannot be served before its deadline is refused when it arrives, not when its time is
 // over.
+//
+// Load pattern of Policy.Contended: client accounts compete for too few slots, one of them sends
+// several times its usual load, and refused callers return all at once. Accounts then share the
+// slots by their rates, a statement may wait for the gaps that more urgent work leaves, and refused
+// callers get places in a line.
 package wait
--- a/io/pooler/cold_test.go
+++ b/io/pooler/cold_test.go
@@ -53,9 +53,9 @@
 }
 
 // newColdPool returns a pool for a cold primary.
-func newColdPool(dialer pooler.Dialer, claim ramp.Claim) *pooler.Pool {
+func newColdPool(dialer pooler.Dialer, claim ramp.Claim, contended bool) *pooler.Pool {
 	p := pooler.NewPool(pooler.Config{
-		Server: plan.Server{ID: "p", Service: "s", Slots: 4, Primary: true, ColdUntil: clock.Now().Add(time.Minute)}, Dialer: dialer, Claim: claim, Log: slog.New(slog.DiscardHandler),
+		Server: plan.Server{ID: "p", Service: "s", Slots: 4, Primary: true, ColdUntil: clock.Now().Add(time.Minute)}, Dialer: dialer, Claim: claim, Contended: contended, Log: slog.New(slog.DiscardHandler),
 		Observe: func(model.ServiceID, time.Time, model.Point) {},
 		Latest:  func(model.ServiceID) (time.Time, model.Point, bool) { return time.Time{}, model.Point{}, false },
 	})
@@ -70,10 +70,10 @@
 }
 
 var _ = Describe("The pool of a cold server", func() {
-	It("sends no more than the limit in any second, and refuses truthfully what can't be served in time", func() {
+	DescribeTable("sends no more than the limit in any second, and refuses truthfully what can't be served in time", func(contended bool) {
 		const limit = 12
 		d := &countingDialer{}
-		p := newColdPool(d, gatewayClaim(limit))
+		p := newColdPool(d, gatewayClaim(limit), contended)
 		stop := make(chan struct{})
 		defer close(stop)
 		go func() {
@@ -124,7 +124,10 @@
 			Expect(result.NotSent).To(BeTrue())
 		}
 		Expect(served).To(BeNumerically(">=", limit/4))
-	})
+	},
+		Entry("in the usual order", false),
+		Entry("where callers compete for it", true),
+	)
 
 	for name, c := range map[string]struct {
 		change func(*ramp.Claim)
@@ -141,7 +144,7 @@
 			claim := gatewayClaim(50)
 			c.change(&claim)
 			d := &countingDialer{}
-			result := newColdPool(d, claim).Run(clock.Now(), order("i", "x", c.kind))
+			result := newColdPool(d, claim, false).Run(clock.Now(), order("i", "x", c.kind))
 			Expect(result.Answer.Code == stmt.CodeDone).To(Equal(c.sent))
 			if !c.sent {
 				Expect(result.NotSent).To(BeTrue())
@@ -153,7 +156,7 @@
 
 	It("ends an open transaction when this instance isn't the gateway any more", func() {
 		d := &countingDialer{}
-		p := newColdPool(d, gatewayClaim(50))
+		p := newColdPool(d, gatewayClaim(50), false)
 		Expect(p.Run(clock.Now(), inTransaction(order("w", "WRITE x one", stmt.KindWrite), 7, stmt.OpBegin)).Answer.Code).To(Equal(stmt.CodeDone))
 		sent := d.most()
 		p.Cold(clock.Now(), ramp.Claim{Limited: true, Max: 50})
--- a/io/pooler/contended.go
+++ b/io/pooler/contended.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
 	"pomelofork/core/trial"
 	"pomelofork/core/wait"
@@ -62,6 +63,7 @@
 		return false
 	}
 	p.opening[account]++
+	p.ramp.Send(now, 1)
 	p.queue.SetOpenings(p.openings())
 	p.countRunning(now)
 	sc := newServerConn(p, account)
@@ -90,7 +92,7 @@
 		item, ok := p.queue.Peek(now, func(i wait.Item[*request]) bool {
 			r := i.Value
 			if p.connFor(r) != nil {
-				return true
+				return p.fits(now, r)
 			}
 			return !blocked[r.order.Account] && p.queue.OpeningDue(now, r.received, i) && p.needsConn(now, r, waiting[r.order.Account])
 		})
@@ -135,7 +137,7 @@
 // needsConn reports whether another connection is to be opened for an account with the given number
 // of queued requests, of which r is one.
 func (p *Pool) needsConn(now time.Time, r *request, waiting int) bool {
-	if now.Before(p.nextOpen) || r.continuesTransaction() || !p.mayBegin(r) {
+	if p.evacuated || now.Before(p.nextOpen) || r.continuesTransaction() || !p.mayBegin(r) || !p.ramp.Allows(now, ramp.Bound, 1) {
 		return false
 	}
 	account := r.order.Account
