--- a/io/pooler/contended.go
+++ b/io/pooler/contended.go
@@ -137,7 +137,7 @@
 // needsConn reports whether another connection is to be opened for an account with the given number
 // of queued requests, of which r is one.
 func (p *Pool) needsConn(now time.Time, r *request, waiting int) bool {
-	if now.Before(p.nextOpen) || r.continuesTransaction() || !p.mayBegin(r) {
+	if p.evacuated || now.Before(p.nextOpen) || r.continuesTransaction() || !p.mayBegin(r) {
 		return false
 	}
 	account := r.order.Account
