--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -25,8 +25,18 @@
 			break
 		}
 		chosen, ok := a.chooseServer(now)
+		if !ok && a.homeless() {
+			if !a.sent {
+				last = refuseHomeless()
+			}
+			break
+		}
 		if !ok {
-			if !a.awaitServer(now) {
+			if a.queueRefusal != nil {
+				last = *a.queueRefusal
+				break
+			}
+			if a.coldForLong(now) || !a.awaitServer(now) {
 				if a.retryAfter > 0 {
 					last = refuseWithoutServer(a.retryAfter)
 				}
@@ -43,6 +53,7 @@
 		a.order.Timeout = a.received.Add(a.route.Timeout).Sub(now)
 		last = e.runOrder(now, chosen, &a.order)
 		a.sent = a.sent || !last.NotSent
+		a.noteQueueRefusal(last)
 		if a.primary && last.Answer.Code == stmt.CodeDone {
 			e.recordWork(a.route.Service, now, last.Wait)
 		}
@@ -109,37 +120,50 @@
 		required.After = point
 		a.order.After = point
 	}
-	if server, ok := a.bestCandidate(now, required, false); ok {
-		return server, true
+	for _, s := range a.session.entry.scopes(a.route.Service) {
+		if server, ok := a.bestCandidate(now, required, s); ok {
+			return server, true
+		}
 	}
-	return a.bestCandidate(now, required, true)
+	return plan.Server{}, false
 }
 
-// bestCandidate chooses among the servers that have not been tried, with or without
-// those that are suspected of having failed.
-func (a *attempts) bestCandidate(now time.Time, required place.Requirement, withSuspected bool) (plan.Server, bool) {
+// bestCandidate chooses among the servers that have not been tried and belong to the scope.
+func (a *attempts) bestCandidate(now time.Time, required place.Requirement, s scope) (plan.Server, bool) {
 	e := a.session.entry
 	var candidates []place.Candidate
+	var passedOver time.Time
 	e.mu.Lock()
 	for _, server := range e.config.View.State().Services[a.route.Service] {
 		id := server.ID
-		if a.excluded[id] {
+		if a.excluded[id] || !e.config.Homes.Allows(a.order.Homes, server.Domain) {
 			continue
 		}
 		if server.Draining && now.Sub(server.DrainingSince) > drainingGrace {
 			continue
 		}
+		if !e.mayPlace(now, required, server, s) {
+			continue
+		}
 		stats := e.stats(id)
-		if !withSuspected && (now.Before(stats.suspectUntil) || e.suspectsDomain(server.Domain)) {
+		if !required.Primary && e.passOver(now, stats) {
+			passedOver = earlier(passedOver, stats.passedOverUntil)
+			continue
+		}
+		if !s.withSuspected && (now.Before(stats.suspectUntil) || e.suspectsDomain(server.Domain)) {
 			continue
 		}
 		candidates = append(candidates, place.Candidate{
 			Server: server, Point: stats.point, PointAt: stats.pointAt, Wait: stats.wait, WaitAt: stats.waitAt, InFlight: stats.inFlight,
 			Latency: stats.latency, LatencyAt: stats.latencyAt, FailureRate: stats.failureRate,
 			SameDomain: server.Domain == e.config.Domain,
+			Cold:       e.config.passesOverCold() && server.Cold(now), ColdInterval: e.coldInterval(server.Service),
 		})
 	}
 	e.mu.Unlock()
+	if a.passedOver = passedOver; len(candidates) > 0 {
+		a.passedOver = time.Time{}
+	}
 	e.disablePlacement(candidates)
 	i, ok := place.Choose(now, required, candidates)
 	if !ok {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -10,7 +10,9 @@
 	"sync/atomic"
 	"time"
 
+	"pomelofork/core/evac"
 	"pomelofork/core/fresh"
+	"pomelofork/core/home"
 	"pomelofork/core/model"
 	"pomelofork/core/trial"
 	"pomelofork/io/view"
@@ -33,6 +35,12 @@
 	Fleet Fleet
 	// Codec returns the Caller that speaks the platform's protocol on a new connection.
 	Codec func(net.Conn) Caller
+	// Evacuation says what may be sent to servers in evacuated failure domains.
+	Evacuation evac.Policy
+	// ColdServers says that servers which have just started are limited in what they may get.
+	ColdServers bool
+	// Homes tells which servers may run the statements of routes and accounts with homes.
+	Homes home.Map
 	// Disabled are the mechanisms that are switched off.
 	Disabled trial.Disabled
 	// SuspectsDomain reports whether a failure domain is suspected of having failed. Its servers are
@@ -48,6 +56,8 @@
 type Entry struct {
 	config   Config
 	lastUnit atomic.Uint64
+	// placed numbers the choices of a server while a failure domain is being evacuated.
+	placed atomic.Uint64
 
 	mu            sync.Mutex
 	sessions      map[*session]struct{}
@@ -82,6 +92,8 @@
 	// suspectUntil is the time until which other servers are preferred, because an answer
 	// of this one was lost.
 	suspectUntil time.Time
+	// passedOverUntil is the time until which the server, which is cold, takes no read.
+	passedOverUntil time.Time
 }
 
 // New returns an entry that serves no callers yet.
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -6,17 +6,25 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
 )
 
 // dispatch rejects the queued requests that can't be served in time, starts those that can
 // run now, and opens connections for the others.
 func (p *Pool) dispatch(now time.Time) {
+	p.updateEvacuated(now)
 	for _, item := range p.queue.RemoveUnservable(now) {
-		item.Value.result <- refused(stmt.CodeBusy, "no free slot in time", p.queue.EstimateWait(p.running))
+		p.count("unservable")
+		item.Value.result <- p.refusedByQueue(now, "no free slot in time", p.queue.RefusalOf(now, item, p.running))
+	}
+	if p.contended {
+		p.startContended(now)
+		p.openContended(now)
+		return
 	}
 	for p.running < p.server.Slots+extraStatements && p.queue.Len() > 0 {
-		item, ok := p.queue.Next(now, func(r *request) bool { return p.connFor(r) != nil })
+		item, ok := p.queue.Next(now, func(r *request) bool { return p.fits(now, r) })
 		if !ok {
 			break
 		}
@@ -36,7 +44,7 @@
 	if r.continuesTransaction() {
 		return p.transactions[r.key]
 	}
-	if r.order.Begin != stmt.OpPass && len(p.transactions) >= p.limit-p.limit/nonTransactionDivisor {
+	if !p.mayBegin(r) {
 		return nil
 	}
 	var best *serverConn
@@ -53,12 +61,17 @@
 	return best
 }
 
+// mayBegin reports whether a request opens no transaction or may open one.
+func (p *Pool) mayBegin(r *request) bool {
+	return r.order.Begin == stmt.OpPass || len(p.transactions) < p.limit-p.limit/nonTransactionDivisor
+}
+
 // openConns opens connections for the accounts whose queued statements have too few to run
 // on. Opening a connection takes a slot of the server for as long as a statement does, so
 // an account waits for connections that it has outside of transactions, if these are as
 // many as its queued statements or the server's slots.
 func (p *Pool) openConns(now time.Time) {
-	if now.Before(p.nextOpen) || p.running >= p.server.Slots+extraStatements {
+	if p.evacuated || now.Before(p.nextOpen) || p.running >= p.server.Slots+extraStatements {
 		return
 	}
 	waiting := map[model.AccountID]int{}
@@ -73,7 +86,7 @@
 		waiting[r.order.Account]++
 	})
 	for _, account := range order {
-		if p.running >= p.server.Slots+extraStatements {
+		if p.running >= p.server.Slots+extraStatements || !p.ramp.Allows(now, ramp.Bound, 1) {
 			return
 		}
 		free := p.opening[account]
@@ -86,13 +99,16 @@
 			continue
 		}
 		p.opening[account]++
+		p.ramp.Send(now, 1)
 		p.countRunning(now)
-		p.conns[newServerConn(p, account)] = struct{}{}
+		sc := newServerConn(p, account)
+		sc.openingSince = now
+		p.conns[sc] = struct{}{}
 	}
 }
 
 // makeRoom reports whether a connection may be opened for the account. At the limit, it
-// closes the connection of another account that has been idle the longest.
+// closes the least useful connection of another account.
 func (p *Pool) makeRoom(now time.Time, account model.AccountID) bool {
 	limit := p.limit
 	if now.Before(p.observedLimitUntil) {
@@ -101,12 +117,7 @@
 	if len(p.conns) < limit {
 		return true
 	}
-	var oldest *serverConn
-	for sc := range p.conns {
-		if sc.idle() && sc.account != account && (oldest == nil || sc.idleFrom.Before(oldest.idleFrom)) {
-			oldest = sc
-		}
-	}
+	oldest := p.leastUseful(account)
 	if oldest == nil {
 		return false
 	}
@@ -122,10 +133,10 @@
 }
 
 // start sends a request's setup commands on a connection, or its statement if it needs no
-// setup. A rollback of a transaction with a statement in flight closes the connection,
-// which makes the server roll back.
+// setup. A rollback of a transaction with a statement in flight, or at a cold server that can take
+// no more, closes the connection, which makes the server roll back.
 func (p *Pool) start(now time.Time, sc *serverConn, r *request) {
-	if r.order.Statement.Kind == stmt.KindRollback && sc.execution != nil {
+	if r.order.Statement.Kind == stmt.KindRollback && (sc.execution != nil || !p.ramp.Allows(now, ramp.Open, 1)) {
 		p.discard(sc)
 		r.result <- stmt.Result{Answer: stmt.Answer{Code: stmt.CodeDone}}
 		return
@@ -142,19 +153,23 @@
 	if n := len(setup); n > 0 && (setup[n-1].Op == stmt.OpBegin || setup[n-1].Op == stmt.OpBeginRead) {
 		setupRest = 1
 	}
-	sc.execution = &execution{request: r, setupLeft: len(setup), setupRest: setupRest, main: main, sentAt: now}
+	sc.execution = &execution{request: r, setupLeft: len(setup), setupRest: setupRest, main: main, startedAt: now, sentAt: now}
 	p.countRunning(now)
 	left := r.deadline.Sub(now)
 	if r.order.Reads() {
-		left = min(left, readTimeout)
+		left = min(left, p.queue.AnswerTimeout(r.order.Class, readTimeout))
 	}
 	if err := sc.conn.SetDeadline(time.Now().Add(left)); err != nil {
 		p.log.LogAttrs(context.Background(), slog.LevelWarn, "setting the deadline of a connection to a server failed", slog.String("error", err.Error()))
 	}
 	if len(setup) > 0 {
+		p.ramp.Send(now, len(setup))
+		p.ramp.Reserve(len(main))
+		sc.execution.reserved = len(main)
 		p.send(sc, setup)
 		return
 	}
+	p.ramp.Send(now, len(main))
 	sc.execution.mainLeft = len(main)
 	p.send(sc, main)
 }
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -8,8 +8,10 @@
 	"sync"
 	"time"
 
+	"pomelofork/core/evac"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
+	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
 	"pomelofork/core/trial"
 	"pomelofork/core/wait"
@@ -65,9 +67,16 @@
 	observe func(model.ServiceID, time.Time, model.Point)
 	latest  func(model.ServiceID) (time.Time, model.Point, bool)
 	allows  func(now time.Time, epoch uint64) bool
-	log     *slog.Logger
+	// evacuation says what may be sent while the server's failure domain is evacuated.
+	evacuation evac.Policy
+	// coldRefused counts refusals of a cold server.
+	coldRefused func()
+	log         *slog.Logger
 	// disabled are the mechanisms that are switched off.
-	disabled trial.Disabled
+	disabled  trial.Disabled
+	contended bool
+	weight    func(model.AccountID) float64
+	count     func(outcome string)
 
 	mu sync.Mutex
 	// limit is the maximum number of open and opening connections.
@@ -91,6 +100,8 @@
 	// downSince is the time of the first failure to connect since the last success. Zero
 	// means that there was none.
 	downSince time.Time
+	// lost says that the server ended the last connection, and no other has been opened since.
+	lost bool
 	// lastAnswer is when the server last answered. It is also set when a statement is sent
 	// or a connection attempt begins while nothing is running.
 	lastAnswer time.Time
@@ -99,7 +110,13 @@
 	// confirmedAt is the latest time as of which the server is known to have been the
 	// service's primary.
 	confirmedAt time.Time
-	closed      bool
+	// ramp limits what the server gets while it is cold.
+	ramp *ramp.Ramp
+	// evacuated says that nothing is sent because the failure domain is evacuated.
+	evacuated bool
+	// holder says that this instance should hold the server's connections, as of the last Tick.
+	holder bool
+	closed bool
 }
 
 // NewPool returns a pool without connections. It opens them when statements need them.
@@ -108,14 +125,27 @@
 	if limit == 0 {
 		limit = defaultConns
 	}
+	if c.ColdRefused == nil {
+		c.ColdRefused = func() {}
+	}
 	if c.Allows == nil {
 		c.Allows = func(time.Time, uint64) bool { return true }
 	}
+	if c.Count == nil || !c.Contended {
+		c.Count = func(string) {}
+	}
+	if c.Weight == nil {
+		c.Weight = func(model.AccountID) float64 { return 1 }
+	}
 	return &Pool{
-		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, log: c.Log, disabled: c.Disabled,
+		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, evacuation: c.Evacuation, coldRefused: c.ColdRefused, log: c.Log, disabled: c.Disabled,
+		contended: c.Contended, weight: c.Weight, count: c.Count,
 		limit: max(limit-max(minFreeConns, limit/freeDivisor), 1), queue: wait.NewWithPolicy[*request](c.Server.Slots, wait.Policy{
 			ArrivalOrder: c.Disabled.Has(trial.TargetOrder), AcceptAll: c.Disabled.Has(trial.EarlyRejection),
+			Contended: c.Contended, EqualAccounts: c.Disabled.Has(trial.AccountShares), TargetWait: c.Disabled.Has(trial.GapWait),
+			EqualReturn: c.Disabled.Has(trial.ReturnPlaces),
 		}),
+		ramp:  ramp.New(c.UsedUntil, c.Claim, c.Server.ColdUntil),
 		conns: map[*serverConn]struct{}{}, transactions: map[txKey]*serverConn{}, opening: map[model.AccountID]int{},
 	}
 }
@@ -139,7 +169,7 @@
 // Run queues an order, runs it and returns its result. It returns by the order's timeout,
 // unless the statement has been sent: then the deadline of the connection ends the wait.
 func (p *Pool) Run(now time.Time, order *stmt.Order) stmt.Result {
-	r := &request{order: order, deadline: now.Add(order.Timeout), result: make(chan stmt.Result, 1)}
+	r := &request{order: order, received: now, deadline: now.Add(order.Timeout), result: make(chan stmt.Result, 1)}
 	if order.Unit != 0 {
 		r.key = txKey{order.Entry, order.Unit}
 	}
@@ -176,6 +206,7 @@
 // enqueue adds a request to the queue, or answers it at once if it can't be served. The
 // rollback of a transaction doesn't wait.
 func (p *Pool) enqueue(now time.Time, r *request) {
+	p.updateEvacuated(now)
 	inTransaction := r.continuesTransaction()
 	switch {
 	case p.closed:
@@ -184,38 +215,55 @@
 	case inTransaction && p.transactions[r.key] == nil:
 		r.result <- refused(stmt.CodeAborted, "transaction is gone", 0)
 		return
+	case p.evacuated && r.order.Statement.Kind != stmt.KindRollback:
+		r.result <- p.refuseEvacuated(r)
+		return
 	case r.order.Statement.Kind == stmt.KindRollback && p.transactions[r.key] == nil:
 		r.result <- stmt.Result{Answer: stmt.Answer{Code: stmt.CodeDone}}
 		return
+	case r.order.Statement.Kind == stmt.KindRollback && p.evacuated:
+		p.discard(p.transactions[r.key])
+		r.result <- stmt.Result{Answer: stmt.Answer{Code: stmt.CodeDone}}
+		return
 	case r.order.Statement.Kind == stmt.KindRollback:
 		p.start(now, p.transactions[r.key], r)
 		return
+	case inTransaction && !p.ramp.Permits(now, ramp.Open):
+		p.discard(p.transactions[r.key])
+		r.result <- refused(stmt.CodeAborted, notGatewayText, 0)
+		return
 	case !inTransaction && !p.mayUse(now, r.order):
 		r.result <- refused(stmt.CodeReadOnly, withdrawnText, 0)
 		return
 	case !inTransaction && now.Before(p.nextOpen) && len(p.conns) == 0:
 		r.result <- refused(p.unreachable(), "no connection to the server", p.nextOpen.Sub(now))
 		return
-	case !inTransaction && p.silentFor(now) > unresponsiveAfter:
+	case !inTransaction && p.silentFor(now) > p.queue.SilenceTimeout(unresponsiveAfter):
 		r.result <- refused(stmt.CodeConnectionLost, silentText, unresponsiveAfter)
 		return
-	case r.order.AnyServerMayRun() && (p.silentFor(now) > silentAfter || p.reconnecting()):
+	case r.order.AnyServerMayRun() && (p.silentFor(now) > p.queue.SilenceTimeout(silentAfter) || p.reconnecting()):
 		r.result <- refused(stmt.CodeConnectionLost, silentText, silentAfter)
 		return
 	}
+	if after, ok := p.admitCold(now, r); !ok {
+		r.result <- p.refuseCold(after)
+		return
+	}
 	refusal, ok := p.queue.Add(now, wait.Item[*request]{
 		Value: r, Class: r.order.Class, Priority: r.order.Priority, InTransaction: inTransaction,
 		Target: now.Add(r.order.Target), Deadline: r.deadline,
+		Account: r.order.Account, Weight: p.weight(r.order.Account), Bytes: r.size(),
 	}, p.running)
 	if !ok {
-		result := refused(stmt.CodeBusy, "queue is too long", refusal.RetryAfter)
-		result.Wait = refusal.Wait
+		p.countRefusal(refusal)
+		result := p.refusedByQueue(now, "queue is too long", refusal)
 		p.log.LogAttrs(context.Background(), slog.LevelInfo, "statement not queued", slog.String("request", r.order.Statement.ID),
 			slog.String("server", string(p.server.ID)), slog.Duration("wait", refusal.Wait), slog.Duration("target", r.order.Target),
 			slog.Int("waiting", p.queue.Len()), slog.Int("running", p.running), slog.Duration("cost", p.queue.Cost(r.order.Class)))
 		r.result <- result
 		return
 	}
+	p.count("queued")
 	p.dispatch(now)
 }
 
@@ -235,7 +283,10 @@
 func (p *Pool) Tick(now time.Time, holder bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.updateEvacuated(now)
+	p.releaseIfMoved(holder)
 	if p.queue.Len() > 0 {
+		p.shedCold(now)
 		if !p.disabled.Has(trial.SilentServers) {
 			p.releaseReads(now)
 		}
@@ -269,11 +320,12 @@
 }
 
 // Update sets the role, the draining state and the revision that the server registered
-// last. The other fields keep their values.
+// last, the time until which it is cold, and since when its failure domain is evacuated. The other fields keep their values.
 func (p *Pool) Update(server plan.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.server.Primary, p.server.Draining, p.server.Revision = server.Primary, server.Draining, server.Revision
+	p.server.Primary, p.server.Draining, p.server.Revision, p.server.EvacuatedSince = server.Primary, server.Draining, server.Revision, server.EvacuatedSince
+	p.server.ColdUntil = server.ColdUntil
 }
 
 // Idle reports whether no statement is queued or running and no transaction is open.
--- a/io/pooler/serverconn.go
+++ b/io/pooler/serverconn.go
@@ -18,6 +18,10 @@
 // pool's lock guards all fields.
 type serverConn struct {
 	account model.AccountID
+	// openingSince is when the opening began, and openedFor the priority of the statement for which
+	// the connection was opened.
+	openingSince time.Time
+	openedFor    int
 	// conn is nil until the connection is open.
 	conn Conn
 	// values and prepared are the session values and the prepared statements that the
@@ -67,6 +71,10 @@
 	main []stmt.Command
 	// mainLeft is the number of outstanding answers to main, or zero until it is sent.
 	mainLeft int
+	// startedAt is when the first command was sent. The statement holds a slot from then on.
+	startedAt time.Time
+	// reserved is the number of commands of main for which the ramp keeps room until they are sent.
+	reserved int
 	// sentAt is when main was sent, or the setup commands while they are outstanding.
 	sentAt time.Time
 	answer stmt.Answer
@@ -161,6 +169,30 @@
 	return out
 }
 
+// starts returns the number of commands that an order needs on the connection, or a few more.
+func (sc *serverConn) starts(order *stmt.Order) int {
+	count := 1
+	if order.Begin != stmt.OpPass {
+		count++
+	}
+	if order.Prove {
+		count += 2
+	}
+	if sc.matchingValues(order) < 0 {
+		count += 1 + len(order.Values)
+	} else {
+		for _, v := range order.Values {
+			if content, ok := sc.values[v.Name]; !ok || content != v.Content {
+				count++
+			}
+		}
+	}
+	if order.Statement.Kind == stmt.KindExecute {
+		count++
+	}
+	return count
+}
+
 // matchingValues returns how many of the order's session values the connection has already,
 // or -1 if it has others and needs a reset first.
 func (sc *serverConn) matchingValues(order *stmt.Order) int {
--- a/io/proxy/tick.go
+++ b/io/proxy/tick.go
@@ -35,6 +35,7 @@
 // instance is the one that should hold its server's connections.
 func (n *Node) tickPools(now time.Time) {
 	n.endorseInUse(now)
+	n.updateClaims(now)
 	n.outages.tick(now)
 	for _, pool := range n.openPools() {
 		n.outages.watchPool(now, pool)
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -222,6 +222,7 @@
 	if v.mayBeRestored(b) {
 		v.beginEra(ctx, now, b)
 	}
+	v.logEvacuations(ctx, b)
 	if b.initial {
 		v.config.Log.LogAttrs(ctx, slog.LevelInfo, "initial content read", slog.Int("servers", len(b.next.Servers)), slog.Int("instances", len(b.next.Instances)),
 			slog.Int("rights", len(b.next.Rights)), slog.Uint64("revision", update.Revision))
@@ -270,7 +271,7 @@
 			server.DrainingSince = now
 		}
 		server.EvacuatedSince = b.next.Evacuations[server.Domain].Since
-		server.ColdUntil = coldUntil(now, server, b.next.Servers[id])
+		server.ColdUntil = v.coldUntil(ctx, b, server)
 		if previous, ok := b.next.Servers[id]; !ok || previous.Draining != server.Draining || previous.ReportsPrimary != server.ReportsPrimary || previous.Address != server.Address {
 			v.logChange(ctx, b, "server changed", slog.String("server", string(id)), slog.String("service", string(server.Service)),
 				slog.Bool("reports_primary", server.ReportsPrimary), slog.Bool("draining", server.Draining), slog.Uint64("revision", e.Revision))
@@ -316,7 +317,7 @@
 	}
 	for domain := range former.Evacuations {
 		if !present[v.config.Decoder.EvacuationKey(domain)] {
-			v.endEvacuation(ctx, b, domain)
+			v.endMissingEvacuation(ctx, b, domain)
 		}
 	}
 	b.next.StaleRights = maps.Clone(b.next.StaleRights)
