core/spare, core/lag: reads of lagging replicas stand aside at a primary

A gateway whose callers compete for capacity (pooler.Config.Contended) now lets reads that another server could run stand aside. They get the slots for which no own work of their priority or a higher one waits. What couldn't be served before its timeout even if nothing else came is refused at once, with a place in line; stmt.Result.ClosedToReads says so to the entry. core/lag estimates from points and times when a replica has caught up, and decides whether a read waits for it, goes to the primary or is refused. Switch: primary_room.

Without Contended nothing changes.

--- a/core/fresh/history_test.go
+++ b/core/fresh/history_test.go
@@ -97,3 +97,21 @@
 		}
 	})
 }
+
+var _ = Describe("History by log points", func() {
+	It("tells until when a log covers the commits, and when a point was reached", func() {
+		var h fresh.History
+		for i := range 3 {
+			h.Add(at(100*i), model.NewPoint(1, model.Position(10*i+10)))
+		}
+		for position, want := range map[int][2]int{5: {-1, 0}, 10: {0, 0}, 15: {0, 100}, 30: {200, 200}, 35: {200, -1}} {
+			for i, ask := range []func(model.Point) (time.Time, bool){h.CoveredUntil, h.ReachedAt} {
+				when, ok := ask(model.NewPoint(1, model.Position(position)))
+				Expect(ok).To(Equal(want[i] >= 0), "%d", position)
+				if ok {
+					Expect(when).To(Equal(at(want[i])), "%d", position)
+				}
+			}
+		}
+	})
+})
--- a/core/stmt/order.go
+++ b/core/stmt/order.go
@@ -57,6 +57,12 @@
 // a transaction that doesn't need the primary.
 func (o *Order) AnyServerMayRun() bool { return o.Unit == 0 && o.Reads() && !o.NeedsPrimary() }
 
+// AnyServerMayBegin reports whether every server of the service may run the order, or begin its
+// transaction.
+func (o *Order) AnyServerMayBegin() bool {
+	return o.AnyServerMayRun() || (o.Unit != 0 && o.Begin == OpBeginRead)
+}
+
 // Writes reports whether the statement, or the prepared statement that it executes,
 // writes.
 func (o *Order) Writes() bool {
@@ -81,6 +87,9 @@
 	Wait time.Duration
 	// Waits are the same for each priority, as far as the gateway knows, lowest number first.
 	Waits []PriorityWait
+	// ClosedToReads says that a primary refused the statement because another server could run it, and
+	// refuses others like it, of this priority and lower ones, until about RetryAfter.
+	ClosedToReads bool
 	// Latest is a point in the log of the server's service that covers every commit
 	// acknowledged longer ago than LatestAge. Zero means that none is known.
 	Latest model.Point
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -54,6 +54,15 @@
 	// VacancyTakeover counts the time without a primary from its loss when another instance takes
 	// over the monitoring.
 	VacancyTakeover Switch = "vacancy_takeover"
+	// PrimaryRoom limits the reads that a primary takes beside the work that only it can run, and lets
+	// reads wait for replicas that catch up. It exists only where callers compete for capacity.
+	PrimaryRoom Switch = "primary_room"
+	// WaitingEstimate places and refuses statements by one estimate of the time until their answer. It
+	// exists only where callers compete for capacity.
+	WaitingEstimate Switch = "waiting_estimate"
+	// RetryBudget bounds the further attempts of an entry. It exists only where callers compete for
+	// capacity.
+	RetryBudget Switch = "retry_budget"
 )
 
 // All returns all switches in a fixed order.
@@ -61,6 +70,7 @@
 	return []Switch{
 		ReturnedTokens, PrefetchedTokens, TokenWait, SharedIssuers, RestartTokens, KeptRights, PromotionWait, EarlyRejection, TargetOrder, Priority,
 		ReadRetry, SilentServers, DomainPlacement, WaitPlacement, LatencyPlacement, Followers, Isolation, WithdrawalAnswers, VacancyTakeover,
+		PrimaryRoom, WaitingEstimate, RetryBudget,
 	}
 }
 
--- a/io/pooler/config.go
+++ b/io/pooler/config.go
@@ -15,6 +15,9 @@
 	Server plan.Server
 	// Disabled are the mechanisms that are switched off.
 	Disabled trial.Disabled
+	// Contended says that callers compete for too little capacity at times. A primary then limits the
+	// reads that it takes beside the work that only it can run.
+	Contended bool
 	// Connections is the number of connections that the server accepts from all instances
 	// together. Zero means 16.
 	Connections int
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -81,6 +81,7 @@
 			return
 		}
 	}
+	p.queueAside(clock.Now())
 	p.queue.Remove(func(r *request) bool {
 		if r.order.Account != account || p.transactions[r.key] != nil {
 			return false
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -15,7 +15,8 @@
 	for _, item := range p.queue.RemoveUnservable(now) {
 		item.Value.result <- refused(stmt.CodeBusy, "no free slot in time", p.queue.EstimateWait(p.running))
 	}
-	for p.running < p.server.Slots+extraStatements && p.queue.Len() > 0 {
+	for p.running < p.server.Slots+extraStatements && p.queue.Len()+p.aside() > 0 {
+		p.admitAside(now)
 		item, ok := p.queue.Next(now, func(r *request) bool { return p.connFor(r) != nil })
 		if !ok {
 			break
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -10,9 +10,11 @@
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
+	"pomelofork/core/spare"
 	"pomelofork/core/stmt"
 	"pomelofork/core/trial"
 	"pomelofork/core/wait"
+	"pomelofork/io/clock"
 )
 
 const (
@@ -98,6 +100,8 @@
 	// service's primary.
 	confirmedAt time.Time
 	closed      bool
+	// room holds the reads that stand aside at a primary. Nil means that none do.
+	room *spare.Room[*request]
 }
 
 // NewPool returns a pool without connections. It opens them when statements need them.
@@ -115,6 +119,7 @@
 			ArrivalOrder: c.Disabled.Has(trial.TargetOrder), AcceptAll: c.Disabled.Has(trial.EarlyRejection),
 		}),
 		conns: map[*serverConn]struct{}{}, transactions: map[txKey]*serverConn{}, opening: map[model.AccountID]int{},
+		room: newRoom(c),
 	}
 }
 
@@ -157,6 +162,7 @@
 		queued = queued || other == r
 		return other == r
 	})
+	queued = p.dropAside(r) || queued
 	p.mu.Unlock()
 	if queued {
 		return refused(stmt.CodeBusy, "no free slot in time", 0)
@@ -201,8 +207,16 @@
 		r.result <- refused(stmt.CodeConnectionLost, silentText, silentAfter)
 		return
 	}
+	if !p.standAside(now, r) && !p.add(now, r) {
+		return
+	}
+	p.dispatch(now)
+}
+
+// add adds a request to the queue. It returns false if the request was refused.
+func (p *Pool) add(now time.Time, r *request) bool {
 	refusal, ok := p.queue.Add(now, wait.Item[*request]{
-		Value: r, Class: r.order.Class, Priority: r.order.Priority, InTransaction: inTransaction,
+		Value: r, Class: r.order.Class, Priority: r.order.Priority, InTransaction: r.continuesTransaction(),
 		Target: now.Add(r.order.Target), Deadline: r.deadline,
 	}, p.running)
 	if !ok {
@@ -212,9 +226,8 @@
 			slog.String("server", string(p.server.ID)), slog.Duration("wait", refusal.Wait), slog.Duration("target", r.order.Target),
 			slog.Int("waiting", p.queue.Len()), slog.Int("running", p.running), slog.Duration("cost", p.queue.Cost(r.order.Class)))
 		r.result <- result
-		return
 	}
-	p.dispatch(now)
+	return ok
 }
 
 // unreachable returns the code for a statement without a connection to run on: whether the
@@ -233,7 +246,7 @@
 func (p *Pool) Tick(now time.Time, holder bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.queue.Len() > 0 {
+	if p.queue.Len()+p.aside() > 0 {
 		if !p.disabled.Has(trial.SilentServers) {
 			p.releaseReads(now)
 		}
@@ -278,7 +291,7 @@
 func (p *Pool) Idle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.running == 0 && p.queue.Len() == 0 && len(p.transactions) == 0
+	return p.running == 0 && p.queue.Len()+p.aside() == 0 && len(p.transactions) == 0
 }
 
 // Close rejects the queued statements and all later ones, and closes the connections.
@@ -290,6 +303,7 @@
 	if p.openTimer != nil {
 		p.openTimer.Stop()
 	}
+	p.queueAside(clock.Now())
 	for _, item := range p.queue.RemoveAll() {
 		item.Value.result <- refused(stmt.CodeMoved, "server is gone", 0)
 	}
--- /dev/null
+++ b/io/pooler/room_test.go
@@ -0,0 +1,67 @@
+package pooler_test
+
+import (
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/core/model"
+	"pomelofork/core/plan"
+	"pomelofork/core/stmt"
+	"pomelofork/io/clock"
+	"pomelofork/io/pooler"
+)
+
+// The failure guarded against: reads that lagging replicas can't run, and that take the slots of a primary's
+// writes.
+var _ = Describe("Pool of a primary whose callers compete for capacity", func() {
+	var conns []*scriptedConn
+	var pool *pooler.Pool
+	var answers chan string
+	var free atomic.Bool
+	run := func(account model.AccountID, text string, kind stmt.Kind) {
+		o := order(text, text, kind)
+		o.Account = account
+		o.Timeout = waitTimeout
+		go func() {
+			answers <- text + " " + pool.Run(clock.Now(), o).Answer.Code.String()
+		}()
+	}
+	BeforeEach(func() {
+		conns, answers = nil, make(chan string, 8)
+		free.Store(false)
+		for range 2 {
+			conns = append(conns, newScriptedConn(func(c stmt.Command) (stmt.Answer, bool) { return stmt.Answer{}, c.Op != stmt.OpPass || free.Load() }))
+		}
+		pool = pooler.NewPool(pooler.Config{
+			Server: plan.Server{ID: "p", Service: "s", Slots: 1, Primary: true}, Dialer: &scriptedDialer{conns: conns}, Log: slog.New(slog.DiscardHandler),
+			Contended: true, Observe: func(model.ServiceID, time.Time, model.Point) {},
+			Latest: func(model.ServiceID) (time.Time, model.Point, bool) { return time.Time{}, model.Point{}, false },
+		})
+		DeferCleanup(pool.Close)
+		run("b", "WRITE held", stmt.KindWrite)
+		run("a", "WRITE held", stmt.KindWrite)
+		Eventually(func() int { return len(conns[0].texts()) + len(conns[1].texts()) }).WithTimeout(waitTimeout).Should(Equal(2))
+		run("a", "READ x", stmt.KindRead)
+		time.Sleep(50 * time.Millisecond)
+	})
+
+	It("runs a later write before the read, and then the read", func() {
+		run("a", "WRITE y", stmt.KindWrite)
+		time.Sleep(50 * time.Millisecond)
+		free.Store(true)
+		for _, c := range conns {
+			c.answers <- stmt.Answer{}
+		}
+		texts := func() []string { return append(conns[0].texts()[1:], conns[1].texts()[1:]...) }
+		Eventually(texts).WithTimeout(waitTimeout).Should(Equal([]string{"WRITE y", "READ x"}))
+	})
+
+	It("refuses the read truthfully when it closes", func() {
+		pool.Close()
+		Eventually(answers).WithTimeout(waitTimeout).Should(Receive(Equal("READ x moved")))
+	})
+})
--- a/io/pooler/silent.go
+++ b/io/pooler/silent.go
@@ -42,6 +42,7 @@
 	if silent <= silentAfter {
 		return
 	}
+	p.queueAside(now)
 	released := 0
 	p.queue.Remove(func(r *request) bool {
 		if !r.order.AnyServerMayRun() {
