core/eta: when a statement would be answered at a server

The costs by which core/place compares servers are constants, and nothing tells an entry that no server can answer a statement in time.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -63,6 +63,9 @@
 	InFlight int
 	// SameDomain says that the server is in the failure domain of this instance.
 	SameDomain bool
+	// Estimate replaces Wait, InFlight, Latency and SameDomain, and the lag known from Point. Nil
+	// means that there is none.
+	Estimate *Estimate
 }
 
 // Requirement says which servers may run a statement.
@@ -105,11 +108,17 @@
 	if c.Server.Draining {
 		return false
 	}
+	if c.Estimate != nil {
+		return !c.Point.Less(required.After) || c.Estimate.MayHold
+	}
 	return !c.Point.Less(required.After) || now.Sub(c.PointAt) >= laggingRetryAfter
 }
 
 // costOf returns the expected cost of choosing the server, as a time.
 func costOf(now time.Time, required Requirement, c Candidate) time.Duration {
+	if c.Estimate != nil {
+		return c.Estimate.cost(c)
+	}
 	cost := time.Duration(c.InFlight) * inFlightCost / time.Duration(max(c.Server.Slots, 1))
 	if now.Sub(c.WaitAt) < waitMaxAge {
 		cost = max(cost, c.Wait)
