core/pick: estimates, waits for replicas and a retry budget at the entry

Where callers compete for capacity (entry.Config.Contended, from proxy.Config), the entry chooses servers by core/eta, lets reads wait for replicas that catch up, refuses without a hop what no server can answer in time, and makes further attempts only from a budget: a fifth of the first attempts, and 20 at once. It counts these decisions by reason and priority (entry_decisions).

--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/pick"
 	"pomelofork/core/place"
 	"pomelofork/core/plan"
 	"pomelofork/core/stmt"
@@ -25,6 +26,19 @@
 			break
 		}
 		chosen, ok := a.chooseServer(now)
+		decision := a.decide(now, chosen, ok, tries)
+		switch decision.Action {
+		case pick.ActionWait:
+			a.awaitReplica(decision.After)
+			continue
+		case pick.ActionRefuse:
+			last = refuseWithReason(decision)
+		case pick.ActionStop:
+			last.RetryAfter = max(last.RetryAfter, decision.After)
+		}
+		if decision.Action == pick.ActionRefuse || decision.Action == pick.ActionStop {
+			break
+		}
 		if !ok {
 			if !a.awaitServer(now) {
 				if a.retryAfter > 0 {
@@ -139,6 +153,7 @@
 			SameDomain: server.Domain == e.config.Domain,
 		})
 	}
+	a.look(now, required, candidates)
 	e.mu.Unlock()
 	e.disablePlacement(candidates)
 	i, ok := place.Choose(now, required, candidates)
--- /dev/null
+++ b/io/entry/contention_test.go
@@ -0,0 +1,98 @@
+package entry_test
+
+import (
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/core/model"
+	"pomelofork/core/pick"
+	"pomelofork/core/plan"
+	"pomelofork/core/quota"
+	"pomelofork/core/stmt"
+	"pomelofork/io/clock"
+	"pomelofork/io/entry"
+	"pomelofork/io/view"
+)
+
+// The failures guarded against: reads and further attempts that burden servers although it is known that
+// they can't be answered.
+var _ = Describe("Entry whose callers compete for capacity", func() {
+	var f *fakeFleet
+	var mu sync.Mutex
+	var reasons []string
+	var c *testCaller
+	busy := stmt.Result{Answer: stmt.Refuse(stmt.CodeBusy, stmt.StateIdle, "full"), NotSent: true, RetryAfter: 10 * time.Second}
+	BeforeEach(func() {
+		reasons = nil
+		f = &fakeFleet{grant: quota.Grant{Tokens: 1}, held: true}
+		route := plan.Route{Name: "r", Service: "s", Timeout: time.Second, TargetLatency: 20 * time.Millisecond, MaxAge: 10 * time.Second, Freshness: plan.FreshBounded, Priority: 1, Public: true}
+		v := &fakeView{fresh: clock.Now(), state: view.State{
+			Plan:     plan.New(plan.Config{Version: 1, Routes: map[string]plan.Route{"r": route}}),
+			Services: map[model.ServiceID][]plan.Server{"s": {{ID: "p", Service: "s", Primary: true, Slots: 2}, {ID: "r", Service: "s", Slots: 2}}},
+		}}
+		e := entry.New(entry.Config{
+			View: v, Fleet: f, Meter: discardMeter{}, Log: slog.New(slog.DiscardHandler), Contended: true,
+			Codec: func(c net.Conn) entry.Caller { return c.(callerConn).caller },
+			Decided: func(reason string, _ int) {
+				mu.Lock()
+				defer mu.Unlock()
+				reasons = append(reasons, reason)
+			},
+		})
+		conns := make(chan net.Conn)
+		e.Serve(&fakeListener{conns})
+		DeferCleanup(func() { close(conns) })
+		e.Observe("s", clock.Now(), model.NewPoint(1, 50))
+		c = newCaller("r", "")
+		conns <- callerConn{caller: c}
+		Expect(c.answer().Code).To(Equal(stmt.CodeDone))
+	})
+
+	It("refuses reads without a hop while replicas lag and the primary takes no more", func() {
+		f.run = func(s plan.Server, _ *stmt.Order) stmt.Result {
+			if s.Primary {
+				closed := busy
+				closed.ClosedToReads = true
+				return closed
+			}
+			return stmt.Result{Answer: stmt.Answer{Code: stmt.CodeLagging, Point: model.NewPoint(1, 10)}}
+		}
+		for range 5 {
+			answer := c.ask("READ x", stmt.KindRead)
+			Expect(answer.Code).To(Equal(stmt.CodeBusy))
+			Expect(answer.Text).To(ContainSubstring("retry in"))
+		}
+		// The first read probes the replica and asks the primary.
+		Expect(len(f.sent())).To(BeNumerically("<", 8))
+		Expect(reasons).To(ContainElement(pick.ReasonLagging))
+	})
+
+	It("refuses writes without a hop while the primary has no room, but for one in eight", func() {
+		f.run = func(plan.Server, *stmt.Order) stmt.Result { return busy }
+		refused := 0
+		for range 9 {
+			answer := c.ask("WRITE x 1", stmt.KindWrite)
+			Expect(answer.Code).To(Equal(stmt.CodeBusy))
+			if strings.Contains(answer.Text, pick.ReasonLate) {
+				refused++
+			}
+		}
+		Expect(refused).To(Equal(9 - len(f.sent())))
+		Expect(len(f.sent())).To(BeNumerically("<=", 4))
+	})
+
+	It("makes no more further attempts than the budget of the service allows", func() {
+		f.run = func(plan.Server, *stmt.Order) stmt.Result { return refuse(stmt.CodeMoved) }
+		for range 40 {
+			Expect(c.ask("WRITE x 1", stmt.KindWrite).Code).To(Equal(stmt.CodeBusy))
+		}
+		Expect(len(f.sent())).To(BeNumerically("<=", 40+20+40/5))
+		Expect(reasons).To(ContainElement(pick.ReasonRetrySpent))
+	})
+})
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"pomelofork/core/fresh"
 	"pomelofork/core/model"
+	"pomelofork/core/pick"
 	"pomelofork/core/trial"
 	"pomelofork/io/view"
 )
@@ -35,6 +36,12 @@
 	Codec func(net.Conn) Caller
 	// Disabled are the mechanisms that are switched off.
 	Disabled trial.Disabled
+	// Contended says that callers compete for too little capacity at times. Servers are then chosen,
+	// and statements refused, by estimates of the time until their answer.
+	Contended bool
+	// Decided is called with the reason of each decision that is taken only if Contended, and the
+	// priority of the statement. Nil is allowed.
+	Decided func(reason string, priority int)
 	// Meter counts answers and retries.
 	Meter Meter
 	// Log receives one record for each decision about a request.
@@ -58,6 +65,8 @@
 	closing      bool
 	// isolated is the last value given to SetIsolated.
 	isolated bool
+	// picker is nil unless callers compete for capacity.
+	picker *pick.Picker
 }
 
 // serverStats is what the entry has learned about one server from its results.
@@ -87,6 +96,7 @@
 		config: c, sessions: map[*session]struct{}{}, accountTokens: map[model.AccountID]*accountTokens{},
 		histories: map[model.ServiceID]*fresh.History{}, servers: map[model.ServerID]*serverStats{},
 		gaps: map[model.ServiceID]*primaryGap{}, stateChanged: make(chan struct{}),
+		picker: newPicker(c),
 	}
 }
 
--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/pick"
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
 	"pomelofork/core/stmt"
@@ -70,6 +71,10 @@
 	retryAfter time.Duration
 	// excluded are the servers that have been tried. It is cleared when no server is left.
 	excluded map[model.ServerID]bool
+	// picked and outlook are what counts of the statement for the choice of the next server, and what
+	// was found of the servers, if callers compete for capacity.
+	picked  pick.Statement
+	outlook pick.Outlook
 }
 
 // begin opens a transaction. It reaches a server with its first statement that needs
--- a/io/entry/server_stats.go
+++ b/io/entry/server_stats.go
@@ -23,6 +23,7 @@
 func (e *Entry) runOrder(now time.Time, server plan.Server, order *stmt.Order) stmt.Result {
 	e.mu.Lock()
 	e.stats(server.ID).inFlight++
+	sent := e.sent(now, server, order)
 	e.mu.Unlock()
 	result := e.config.Fleet.Run(now, server, order)
 	done := clock.Now()
@@ -31,6 +32,7 @@
 	stats := e.stats(server.ID)
 	stats.inFlight--
 	stats.wait, stats.waitAt = result.Wait, done
+	e.learn(done, sent, server, &result)
 	switch result.Answer.Code {
 	case stmt.CodeConnectionLost:
 		stats.suspectUntil = done.Add(suspectDuration)
--- a/io/proxy/meter.go
+++ b/io/proxy/meter.go
@@ -26,11 +26,13 @@
 	answers  map[string]int64
 	repeated map[string]int64
 	calls    map[string]int64
-	latency  map[string]*hdrhistogram.Histogram
+	// decisions are those that entries take where callers compete for capacity.
+	decisions map[string]int64
+	latency   map[string]*hdrhistogram.Histogram
 }
 
 func newMeter() *meter {
-	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
+	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, decisions: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
 }
 
 // Statement implements entry.Meter.
@@ -54,6 +56,13 @@
 	m.repeated[fmt.Sprintf("attempts_repeated{code=%q}", code)]++
 }
 
+// Decision counts a decision about a statement by its reason and the priority of its route.
+func (m *meter) Decision(reason string, priority int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.decisions[fmt.Sprintf("entry_decisions{reason=%q,priority=\"%d\"}", reason, priority)]++
+}
+
 // StoreCall counts a call to the store by its name and outcome.
 func (m *meter) StoreCall(call, outcome string) {
 	m.mu.Lock()
@@ -65,7 +74,7 @@
 func (m *meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	m.mu.Lock()
 	var lines []string
-	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls} {
+	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls, m.decisions} {
 		for name, n := range counters {
 			lines = append(lines, fmt.Sprintf("pomelofork_%s %d\n", name, n))
 		}
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -131,6 +131,7 @@
 	})
 	n.entry = entry.New(entry.Config{
 		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, View: n.view, Fleet: n, Codec: c.Codec, Meter: n.meter, Disabled: c.Disabled, Log: c.Log,
+		Contended: c.Contended, Decided: n.meter.Decision,
 	})
 	close(ready)
 	n.entry.Serve(c.Callers)
@@ -237,7 +238,8 @@
 	}
 	pool := pooler.NewPool(pooler.Config{
 		Server: server, Connections: connections, Dialer: n.config.Dialer, Observe: n.entry.Observe, Latest: n.entry.Latest, Disabled: n.config.Disabled, Log: n.config.Log,
-		Allows: func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, server.Service, epoch) },
+		Contended: n.config.Contended,
+		Allows:    func(now time.Time, epoch uint64) bool { return n.allowsPrimary(now, server.Service, epoch) },
 	})
 	n.pools[id] = pool
 	return pool
