--- a/io/pooler/room_test.go
+++ b/io/pooler/room_test.go
@@ -26,9 +26,8 @@
 		o := order(text, text, kind)
 		o.Account = account
 		o.Timeout = waitTimeout
-		go func() {
-			answers <- text + " " + pool.Run(clock.Now(), o).Answer.Code.String()
-		}()
+		p, out := pool, answers
+		go func() { out <- text + " " + p.Run(clock.Now(), o).Answer.Code.String() }()
 	}
 	BeforeEach(func() {
 		conns, answers = nil, make(chan string, 8)
