--- a/bench/lagged/play.go
+++ b/bench/lagged/play.go
@@ -20,6 +20,7 @@
 	for i := range 3 {
 		s := &server{w: w, queue: wait.New[*call](slots), plan: plan.Server{ID: model.ServerID(rune('a' + i)), Service: "s", Slots: slots, Primary: i == 0, Revision: uint64(i)}}
 		if c.Contended {
+			s.queue = wait.NewWithPolicy[*call](slots, wait.Policy{Contended: true})
 			s.room = spare.New[*call](slots)
 		}
 		w.servers = append(w.servers, s)
--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -19,6 +19,9 @@
 // cost returns the expected cost of choosing the server.
 func (e *Estimate) cost(c Candidate) time.Duration {
 	cost := e.Answer + time.Duration(c.FailureRate*float64(failureCost))
+	if c.Cold {
+		cost += coldCost + time.Duration(c.InFlight)*c.ColdInterval
+	}
 	if c.Server.Primary {
 		cost += primaryCost
 	}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pomelofork/core/model"
@@ -45,17 +47,18 @@
 	Homes []model.Region
 }
 
-// ColdStart says how much a server that just started can take. It is disabled if either field is
-// zero.
+// ColdStart says how much a server that just started can take. The zero value says nothing.
 type ColdStart struct {
-	// Duration is the time after its start for which a server is cold.
+	// Duration is the time after its start for which a server is cold. If it is zero, a server is
+	// cold only if its entry says so.
 	Duration time.Duration
-	// PerSecond is the number of statements a second that a cold server can run.
+	// PerSecond is the number of statements a second that a cold server can run. A negative number
+	// stands for an invalid one.
 	PerSecond float64
 }
 
-// Enabled reports whether servers of the service are cold after their start.
-func (c ColdStart) Enabled() bool { return c.Duration > 0 && c.PerSecond > 0 }
+// Stated reports whether the configuration states a rate, which may be invalid.
+func (c ColdStart) Stated() bool { return c.PerSecond != 0 }
 
 // Account is one client account.
 type Account struct {
@@ -128,6 +131,23 @@
 	return a, ok
 }
 
+// Homes returns the regions to which a route or an account is restricted, each once and in order.
+func (p *Plan) Homes() []model.Region {
+	found := map[model.Region]bool{}
+	add := func(homes []model.Region) {
+		for _, region := range homes {
+			found[region] = true
+		}
+	}
+	for _, r := range p.contents.Routes {
+		add(r.Homes)
+	}
+	for _, a := range p.contents.Accounts {
+		add(a.Homes)
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
 // Accounts returns the number of client accounts.
 func (p *Plan) Accounts() int { return len(p.contents.Accounts) }
 
--- a/core/spare/read.go
+++ b/core/spare/read.go
@@ -1,12 +1,19 @@
 package spare
 
-import "time"
+import (
+	"time"
+
+	"pomelofork/core/model"
+)
 
 // Read is a read that a replica could run.
 type Read[T any] struct {
 	// Value is returned to the owner of the room unchanged.
 	Value    T
 	Priority int
+	// Account is the client account whose share the read uses, and Weight the account's weight.
+	Account model.AccountID
+	Weight  float64
 	// Work is its expected time in a slot.
 	Work time.Duration
 	// Target is the time by which it should be answered, and Deadline when its timeout expires.
@@ -16,13 +23,5 @@
 // late reports whether the read can no longer meet its target.
 func (r *Read[T]) late(now time.Time) bool { return now.Add(r.Work).After(r.Target) }
 
-// before reports whether a goes before b: by priority, then what can meet its target, then by target.
-func before[T any](now time.Time, a, b *Read[T]) bool {
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	if lateA, lateB := a.late(now), b.late(now); lateA != lateB {
-		return lateB
-	}
-	return a.Target.Before(b.Target)
-}
+// key returns the key of the read's share.
+func (r *Read[T]) key() shareKey { return shareKey{r.Priority, r.Account} }
--- a/core/spare/room.go
+++ b/core/spare/room.go
@@ -23,22 +23,25 @@
 
 // Room holds the reads that stand aside at one primary. It isn't safe for concurrent use.
 type Room[T any] struct {
-	slots int
-	aside []Read[T]
+	slots  int
+	aside  []Read[T]
+	shares shares
 	// line is the work of the callers that were told to return, as of lineAt.
 	line   time.Duration
 	lineAt time.Time
 }
 
 // New returns the room of a server that runs this number of statements at the same time.
-func New[T any](slots int) *Room[T] { return &Room[T]{slots: max(slots, 1)} }
+func New[T any](slots int) *Room[T] {
+	return &Room[T]{slots: max(slots, 1), shares: shares{tags: map[shareKey]float64{}, virtual: map[int]float64{}}}
+}
 
 // Add lets a read stand aside until Next returns it. If it can't be served in time, Add returns false and
 // the time after which the caller should return.
 func (r *Room[T]) Add(now time.Time, read Read[T]) (time.Duration, bool) {
 	ahead := time.Duration(0)
 	for i := range r.aside {
-		if !before(now, &read, &r.aside[i]) {
+		if !r.before(now, &read, &r.aside[i]) {
 			ahead += r.aside[i].Work
 		}
 	}
@@ -71,7 +74,7 @@
 func (r *Room[T]) Next(now time.Time, waiting int) (Read[T], bool) {
 	best := -1
 	for i := range r.aside {
-		if best < 0 || before(now, &r.aside[i], &r.aside[best]) {
+		if best < 0 || r.before(now, &r.aside[i], &r.aside[best]) {
 			best = i
 		}
 	}
@@ -80,9 +83,25 @@
 	}
 	read := r.aside[best]
 	r.aside = slices.Delete(r.aside, best, best+1)
+	r.shares.take(read.key(), read.Work.Seconds(), read.Weight)
 	return read, true
 }
 
+// before reports whether a goes before b: by priority, then what can meet its target, then by the shares
+// of accounts, then by target.
+func (r *Room[T]) before(now time.Time, a, b *Read[T]) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	if lateA, lateB := a.late(now), b.late(now); lateA != lateB {
+		return lateB
+	}
+	if tagA, tagB := r.shares.tag(a.key()), r.shares.tag(b.key()); tagA != tagB {
+		return tagA < tagB
+	}
+	return a.Target.Before(b.Target)
+}
+
 // RemoveUnservable removes and returns the reads that can no longer be served before their deadline.
 func (r *Room[T]) RemoveUnservable(now time.Time) []Read[T] {
 	return r.remove(func(read *Read[T]) bool {
--- a/core/spare/spare_test.go
+++ b/core/spare/spare_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"pomelofork/core/model"
 	"pomelofork/core/spare"
 	"pomelofork/emul/seed"
 )
@@ -68,6 +69,22 @@
 		Expect(add(read("u", 0, 200*time.Millisecond, time.Second))).To(BeTrue())
 	})
 
+	It("shares what is left among accounts by their weights", func() {
+		for account, weight := range map[model.AccountID]float64{"small": 1, "large": 3} {
+			for range 8 {
+				r := read(string(account), 1, time.Second, 3*time.Second)
+				r.Account, r.Weight = account, weight
+				Expect(add(r)).To(BeTrue())
+			}
+		}
+		taken := map[string]int{}
+		for range 8 {
+			r, _ := room.Next(start, 2)
+			taken[r.Value]++
+		}
+		Expect(taken["large"]).To(Equal(6))
+	})
+
 	It("gives up reads whose time is over, and those of callers that have left", func() {
 		add(read("r", 1, 400*time.Millisecond, time.Second))
 		add(read("s", 1, 400*time.Millisecond, 2*time.Second))
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -63,6 +63,28 @@
 	// RetryBudget bounds the further attempts of an entry. It exists only where callers compete for
 	// capacity.
 	RetryBudget Switch = "retry_budget"
+	// EvacuationSteps moves the reads of an evacuated failure domain in steps, instead of at once.
+	EvacuationSteps Switch = "evacuation_steps"
+	// EvacuationPace replaces the primaries of an evacuated failure domain one by one, instead of all
+	// at once.
+	EvacuationPace Switch = "evacuation_pace"
+	// AccountShares divides the slots of a server among client accounts where they compete for it.
+	AccountShares Switch = "account_shares"
+	// GapWait lets statements wait beyond their target for slots that more urgent ones leave.
+	GapWait Switch = "gap_wait"
+	// ReturnPlaces gives the callers that a server's queue refuses places in a line.
+	ReturnPlaces Switch = "return_places"
+	// OpeningWork counts the opening of connections as work of a server.
+	OpeningWork Switch = "opening_work"
+	// ColdPlacement prefers warm servers to cold ones, and leaves a cold one alone for as long as it
+	// says that it can take no more.
+	ColdPlacement Switch = "cold_placement"
+	// DomainLoss treats servers and instances of one failure domain that fall silent together as one
+	// event.
+	DomainLoss Switch = "domain_loss"
+	// ShortPermits lets gateways stop using a primary sooner without a confirmation where the loss of
+	// a failure domain has to be borne.
+	ShortPermits Switch = "short_permits"
 )
 
 // All returns all switches in a fixed order.
@@ -71,6 +93,10 @@
 		ReturnedTokens, PrefetchedTokens, TokenWait, SharedIssuers, RestartTokens, KeptRights, PromotionWait, EarlyRejection, TargetOrder, Priority,
 		ReadRetry, SilentServers, DomainPlacement, WaitPlacement, LatencyPlacement, Followers, Isolation, WithdrawalAnswers, VacancyTakeover,
 		PrimaryRoom, WaitingEstimate, RetryBudget,
+		EvacuationSteps, EvacuationPace,
+		AccountShares, GapWait, ReturnPlaces, OpeningWork,
+		ColdPlacement,
+		DomainLoss, ShortPermits,
 	}
 }
 
--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -69,6 +69,11 @@
 	waits bool
 	// retryAfter is the time after which to retry if it may not wait for that, or zero.
 	retryAfter time.Duration
+	// passedOver is the earliest end of the times until which cold servers take no read, if there is
+	// no other server. Otherwise it is zero.
+	passedOver time.Time
+	// queueRefusal is the refusal of a server that callers compete for, or nil.
+	queueRefusal *stmt.Result
 	// excluded are the servers that have been tried. It is cleared when no server is left.
 	excluded map[model.ServerID]bool
 	// picked and outlook are what counts of the statement for the choice of the next server, and what
@@ -208,7 +213,7 @@
 	a := &attempts{session: s, admission: admitted, received: now, excluded: map[model.ServerID]bool{}}
 	a.order = stmt.Order{
 		Entry: s.entry.config.RunID, Begin: stmt.OpPass, Account: admitted.account, Class: admitted.route.Name, Priority: s.entry.priority(admitted.route),
-		Values: s.values, Statement: statement,
+		Values: s.values, Statement: statement, Homes: s.homes(admitted),
 	}
 	if statement.Kind == stmt.KindExecute {
 		a.order.Prepared = s.prepared[statement.Name]
--- a/io/entry/server_stats.go
+++ b/io/entry/server_stats.go
@@ -33,6 +33,9 @@
 	stats.inFlight--
 	stats.wait, stats.waitAt = result.Wait, done
 	e.learn(done, sent, server, &result)
+	if e.config.passesOverCold() && refusedCold(now, server, result) {
+		stats.passedOverUntil = done.Add(result.RetryAfter)
+	}
 	switch result.Answer.Code {
 	case stmt.CodeConnectionLost:
 		stats.suspectUntil = done.Add(suspectDuration)
@@ -56,3 +59,9 @@
 	}
 	return result
 }
+
+// suspectsDomain reports whether the servers of a failure domain are chosen only if there are no
+// others, because the domain is suspected of having failed.
+func (e *Entry) suspectsDomain(domain model.Domain) bool {
+	return e.config.SuspectsDomain != nil && e.config.SuspectsDomain(domain)
+}
--- a/io/pooler/room.go
+++ b/io/pooler/room.go
@@ -26,19 +26,19 @@
 		return false
 	}
 	after, ok := p.room.Add(now, spare.Read[*request]{
-		Value: r, Priority: r.order.Priority, Work: p.queue.Cost(r.order.Class), Target: now.Add(r.order.Target), Deadline: r.deadline,
+		Value: r, Priority: r.order.Priority, Account: r.order.Account, Weight: p.weight(r.order.Account), Work: p.queue.Cost(r.order.Class), Target: now.Add(r.order.Target), Deadline: r.deadline,
 	})
 	if !ok {
-		p.refuseAside(r, after)
+		p.refuseAside(now, r, after)
 	}
 	return true
 }
 
 // refuseAside refuses a read for the work that only the primary can run.
-func (p *Pool) refuseAside(r *request, after time.Duration) {
+func (p *Pool) refuseAside(now time.Time, r *request, after time.Duration) {
 	result := refused(stmt.CodeBusy, "primary takes no more reads of this priority", after)
 	result.ClosedToReads = true
-	result.Wait = p.queue.EstimateWait(p.running)
+	result.Wait, result.Waits = p.queue.EstimateWait(p.running), p.queue.Waits(now, p.running)
 	p.log.LogAttrs(context.Background(), slog.LevelInfo, "read refused for the work that only the primary can run", slog.String("request", r.order.Statement.ID),
 		slog.String("server", string(p.server.ID)), slog.Int("priority", r.order.Priority), slog.Duration("after", after),
 		slog.Int("running", p.running), slog.Int("waiting", p.queue.Len()), slog.Int("aside", p.aside()))
@@ -52,10 +52,21 @@
 		return
 	}
 	for _, read := range p.room.RemoveUnservable(now) {
-		p.refuseAside(read.Value, p.queue.EstimateWait(p.running)+asideReturnAfter)
+		p.refuseAside(now, read.Value, p.queue.EstimateWait(p.running)+asideReturnAfter)
+	}
+	first, reads := math.MaxInt, 0
+	p.queue.Each(func(r *request) {
+		if !r.continuesTransaction() && r.order.AnyServerMayBegin() {
+			reads++
+		}
+		// What waits for a connection doesn't use the slot.
+		if p.connFor(r) != nil {
+			first = min(first, r.order.Priority)
+		}
+	})
+	if reads >= p.server.Slots+extraStatements {
+		return
 	}
-	first := math.MaxInt
-	p.queue.Each(func(r *request) { first = min(first, r.order.Priority) })
 	if read, ok := p.room.Next(now, first); ok {
 		p.queueRead(now, read)
 	}
--- a/io/right/rebalance_test.go
+++ b/io/right/rebalance_test.go
@@ -119,3 +119,40 @@
 		Consistently(func() int { return other.count(wanted) }).WithTimeout(3 * time.Second).Should(BeZero())
 	})
 })
+
+var _ = Describe("Rights that avoid a failure domain", func() {
+	// A lost domain's instances are registered until their leases end. Rights that were transferred to
+	// them in that time were unused for seconds.
+	It("stay rather than go to an instance that may have failed", func() {
+		t := kvsim.New()
+		t.Set("config", nil)
+		wanted := []right.Spec{{Name: "r", Domain: "lost", Avoid: "a"}}
+		want := func() []right.Spec { return wanted }
+		first := joinAvoiding(t, "first", "a", want, "lost")
+		Eventually(first.holds).WithTimeout(waitTimeout).Should(BeTrue())
+		joinIn(t, "other", "lost", want)
+		Consistently(first.holds).WithTimeout(3 * time.Second).Should(BeTrue())
+		joinIn(t, "third", "b", want)
+		Eventually(first.holds).WithTimeout(waitTimeout).Should(BeFalse())
+		entry, _ := t.Get("own/right/r")
+		Expect(string(entry.Value)).To(ContainSubstring("third"))
+	})
+
+	It("leave an instance there soon, also if it holds hundreds, and don't return as excess", func() {
+		t := kvsim.New()
+		t.Set("config", nil)
+		wanted := makeSpecs(100)
+		for i := range wanted {
+			wanted[i].Avoid = "a"
+		}
+		want := func() []right.Spec { return wanted }
+		first := joinIn(t, "first", "a", want)
+		Eventually(func() int { return first.count(wanted) }).WithTimeout(waitTimeout).Should(Equal(101))
+		for i := range 9 {
+			joinIn(t, model.InstanceID(fmt.Sprint("a", i)), "a", want)
+		}
+		other := joinIn(t, "other", "b", want)
+		Eventually(func() int { return other.count(wanted) }).WithTimeout(waitTimeout).Should(Equal(101))
+		Consistently(func() int { return other.count(wanted) }).WithTimeout(3 * time.Second).Should(Equal(101))
+	})
+})
