--- a/bench/lagged/operation.go
+++ b/bench/lagged/operation.go
@@ -20,6 +20,8 @@
 	after    model.Point
 	primary  bool
 	probed   bool
+	// told is the shortest time to return of the servers' queues, or zero.
+	told time.Duration
 }
 
 // call is one attempt at a server.
--- a/core/eta/book.go
+++ b/core/eta/book.go
@@ -13,7 +13,7 @@
 	// that serve hundreds of statements a second have changed by then.
 	reportLife = 200 * time.Millisecond
 	// tripFadeTime is the time over which a long round trip fades to the assumed one, and the time for
-	// which reads stood aside to zero, so that a server that was slow is tried again.
+	// which reads stood behind own work to zero, so that a server that was slow is tried again.
 	tripFadeTime = 2 * time.Second
 	// FarTrip is the round trip that is assumed to a server of another failure domain until it has
 	// been observed: some round trips of about two milliseconds each.
@@ -29,14 +29,18 @@
 	priorities = 4
 )
 
-// closure says until when the statements of each priority are refused at a server.
-type closure [priorities]time.Time
+// closure says until when the statements of a priority are refused at a server, and when the last caller
+// that was refused was told to return.
+type closure struct{ until, returnAt time.Time }
+
+// closures are those of each priority.
+type closures [priorities]closure
 
 // server is what is known of one server.
 type server struct {
 	trip   time.Duration
 	tripAt time.Time
-	// aside is the time for which reads lately stood aside at this primary, as of asideAt.
+	// aside is the time for which reads lately stood behind the own work of this primary, as of asideAt.
 	aside   time.Duration
 	asideAt time.Time
 	// waits are those of the last report, as of reportAt.
@@ -47,10 +51,8 @@
 	// inFlight is the work of this instance's statements that have no result yet, and sinceReport
 	// that of those that were sent after the report.
 	inFlight, sinceReport time.Duration
-	// closed is for the statements of each account, since accounts have shares of a server. closedToReads
-	// is for those of all accounts that another server could run as well.
-	closed        map[model.AccountID]closure
-	closedToReads closure
+	// closed is by account, since accounts have shares of a server.
+	closed map[model.AccountID]closures
 }
 
 // Book holds what is known of all servers and routes. It isn't safe for concurrent use.
@@ -99,10 +101,8 @@
 	if q.Beside {
 		e.Wait += s.asideTime(now)
 	}
-	e.ClosedUntil = s.closed[q.Account][index(q.Priority)]
-	if until := s.closedToReads[index(q.Priority)]; q.Beside && until.After(e.ClosedUntil) {
-		e.ClosedUntil = until
-	}
+	closed := s.closed[q.Account][index(q.Priority)]
+	e.ClosedUntil, e.ReturnAt = closed.until, closed.returnAt
 	return e
 }
 
@@ -132,7 +132,9 @@
 	if result.Answer.Code == stmt.CodeDone {
 		b.observeTime(now, s, sent)
 	}
-	if result.NotSent && result.Answer.Code == stmt.CodeBusy && result.RetryAfter > 0 {
+	// A read that a primary refuses goes behind the work that only it can run, so that its refusal says nothing
+	// of that work, and little of other reads: their place depends on what is left of their time.
+	if result.NotSent && result.Answer.Code == stmt.CodeBusy && result.RetryAfter > 0 && !sent.query.Beside {
 		s.close(now, sent.query, result)
 	}
 	waits, valid := report(result)
@@ -155,7 +157,7 @@
 	served := max(now.Sub(sent.at)-sent.wait, 0)
 	mean, _ := w.estimates()
 	if sent.query.Beside {
-		// Such a read may have stood aside, which says nothing of the round trip or the work.
+		// Such a read may have stood behind own work, which says nothing of the round trip or the work.
 		stood := max(served-sent.trip-mean, 0)
 		s.aside, s.asideAt = s.asideTime(now)+time.Duration(weight*float64(stood-s.asideTime(now))), now
 		return
@@ -192,7 +194,7 @@
 	return assumed + time.Duration(float64(s.trip-assumed)*fade)
 }
 
-// asideTime returns the time for which reads are expected to stand aside.
+// asideTime returns the time for which reads are expected to stand behind own work.
 func (s *server) asideTime(now time.Time) time.Duration {
 	return time.Duration(float64(s.aside) * max(1-now.Sub(s.asideAt).Seconds()/tripFadeTime.Seconds(), 0))
 }
@@ -200,31 +202,19 @@
 // close records that the server's gateway told a caller to return later.
 func (s *server) close(now time.Time, q Query, result *stmt.Result) {
 	until := now.Add(min(result.RetryAfter, reportLife))
-	if result.ClosedToReads {
-		s.closedToReads.extend(q.Priority, until)
-	}
-	if q.Beside || result.ClosedToReads {
-		// It says nothing of the work that only the primary can run.
-		return
-	}
 	if len(s.closed) >= maxClosures {
-		maps.DeleteFunc(s.closed, func(_ model.AccountID, c closure) bool { return !c[priorities-1].After(now) })
+		maps.DeleteFunc(s.closed, func(_ model.AccountID, c closures) bool { return !c[priorities-1].until.After(now) })
 	}
 	if s.closed == nil {
-		s.closed = map[model.AccountID]closure{}
+		s.closed = map[model.AccountID]closures{}
 	}
 	c := s.closed[q.Account]
-	c.extend(q.Priority, until)
-	s.closed[q.Account] = c
-}
-
-// extend closes the priority and all lower ones until the given time.
-func (c *closure) extend(priority int, until time.Time) {
-	for i := index(priority); i < priorities; i++ {
-		if until.After(c[i]) {
-			c[i] = until
+	for i := index(q.Priority); i < priorities; i++ {
+		if until.After(c[i].until) {
+			c[i] = closure{until, now.Add(result.RetryAfter)}
 		}
 	}
+	s.closed[q.Account] = c
 }
 
 // report returns the waits that a gateway reported with a result, or none if the result wasn't made by
@@ -262,5 +252,5 @@
 	return 0
 }
 
-// index returns the place of a priority in a closure.
+// index returns the place of a priority in closures.
 func index(priority int) int { return min(max(priority, 0), priorities-1) }
--- a/core/eta/estimate.go
+++ b/core/eta/estimate.go
@@ -18,6 +18,8 @@
 	// ClosedUntil is the time until which the server's gateway refuses statements like this one, as
 	// far as known.
 	ClosedUntil time.Time
+	// ReturnAt is when the last caller that the gateway refused was told to return.
+	ReturnAt time.Time
 }
 
 // Mean returns the expected time until the answer.
@@ -29,6 +31,12 @@
 	return e.missing(now, left) <= 0
 }
 
+// returnAfter returns the time after which the caller of a statement that isn't possible now should
+// return.
+func (e Estimate) returnAfter(now time.Time, left time.Duration) time.Duration {
+	return max(e.missing(now, left), e.ReturnAt.Sub(now))
+}
+
 // missing returns the time after which the statement could be answered within the time that it has
 // left, or 0 if it can be now.
 func (e Estimate) missing(now time.Time, left time.Duration) time.Duration {
--- a/core/eta/gate.go
+++ b/core/eta/gate.go
@@ -51,7 +51,7 @@
 	}
 	shortest, slots, work := maxReturnAfter, 0, time.Duration(0)
 	for _, o := range options {
-		shortest = min(shortest, o.Estimate.missing(now, left))
+		shortest = min(shortest, o.Estimate.returnAfter(now, left))
 		slots += max(o.Slots, 1)
 		work = max(work, o.Estimate.Work)
 	}
--- a/core/pick/picker.go
+++ b/core/pick/picker.go
@@ -67,8 +67,8 @@
 		}
 		estimate := p.book.Estimate(now, s.query(c.Server, c.SameDomain))
 		o.high = max(o.high, estimate.Trip+estimate.High)
-		if c.Server.Primary && estimate.ClosedUntil.After(o.primaryClosedUntil) {
-			o.primaryClosedUntil = estimate.ClosedUntil
+		if c.Server.Primary && estimate.ClosedUntil.After(now) {
+			o.primaryClosedUntil = estimate.ReturnAt
 		}
 		mayHold := p.mayHold(now, s, c, &o)
 		if mayHold && (c.Server.Primary || !c.Server.Draining) {
--- a/core/pick/statement.go
+++ b/core/pick/statement.go
@@ -47,6 +47,6 @@
 	probes []model.ServerID
 	// high is the high quantile of its work, with the longest round trip.
 	high time.Duration
-	// primaryClosedUntil is the time until which the primary takes no statements like it.
+	// primaryClosedUntil is the time until which the primary takes no statements like it, or zero.
 	primaryClosedUntil time.Time
 }
--- a/core/stmt/order.go
+++ b/core/stmt/order.go
@@ -87,9 +87,6 @@
 	Wait time.Duration
 	// Waits are the same for each priority, as far as the gateway knows, lowest number first.
 	Waits []PriorityWait
-	// ClosedToReads says that a primary refused the statement because another server could run it, and
-	// refuses others like it, of this priority and lower ones, until about RetryAfter.
-	ClosedToReads bool
 	// Latest is a point in the log of the server's service that covers every commit
 	// acknowledged longer ago than LatestAge. Zero means that none is known.
 	Latest model.Point
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -54,7 +54,7 @@
 	// VacancyTakeover counts the time without a primary from its loss when another instance takes
 	// over the monitoring.
 	VacancyTakeover Switch = "vacancy_takeover"
-	// PrimaryRoom limits the reads that a primary takes beside the work that only it can run, and lets
+	// PrimaryRoom puts the reads that another server could run behind a primary's own work, and lets
 	// reads wait for replicas that catch up. It exists only where callers compete for capacity.
 	PrimaryRoom Switch = "primary_room"
 	// WaitingEstimate places and refuses statements by one estimate of the time until their answer. It
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -85,7 +85,6 @@
 			return
 		}
 	}
-	p.queueAside(clock.Now())
 	p.queue.Remove(func(r *request) bool {
 		if r.order.Account != account || p.transactions[r.key] != nil {
 			return false
@@ -189,7 +188,7 @@
 // respond sends a request's result, with the estimated wait at the server and the newest
 // known point of its service.
 func (p *Pool) respond(now time.Time, r *request, result stmt.Result) {
-	result.Wait, result.Waits = p.queue.EstimateWait(p.running), p.queue.Waits(now, p.running)
+	result.Wait, result.Waits = p.queue.EstimateWait(p.running), p.reportedWaits(now)
 	if at, point, ok := p.latest(p.server.Service); ok {
 		result.Latest, result.LatestAge = point, now.Sub(at)
 	}
--- a/io/pooler/contended.go
+++ b/io/pooler/contended.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
 	"pomelofork/core/trial"
 	"pomelofork/core/wait"
-	"pomelofork/io/clock"
 )
 
 // hopelessText is added to a refusal whose caller isn't expected to be served by a retry in time.
@@ -21,7 +21,7 @@
 		text += hopelessText
 	}
 	result := refused(stmt.CodeBusy, text, refusal.RetryAfter)
-	result.Wait, result.Waits = refusal.Wait, p.queue.Waits(now, p.running)
+	result.Wait, result.Waits = refusal.Wait, p.reportedWaits(now)
 	return result
 }
 
@@ -59,14 +59,15 @@
 // room for one.
 func (p *Pool) open(now time.Time, r *request) bool {
 	account := r.order.Account
-	if (p.countsOpenings() && p.running >= p.server.Slots) || !p.makeRoom(now, account) {
+	if (p.countsOpenings() && p.running >= p.server.Slots) || !p.ramp.Allows(now, ramp.Bound, 1) || !p.makeRoom(now, account) {
 		return false
 	}
+	p.ramp.Send(now, 1)
 	p.opening[account]++
 	p.queue.SetOpenings(p.openings())
 	p.countRunning(now)
 	sc := newServerConn(p, account)
-	sc.openingSince, sc.openedFor = now, r.order.Priority
+	sc.openingSince, sc.openedFor = now, p.queuePriority(r.order)
 	p.conns[sc] = struct{}{}
 	return true
 }
@@ -88,11 +89,10 @@
 	waiting := p.waitingByAccount()
 	blocked := map[model.AccountID]bool{}
 	for p.running < p.capacity() {
-		p.admitAside(now)
 		item, ok := p.queue.Peek(now, func(i wait.Item[*request]) bool {
 			r := i.Value
 			if p.connFor(r) != nil {
-				return true
+				return p.fits(now, r)
 			}
 			return !blocked[r.order.Account] && p.queue.OpeningDue(now, r.received, i) && p.needsConn(now, r, waiting[r.order.Account])
 		})
@@ -137,7 +137,7 @@
 // needsConn reports whether another connection is to be opened for an account with the given number
 // of queued requests, of which r is one.
 func (p *Pool) needsConn(now time.Time, r *request, waiting int) bool {
-	if now.Before(p.nextOpen) || r.continuesTransaction() || !p.mayBegin(r) {
+	if p.evacuated || now.Before(p.nextOpen) || r.continuesTransaction() || !p.mayBegin(r) {
 		return false
 	}
 	account := r.order.Account
@@ -200,7 +200,6 @@
 	if !moved || !p.contended {
 		return
 	}
-	p.queueAside(clock.Now())
 	released := 0
 	p.queue.Remove(func(r *request) bool {
 		if r.continuesTransaction() {
--- a/io/pooler/evacuated.go
+++ b/io/pooler/evacuated.go
@@ -28,7 +28,6 @@
 		p.log.LogAttrs(context.Background(), slog.LevelInfo, "failure domain of a server was returned, statements are accepted", slog.String("server", string(p.server.ID)))
 		return false
 	}
-	p.queueAside(now)
 	refused := 0
 	p.queue.Remove(func(r *request) bool {
 		refused++
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -12,11 +12,9 @@
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/ramp"
-	"pomelofork/core/spare"
 	"pomelofork/core/stmt"
 	"pomelofork/core/trial"
 	"pomelofork/core/wait"
-	"pomelofork/io/clock"
 )
 
 const (
@@ -119,8 +117,6 @@
 	// holder says that this instance should hold the server's connections, as of the last Tick.
 	holder bool
 	closed bool
-	// room holds the reads that stand aside at a primary. Nil means that none do.
-	room *spare.Room[*request]
 }
 
 // NewPool returns a pool without connections. It opens them when statements need them.
@@ -151,7 +147,6 @@
 		}),
 		ramp:  ramp.New(c.UsedUntil, c.Claim, c.Server.ColdUntil),
 		conns: map[*serverConn]struct{}{}, transactions: map[txKey]*serverConn{}, opening: map[model.AccountID]int{},
-		room: newRoom(c),
 	}
 }
 
@@ -194,7 +189,6 @@
 		queued = queued || other == r
 		return other == r
 	})
-	queued = p.dropAside(r) || queued
 	p.mu.Unlock()
 	if queued {
 		return refused(stmt.CodeBusy, "no free slot in time", 0)
@@ -255,16 +249,8 @@
 		r.result <- p.refuseCold(after)
 		return
 	}
-	if !p.standAside(now, r) && !p.add(now, r) {
-		return
-	}
-	p.dispatch(now)
-}
-
-// add adds a request to the queue. It returns false if the request was refused.
-func (p *Pool) add(now time.Time, r *request) bool {
 	refusal, ok := p.queue.Add(now, wait.Item[*request]{
-		Value: r, Class: r.order.Class, Priority: r.order.Priority, InTransaction: r.continuesTransaction(),
+		Value: r, Class: r.order.Class, Priority: p.queuePriority(r.order), InTransaction: inTransaction,
 		Target: now.Add(r.order.Target), Deadline: r.deadline,
 		Account: r.order.Account, Weight: p.weight(r.order.Account), Bytes: r.size(),
 	}, p.running)
@@ -275,11 +261,10 @@
 			slog.String("server", string(p.server.ID)), slog.Duration("wait", refusal.Wait), slog.Duration("target", r.order.Target),
 			slog.Int("waiting", p.queue.Len()), slog.Int("running", p.running), slog.Duration("cost", p.queue.Cost(r.order.Class)))
 		r.result <- result
+		return
 	}
-	if ok {
-		p.count("queued")
-	}
-	return ok
+	p.count("queued")
+	p.dispatch(now)
 }
 
 // unreachable returns the code for a statement without a connection to run on: whether the
@@ -300,7 +285,7 @@
 	defer p.mu.Unlock()
 	p.updateEvacuated(now)
 	p.releaseIfMoved(holder)
-	if p.queue.Len()+p.aside() > 0 {
+	if p.queue.Len() > 0 {
 		p.shedCold(now)
 		if !p.disabled.Has(trial.SilentServers) {
 			p.releaseReads(now)
@@ -347,7 +332,7 @@
 func (p *Pool) Idle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.running == 0 && p.queue.Len()+p.aside() == 0 && len(p.transactions) == 0
+	return p.running == 0 && p.queue.Len() == 0 && len(p.transactions) == 0
 }
 
 // Close rejects the queued statements and all later ones, and closes the connections.
@@ -359,7 +344,6 @@
 	if p.openTimer != nil {
 		p.openTimer.Stop()
 	}
-	p.queueAside(clock.Now())
 	for _, item := range p.queue.RemoveAll() {
 		item.Value.result <- refused(stmt.CodeMoved, "server is gone", 0)
 	}
--- a/io/pooler/silent.go
+++ b/io/pooler/silent.go
@@ -59,7 +59,6 @@
 	if silent <= p.queue.SilenceTimeout(silentAfter) {
 		return
 	}
-	p.queueAside(now)
 	released := 0
 	p.queue.Remove(func(r *request) bool {
 		if !r.order.AnyServerMayRun() {
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -226,7 +226,6 @@
 		w.int(int64(p.Priority))
 		w.int(int64(p.Wait))
 	}
-	w.bool(s.ClosedToReads)
 }
 
 func (m *RunResponse) decode(r *reader) {
@@ -249,7 +248,6 @@
 	for n := r.count(); n > 0; n-- {
 		s.Waits = append(s.Waits, stmt.PriorityWait{Priority: int(r.int()), Wait: time.Duration(r.int())})
 	}
-	s.ClosedToReads = r.bool()
 }
 
 func (m *DrawRequest) encode(w *writer) {
