--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -250,7 +250,7 @@
 		return
 	}
 	refusal, ok := p.queue.Add(now, wait.Item[*request]{
-		Value: r, Class: r.order.Class, Priority: r.order.Priority, InTransaction: inTransaction,
+		Value: r, Class: r.order.Class, Priority: p.queuePriority(r.order), InTransaction: inTransaction,
 		Target: now.Add(r.order.Target), Deadline: r.deadline,
 		Account: r.order.Account, Weight: p.weight(r.order.Account), Bytes: r.size(),
 	}, p.running)
