Permits of one second where the loss of a failure domain has to be borne

Cause: permits of 700 ms don't bridge the time until another instance takes over the monitoring of a primary.

Change: ShortPermitLife is 1 s.

--- a/core/epoch/guard.go
+++ b/core/epoch/guard.go
@@ -10,7 +10,7 @@
 	// ShortPermitLife is the same for an instance that has to bear the loss of a failure domain, where a
 	// withdrawal waits for the permits of all gateways there. The instance has to be confirmed more
 	// often than its copy of the store's content is, by the monitor of each primary that it uses.
-	ShortPermitLife = 700 * time.Millisecond
+	ShortPermitLife = time.Second
 	// ClockSlack is the time that a withdrawal waits beyond the life of a permit.
 	ClockSlack = 100 * time.Millisecond
 )
--- a/io/view/view_test.go
+++ b/io/view/view_test.go
@@ -102,6 +102,20 @@
 		Eventually(version(v)).WithTimeout(waitTimeout).Should(Equal(uint64(1)))
 	})
 
+	// Permits that are shorter than a watch would end while nothing changes.
+	It("is confirmed on request, in between the watches, if the store answers", func() {
+		before := clock.Now()
+		v.Confirm(context.Background())
+		at, ok := v.CompleteAsOf()
+		Expect(ok).To(BeTrue())
+		Expect(at).To(BeTemporally(">=", before))
+		client.SetFault(kvsim.FaultRefuse)
+		later := clock.Now()
+		v.Confirm(context.Background())
+		at, _ = v.CompleteAsOf()
+		Expect(at).To(BeTemporally("<", later))
+	})
+
 	It("follows changes and ignores a configuration that it cannot decode", func() {
 		t.Set("config", []byte("not one byte"))
 		t.Set("config", []byte{3})
