--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/pick"
 	"pomelofork/core/place"
 	"pomelofork/core/plan"
 	"pomelofork/core/stmt"
@@ -31,6 +32,19 @@
 			}
 			break
 		}
+		decision := a.decide(now, chosen, ok, tries)
+		switch decision.Action {
+		case pick.ActionWait:
+			a.awaitReplica(decision.After)
+			continue
+		case pick.ActionRefuse:
+			last = refuseWithReason(decision)
+		case pick.ActionStop:
+			last.RetryAfter = max(last.RetryAfter, decision.After)
+		}
+		if decision.Action == pick.ActionRefuse || decision.Action == pick.ActionStop {
+			break
+		}
 		if !ok {
 			if a.queueRefusal != nil {
 				last = *a.queueRefusal
@@ -160,6 +174,7 @@
 			Cold:       e.config.passesOverCold() && server.Cold(now), ColdInterval: e.coldInterval(server.Service),
 		})
 	}
+	a.look(now, required, candidates)
 	e.mu.Unlock()
 	if a.passedOver = passedOver; len(candidates) > 0 {
 		a.passedOver = time.Time{}
