--- a/core/stmt/order.go
+++ b/core/stmt/order.go
@@ -57,6 +57,12 @@
 // a transaction that doesn't need the primary.
 func (o *Order) AnyServerMayRun() bool { return o.Unit == 0 && o.Reads() && !o.NeedsPrimary() }
 
+// AnyServerMayBegin reports whether every server of the service may run the order, or begin its
+// transaction.
+func (o *Order) AnyServerMayBegin() bool {
+	return o.AnyServerMayRun() || (o.Unit != 0 && o.Begin == OpBeginRead)
+}
+
 // Writes reports whether the statement, or the prepared statement that it executes,
 // writes.
 func (o *Order) Writes() bool {
--- a/io/lead/evacuation_test.go
+++ b/io/lead/evacuation_test.go
@@ -52,6 +52,14 @@
 		})
 	}
 
+	It("leaves the answers of the primary time to reach the gateways before it appoints another", func() {
+		s.evacuate("a")
+		Eventually(s.fences).WithTimeout(waitTimeout).Should(HaveLen(1))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		Expect(s.appointedAt.Sub(s.steppedDownAt)).To(BeNumerically(">=", 50*time.Millisecond))
+	})
+
 	It("promotes no evacuated replica when the primary fails", func() {
 		s.evacuate("b")
 		time.Sleep(100 * time.Millisecond)
@@ -100,6 +108,16 @@
 		Expect(s.group.Log()).To(HaveLen(1))
 	})
 
+	It("never pause an evacuated replica, which nobody may tell to resume once its domain is sealed", func() {
+		s := startReplicated(0, 1)
+		s.set(func(s *testCluster) { s.refuse = true })
+		Eventually(s.confirmed).WithTimeout(waitTimeout).Should(BeTrue())
+		s.evacuate("b")
+		time.Sleep(100 * time.Millisecond)
+		s.group.Server("p").SetDown(true)
+		Consistently(s.group.Server("r1").Paused, 1500*time.Millisecond).Should(BeFalse())
+	})
+
 	It("replace it by a withdrawal when it may not be asked to step down any more", func() {
 		s := &testCluster{group: newGroup(0), stopped: true, bound: 20 * time.Millisecond, evacuated: []model.Domain{"a"}}
 		s.monitor()
--- a/io/pooler/contended.go
+++ b/io/pooler/contended.go
@@ -21,7 +21,7 @@
 		text += hopelessText
 	}
 	result := refused(stmt.CodeBusy, text, refusal.RetryAfter)
-	result.Wait, result.Waits = refusal.Wait, p.queue.Waits(now, p.running)
+	result.Wait, result.Waits = refusal.Wait, p.reportedWaits(now)
 	return result
 }
 
@@ -67,7 +67,7 @@
 	p.queue.SetOpenings(p.openings())
 	p.countRunning(now)
 	sc := newServerConn(p, account)
-	sc.openingSince, sc.openedFor = now, r.order.Priority
+	sc.openingSince, sc.openedFor = now, p.queuePriority(r.order)
 	p.conns[sc] = struct{}{}
 	return true
 }
@@ -137,7 +137,7 @@
 // needsConn reports whether another connection is to be opened for an account with the given number
 // of queued requests, of which r is one.
 func (p *Pool) needsConn(now time.Time, r *request, waiting int) bool {
-	if now.Before(p.nextOpen) || r.continuesTransaction() || !p.mayBegin(r) {
+	if p.evacuated || now.Before(p.nextOpen) || r.continuesTransaction() || !p.mayBegin(r) {
 		return false
 	}
 	account := r.order.Account
--- a/io/proxy/meter.go
+++ b/io/proxy/meter.go
@@ -34,11 +34,13 @@
 	// beliefs counts the changes of the belief about failure domains.
 	beliefs map[string]int64
 	queue   map[string]int64
-	latency map[string]*hdrhistogram.Histogram
+	// decisions are those that entries take where callers compete for capacity.
+	decisions map[string]int64
+	latency   map[string]*hdrhistogram.Histogram
 }
 
 func newMeter() *meter {
-	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, beliefs: map[string]int64{}, queue: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
+	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, beliefs: map[string]int64{}, queue: map[string]int64{}, decisions: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
 }
 
 // Statement implements entry.Meter.
@@ -62,6 +64,13 @@
 	m.repeated[fmt.Sprintf("attempts_repeated{code=%q}", code)]++
 }
 
+// Decision counts a decision about a statement by its reason and the priority of its route.
+func (m *meter) Decision(reason string, priority int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.decisions[fmt.Sprintf("entry_decisions{reason=%q,priority=\"%d\"}", reason, priority)]++
+}
+
 // ColdRefused counts a statement that a cold server couldn't take in time.
 func (m *meter) ColdRefused() {
 	m.mu.Lock()
@@ -101,7 +110,7 @@
 func (m *meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	m.mu.Lock()
 	lines := []string{fmt.Sprintf("pomelofork_evacuated_domains %d\n", m.evacuated)}
-	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls, m.beliefs, m.queue} {
+	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls, m.beliefs, m.queue, m.decisions} {
 		for name, n := range counters {
 			lines = append(lines, fmt.Sprintf("pomelofork_%s %d\n", name, n))
 		}
--- a/io/proxy/monitor_rights.go
+++ b/io/proxy/monitor_rights.go
@@ -8,9 +8,9 @@
 )
 
 // setApart makes the right to monitor a service's primary avoid the failure domain of the primary,
-// and prefer that of the first replica elsewhere, if possible in one that isn't evacuated. The loss of a domain would otherwise take the
-// monitor together with the primary, and nobody would check the primary until the lease of the
-// monitor has ended. Without a primary the right stays where it is, because its holder is having
+// and prefer that of the first replica elsewhere, if possible in one that isn't evacuated. The loss of
+// a domain would otherwise take the monitor together with the primary, and nobody would check the
+// primary until the lease of the monitor has ended. Without a primary the right stays where it is, because its holder is having
 // another server promoted.
 func setApart(spec *right.Spec, servers []plan.Server) {
 	primary, ok := servedBy(servers)
