core/wait: Remove also covers statements that made room for others

Cause: where callers compete for a server, a statement that was displaced because the queue was full stayed in a list that only the next check of the queue emptied. Remove didn't look at it. If the domain of the server was evacuated or the pool released its queue meanwhile, the queue counted as empty, nothing dispatched it, and the displaced statement got no answer, not even at its timeout. Change: Remove covers displaced items, and Displaced counts them for the owner of the queue. The opening of a connection is also charged to an account whose priority is above the highest one that is told apart.

--- a/core/wait/contended.go
+++ b/core/wait/contended.go
@@ -25,6 +25,9 @@
 	maxPriorities = 16
 )
 
+// boundedPriority returns the priority for which the demand and the flows are kept.
+func boundedPriority(priority int) int { return min(max(priority, 0), maxPriorities-1) }
+
 // shared reports whether accounts have shares.
 func (q *Queue[T]) shared() bool { return q.policy.Contended && !q.policy.EqualAccounts }
 
@@ -46,7 +49,7 @@
 
 // addContended implements Add where callers compete for the server.
 func (q *Queue[T]) addContended(now time.Time, item Item[T], running int) (Refusal, bool) {
-	item.Priority = min(max(item.Priority, 0), maxPriorities-1)
+	item.Priority = boundedPriority(item.Priority)
 	item.flow = q.flows.of(item.key(), item.Weight)
 	if item.Account == "" {
 		item.flow.weight = q.flows.weightOfOthers(item.key())
--- a/core/wait/contended_test.go
+++ b/core/wait/contended_test.go
@@ -211,4 +211,30 @@
 		Expect(waits[1].Wait).To(BeNumerically(">", 200*time.Millisecond))
 		Expect(wait.New[int](2).Waits(start, 0)).To(Equal([]stmt.PriorityWait(nil)))
 	})
+
+	It("charges an account for openings at a priority beyond those that are told apart", func() {
+		for i, account := range []string{"a", "b"} {
+			low := of(account, 1, i)
+			low.Priority = 100
+			Expect(add(low)).To(BeTrue())
+		}
+		queue.ObserveOpening(start, 100, "a", cost)
+		Expect(serve(1, "")).To(Equal(map[model.AccountID]int{"b": 1}))
+	})
+
+	It("gives every item back once, also one that made room and hasn't been refused yet", func() {
+		big := of("a", 1, 1)
+		big.Bytes = 1 << 21
+		Expect(add(big)).To(BeTrue())
+		urgent := of("b", 1, 3)
+		urgent.InTransaction, urgent.Bytes = true, 1<<21
+		Expect(add(urgent)).To(BeTrue())
+		Expect([]int{queue.Len(), queue.Displaced()}).To(Equal([]int{1, 1}))
+		seen := map[int]int{}
+		queue.Remove(func(value int) bool { seen[value]++; return true })
+		Expect(seen).To(Equal(map[int]int{1: 1, 3: 1}))
+		Expect([]int{queue.Len(), queue.Displaced()}).To(Equal([]int{0, 0}))
+		Expect(queue.RemoveAll()).To(BeEmpty())
+		Expect(queue.RemoveUnservable(start)).To(BeEmpty())
+	})
 })
--- a/core/wait/opening.go
+++ b/core/wait/opening.go
@@ -28,7 +28,7 @@
 		q.openingCost += time.Duration(costWeight * float64(took-q.openingCost))
 	}
 	q.openingWork.Add(now, loadWindow, took.Seconds())
-	if f, ok := q.flows.byKey[flowKey{priority, account}]; ok {
+	if f, ok := q.flows.byKey[flowKey{boundedPriority(priority), account}]; ok {
 		f.tag += took.Seconds() / f.weight
 	}
 }
--- a/core/wait/queue.go
+++ b/core/wait/queue.go
@@ -124,6 +124,9 @@
 // Len returns the number of waiting items.
 func (q *Queue[T]) Len() int { return len(q.items) }
 
+// Displaced returns the number of items that made room for others, and that RemoveUnservable returns next.
+func (q *Queue[T]) Displaced() int { return len(q.displaced) }
+
 // Cost returns the mean time for which an item of the class holds a slot.
 func (q *Queue[T]) Cost(class string) time.Duration {
 	if cost, ok := q.costs[class]; ok {
@@ -325,8 +328,10 @@
 	return removed
 }
 
-// Remove removes the items that match.
+// Remove removes the items that match, also those that RemoveUnservable would return because they made
+// room for others.
 func (q *Queue[T]) Remove(match func(T) bool) {
+	q.displaced = slices.DeleteFunc(q.displaced, func(i Item[T]) bool { return match(i.Value) })
 	q.items = slices.DeleteFunc(q.items, func(i Item[T]) bool {
 		if !match(i.Value) {
 			return false
