io/pooler: a withdrawal waits for the answer to a write that was sent

Cause: the trace of "keeps everything away from the servers of an evacuated failure domain" shows that the primary had stepped down when the withdrawal of its appointment closed a connection with a write in flight. The server was about to refuse the write, but the caller was told INDOUBT. Change: a statement in flight other than a read may be answered for 100 ms after the withdrawal. A refusal is passed on; a success is withheld as before. Other changes of the same review: - Nothing is sent on a connection that was closed while BEGIN was outstanding. It was recorded as sent, so that the outcome of a write that never ran counted as unknown. - A statement that isn't sent because the instance stopped being the gateway of a cold server during BEGIN has a time to retry, and is counted. - Displaced statements are dispatched by Tick, and the pool isn't idle before. - An account isn't charged for a queued statement that is refused because of a withdrawal. - The end of an opening that is no longer wanted dispatches the queue.

--- a/io/pooler/cold_test.go
+++ b/io/pooler/cold_test.go
@@ -153,6 +153,23 @@
 		})
 	}
 
+	It("sends no statement after a BEGIN during which this instance stopped being the gateway, and says when to return", func() {
+		conn := newScriptedConn(func(stmt.Command) (stmt.Answer, bool) { return stmt.Answer{}, false })
+		p := newColdPool(&scriptedDialer{conns: []*scriptedConn{conn}}, gatewayClaim(50), false)
+		result := make(chan stmt.Result, 1)
+		go func() {
+			result <- p.Run(clock.Now(), inTransaction(order("w", "WRITE x one", stmt.KindWrite), 7, stmt.OpBegin))
+		}()
+		Eventually(conn.count).WithTimeout(waitTimeout).Should(Equal(1))
+		p.Cold(clock.Now(), ramp.Claim{Limited: true, Max: 50})
+		conn.answers <- stmt.Answer{State: stmt.StateOpen}
+		Eventually(result).WithTimeout(waitTimeout).Should(Receive(And(
+			HaveField("Answer.Code", stmt.CodeBusy), HaveField("NotSent", true), HaveField("RetryAfter", BeNumerically(">", 0)),
+		)))
+		Expect(conn.texts()).To(BeEmpty())
+		Expect(p.Idle()).To(BeTrue())
+	})
+
 	It("ends an open transaction when this instance isn't the gateway any more", func() {
 		d := &countingDialer{}
 		p := newColdPool(d, gatewayClaim(50), false)
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -33,6 +33,8 @@
 	if p.updateEvacuated(now); p.closed || sc.closed || p.evacuated {
 		delete(p.conns, sc)
 		closeConn(conn)
+		// After a return of the failure domain, queued statements may have waited for the slot.
+		p.dispatch(now)
 		return false
 	}
 	sc.conn = conn
@@ -116,10 +118,12 @@
 		case e.setupLeft > 0:
 		case e.setupError != nil:
 			p.finish(now, sc, e, answer)
-		case p.updateEvacuated(now):
-			// The connection is closed, whose reader ends the execution.
+		case p.updateEvacuated(now), sc.closed:
+			// The connection is closed, whose reader ends the execution. Nothing was sent after the setup.
 		case !p.ramp.Permits(now, ramp.Open):
 			e.setupError = &stmt.Answer{Code: stmt.CodeBusy, Text: notGatewayText}
+			e.retryAfter, _ = p.ramp.Admit(now, ramp.Bound, 0, len(e.main), 0)
+			p.coldRefused()
 			p.finish(now, sc, e, answer)
 		default:
 			p.release(e)
@@ -154,7 +158,7 @@
 		// expects.
 		result.Answer = stmt.Refuse(e.setupError.Code, stmt.StateIdle, e.setupError.Text)
 		result.Answer.Point = e.setupError.Point
-		result.NotSent = true
+		result.NotSent, result.RetryAfter = true, e.retryAfter
 		if last.State != stmt.StateIdle || !e.setupError.Code.NotRun() || e.syncFailed {
 			p.discard(sc)
 		}
@@ -171,7 +175,7 @@
 	}
 	switch {
 	case sc.closed:
-	case p.evacuated:
+	case p.evacuated, sc.withdrawn:
 		p.discard(sc)
 	case last.State == stmt.StateIdle:
 		p.endTransaction(sc)
--- a/io/pooler/contended.go
+++ b/io/pooler/contended.go
@@ -113,11 +113,13 @@
 			return
 		}
 		waiting[r.order.Account]--
+		r.item = item
 		if !r.continuesTransaction() && !p.mayUse(now, r.order) {
+			// The account isn't charged for a statement that wasn't sent.
+			p.queue.Ended(item, 0)
 			r.result <- refused(stmt.CodeReadOnly, withdrawnText, 0)
 			continue
 		}
-		r.item = item
 		p.start(now, sc, r)
 	}
 }
--- a/io/pooler/faults_test.go
+++ b/io/pooler/faults_test.go
@@ -138,6 +138,43 @@
 		Eventually(result).WithTimeout(waitTimeout).Should(Receive(And(HaveField("Answer.Code", stmt.CodeConnectionLost), HaveField("NotSent", false))))
 	})
 
+	It("passes on the refusal of a write that was sent before, since its outcome is then known", func() {
+		refusal := stmt.Refuse(stmt.CodeReadOnly, stmt.StateIdle, "replica")
+		conn.answer = func(stmt.Command) (stmt.Answer, bool) { return stmt.Answer{}, false }
+		result := start(4)
+		withdrawn.Store(5)
+		p.Withdraw(5)
+		conn.answers <- refusal
+		Eventually(result).WithTimeout(waitTimeout).Should(Receive(HaveField("Answer", refusal)))
+		Eventually(conn.ended).WithTimeout(waitTimeout).Should(BeClosed())
+		Expect(p.Idle()).To(BeTrue())
+	})
+
+	It("withholds the success of a write that arrives after the pool was told", func() {
+		result := start(4)
+		p.Withdraw(5)
+		close(answer)
+		Eventually(result).WithTimeout(waitTimeout).Should(Receive(And(HaveField("Answer.Code", stmt.CodeConnectionLost), HaveField("NotSent", false))))
+		Eventually(conn.ended).WithTimeout(waitTimeout).Should(BeClosed())
+		Expect(p.ConfirmedAt()).To(BeZero())
+	})
+
+	It("sends nothing more for a write whose BEGIN is answered after it, and says so", func() {
+		conn.holdEnd = true
+		conn.answer = func(stmt.Command) (stmt.Answer, bool) { return stmt.Answer{}, false }
+		o := inTransaction(order("w1", "WRITE x one", stmt.KindWrite), 7, stmt.OpBegin)
+		result := make(chan stmt.Result, 1)
+		go func() { result <- p.Run(clock.Now(), o) }()
+		Eventually(conn.count).WithTimeout(waitTimeout).Should(Equal(1))
+		p.Withdraw(5)
+		conn.answers <- stmt.Answer{State: stmt.StateOpen}
+		Eventually(conn.answers).WithTimeout(waitTimeout).Should(BeEmpty())
+		Consistently(conn.texts, 50*time.Millisecond).Should(BeEmpty())
+		close(conn.ended)
+		Eventually(result).WithTimeout(waitTimeout).Should(Receive(HaveField("NotSent", true)))
+		Expect(p.Idle()).To(BeTrue())
+	})
+
 	It("withholds an answer that arrives before the pool was told", func() {
 		result := start(4)
 		withdrawn.Store(5)
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -285,7 +285,7 @@
 	defer p.mu.Unlock()
 	p.updateEvacuated(now)
 	p.releaseIfMoved(holder)
-	if p.queue.Len() > 0 {
+	if p.queue.Len()+p.queue.Displaced() > 0 {
 		p.shedCold(now)
 		if !p.disabled.Has(trial.SilentServers) {
 			p.releaseReads(now)
@@ -332,7 +332,7 @@
 func (p *Pool) Idle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.running == 0 && p.queue.Len() == 0 && len(p.transactions) == 0
+	return p.running == 0 && p.queue.Len()+p.queue.Displaced() == 0 && len(p.transactions) == 0
 }
 
 // Close rejects the queued statements and all later ones, and closes the connections.
--- a/io/pooler/scripted_test.go
+++ b/io/pooler/scripted_test.go
@@ -62,6 +62,13 @@
 	return nil
 }
 
+// count returns the number of commands that were sent.
+func (c *scriptedConn) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.sent)
+}
+
 // texts returns the texts of the callers' statements that were sent.
 func (c *scriptedConn) texts() []string {
 	c.mu.Lock()
--- a/io/pooler/serverconn.go
+++ b/io/pooler/serverconn.go
@@ -36,7 +36,10 @@
 	// requested under epoch.
 	usesPrimary bool
 	epoch       uint64
-	idleFrom    time.Time
+	// withdrawn says that the appointment under which the statement in flight was requested was
+	// withdrawn. The connection is closed after the answer.
+	withdrawn bool
+	idleFrom  time.Time
 	// closed says that the pool has closed the connection, or doesn't want it when it
 	// opens.
 	closed bool
@@ -82,6 +85,8 @@
 	answered bool
 	// setupError is the answer to the first setup command that failed, or nil.
 	setupError *stmt.Answer
+	// retryAfter is the time after which the caller may retry if setupError is the pool's own refusal.
+	retryAfter time.Duration
 }
 
 // newServerConn returns a connection and starts a goroutine that opens it and reads from it
--- a/io/pooler/withdraw.go
+++ b/io/pooler/withdraw.go
@@ -10,8 +10,15 @@
 	"pomelofork/core/stmt"
 )
 
-// withdrawnText says why the work of a primary is refused.
-const withdrawnText = "server is no longer the appointed primary"
+const (
+	// withdrawnText says why the work of a primary is refused.
+	withdrawnText = "server is no longer the appointed primary"
+	// withdrawnAnswerTimeout is the time for which a statement that was sent before the withdrawal of its
+	// server's appointment may still be answered. A primary that has stepped down refuses the statement
+	// within a round trip or a statement's duration, and the outcome of the statement is then known. If no
+	// answer comes, the caller shouldn't wait much longer than for the promotion.
+	withdrawnAnswerTimeout = 100 * time.Millisecond
+)
 
 // mayUse reports whether an order may be sent to the server now. Work for the primary may be,
 // while the appointment that the entry knows is in force.
@@ -21,7 +28,8 @@
 
 // Withdraw ends the work for the service's primary that was requested under an epoch below the
 // given one. Queued orders are refused. Connections whose last order or transaction was such
-// work are closed, so that the outcome of what was sent is unknown.
+// work are closed. A statement that was sent, other than a read, may still be refused by the server
+// before that; its success is not passed on, and without an answer its outcome is unknown.
 func (p *Pool) Withdraw(epoch uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -36,11 +44,31 @@
 		if sc.usesPrimary && sc.epoch < epoch {
 			p.log.LogAttrs(context.Background(), slog.LevelInfo, "appointment of the primary withdrawn, closing a connection in use",
 				slog.String("server", string(p.server.ID)), slog.Uint64("epoch", sc.epoch), slog.Uint64("withdrawal", epoch))
+			if e := sc.execution; e != nil && e.mainLeft > 0 && !e.request.order.Reads() {
+				p.awaitRefusal(sc, e)
+				continue
+			}
 			p.discard(sc)
 		}
 	}
 }
 
+// awaitRefusal lets a statement in flight be answered, for at most withdrawnAnswerTimeout. The connection
+// is closed afterwards.
+func (p *Pool) awaitRefusal(sc *serverConn, e *execution) {
+	if sc.withdrawn {
+		return
+	}
+	sc.withdrawn = true
+	time.AfterFunc(withdrawnAnswerTimeout, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if sc.execution == e {
+			p.discard(sc)
+		}
+	})
+}
+
 // ConfirmedAt returns the latest time as of which the server is known to have been the primary of
 // its service, or the zero time.
 func (p *Pool) ConfirmedAt() time.Time {
@@ -53,7 +81,7 @@
 // the primary and its appointment isn't known to be in force any more. Another server may have
 // become the primary before this one ran the order.
 func (p *Pool) checkAnswer(now time.Time, sc *serverConn, e *execution, result stmt.Result) stmt.Result {
-	if !sc.usesPrimary || result.Answer.Code != stmt.CodeDone || e.request.order.Statement.Kind == stmt.KindRollback || p.allows(now, sc.epoch) {
+	if !sc.usesPrimary || result.Answer.Code != stmt.CodeDone || e.request.order.Statement.Kind == stmt.KindRollback || (!sc.withdrawn && p.allows(now, sc.epoch)) {
 		return result
 	}
 	p.log.LogAttrs(context.Background(), slog.LevelWarn, "answer withheld: the server's appointment as the primary isn't known to be in force",
