core/wait: one simulation for both loads

Cause: the replayed load and that of lagging replicas had a simulation each, with own types for calls, classes and outcomes.

Change: load_test.go has one simulation, which serves both. The outcomes are computed from the calls afterwards. The four specs about lagging replicas are one with the same four bounds; first come first served is wait.Policy's ArrivalOrder with AcceptAll instead of a second queue of the test's own.

--- a/core/wait/load_test.go
+++ b/core/wait/load_test.go
@@ -1,181 +1,208 @@
 package wait_test
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"pomelofork/core/model"
 	"pomelofork/core/wait"
 )
 
-// class is one class of statements of a load: its rate of arrival, cost and time limits.
+const (
+	// tick is the step of the simulated time.
+	tick = time.Millisecond / 2
+	// maxReturns is the number of times that a refused caller returns.
+	maxReturns = 2
+)
+
+// class is one class of statements of a load: statements a second, work, limits and worth.
 type class struct {
-	perSecond        float64
-	cost             time.Duration
-	target, deadline time.Duration
-	priority         int
-	// worth and late are the value of an answer within its target, and after it but before
-	// the deadline.
+	perSecond                       float64
+	cost, target, timeout, giveUpAt time.Duration
+	priority                        int
+	// worth and late are the value of an answer within its target, and after it but before the
+	// caller gives up.
 	worth, late float64
 }
 
-// lagging is the load on a primary with two slots while its replicas lag: all reads of the
-// service, about one and a half times what the slots can serve.
-var lagging = map[string]class{
-	"post":   {18, 4500 * time.Microsecond, 120 * time.Millisecond, 800 * time.Millisecond, 1, 2, 0.6},
-	"lookup": {25, 22 * time.Millisecond, 400 * time.Millisecond, 1500 * time.Millisecond, 2, 1, 0.3},
-	"entry":  {150, 14 * time.Millisecond, 200 * time.Millisecond, 800 * time.Millisecond, 2, 2, 0.3},
-}
-
-// arrival is one statement of a load.
-type arrival struct {
-	at    time.Duration
-	class string
-	cost  time.Duration
+// load is what the accounts send to one server up to length. The simulation stops at end.
+type load struct {
+	slots       int
+	classes     []class
+	weights     []float64
+	factor      func(class, account int, now time.Duration) float64
+	length, end time.Duration
+	noReturn    bool
 }
 
-// arrivals generates the statements of a load up to the given length, always the same.
-func arrivals(load map[string]class, length time.Duration) []arrival {
-	rng := rand.New(rand.NewPCG(1, 2))
-	var out []arrival
-	for _, name := range []string{"post", "lookup", "entry"} {
-		c := load[name]
-		for now := time.Duration(0); now < length; {
-			now += time.Duration(rng.ExpFloat64() / c.perSecond * float64(time.Second))
-			out = append(out, arrival{now, name, time.Duration(float64(c.cost) * (0.5 + rng.Float64()))})
-		}
-	}
-	return out
-}
-
-// policy orders the waiting statements.
-type policy interface {
-	add(now time.Duration, i int) bool
-	next(now time.Duration) (int, bool)
+// call is one operation of a caller. It is answered at ended, if that isn't zero.
+type call struct {
+	class, account, returns int
+	at, cost, ended         time.Duration
 }
 
 // outcome is the result of serving a load by a policy.
 type outcome struct {
-	earnedWorth, totalWorth float64
-	inTarget                map[string]int
-	arrived                 map[string]int
+	load
+	calls   []*call
+	refused int
+	// dropped is the number of statements that left the queue unserved, droppedWait the sum of their
+	// waits, and droppedPart the sum of the parts of their timeout for which they had waited.
+	dropped     int
+	droppedWait time.Duration
+	droppedPart float64
 }
 
-// simulate serves a load by a policy on two slots, in virtual time.
-func simulate(load map[string]class, all []arrival, p policy) outcome {
-	o := outcome{inTarget: map[string]int{}, arrived: map[string]int{}}
-	free := []time.Duration{0, 0}
-	next := 0
-	for now := time.Duration(0); now < 20*time.Second; now += time.Millisecond / 2 {
-		for i := range all {
-			if a := all[i]; a.at >= now && a.at < now+time.Millisecond/2 {
-				o.totalWorth += load[a.class].worth
-				o.arrived[a.class]++
-				p.add(now, i)
-				next++
+// generate returns the calls of the load by tick, the same for the same seed.
+func (l load) generate(seed uint64) [][]*call {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	calls := make([][]*call, l.end/tick+1)
+	for class, c := range l.classes {
+		for account, weight := range l.weights {
+			for now := time.Duration(0); now < l.length; {
+				rate := c.perSecond * weight * l.factor(class, account, now)
+				if now += time.Duration(rng.ExpFloat64() / rate * float64(time.Second)); now >= l.length {
+					break
+				}
+				cost := time.Duration(float64(c.cost) * (0.5 + rng.Float64()))
+				calls[now/tick] = append(calls[now/tick], &call{class: class, account: account, at: now, cost: cost})
 			}
 		}
-		for s := range free {
-			if free[s] > now {
-				continue
+	}
+	return calls
+}
+
+// serve serves the load by a policy. Callers that are refused return when they are told to. Without
+// drop, statements are dropped only when their timeout has expired.
+func (l load) serve(seed uint64, policy wait.Policy, drop bool) *outcome {
+	o, calls := &outcome{load: l}, l.generate(seed)
+	queue := wait.NewWithPolicy[*call](l.slots, policy)
+	var running []wait.Item[*call]
+	for step := range calls {
+		now := time.Duration(step) * tick
+		refuse := func(c *call, after time.Duration) {
+			o.refused++
+			back := max(now+after, now+tick)
+			if c.returns++; !l.noReturn && c.returns <= maxReturns && back < c.at+l.classes[c.class].giveUpAt && back < l.end {
+				calls[back/tick] = append(calls[back/tick], c)
+			}
+		}
+		running = slices.DeleteFunc(running, func(i wait.Item[*call]) bool {
+			if i.Value.ended > now {
+				return false
 			}
-			i, ok := p.next(now)
+			queue.ObserveCost(i.Class, i.Value.cost)
+			queue.Ended(i, i.Value.cost)
+			return true
+		})
+		for _, c := range calls[step] {
+			class := l.classes[c.class]
+			if c.returns == 0 {
+				o.calls = append(o.calls, c)
+			}
+			refusal, ok := queue.Add(at(now), wait.Item[*call]{
+				Value: c, Class: fmt.Sprint(c.class), Priority: class.priority, Target: at(now + class.target), Deadline: at(now + class.timeout),
+				Account: model.AccountID(fmt.Sprint(c.account)), Weight: l.weights[c.account],
+			}, len(running))
 			if !ok {
-				continue
+				refuse(c, refusal.RetryAfter)
+			}
+		}
+		if drop {
+			for _, item := range queue.RemoveUnservable(at(now)) {
+				timeout := l.classes[item.Value.class].timeout
+				waited := timeout - item.Deadline.Sub(at(now))
+				o.dropped++
+				o.droppedWait += waited
+				o.droppedPart += waited.Seconds() / timeout.Seconds()
+				refuse(item.Value, queue.RefusalOf(at(now), item, len(running)).RetryAfter)
+			}
+		}
+		for len(running) < l.slots {
+			item, ok := queue.Next(at(now), func(*call) bool { return true })
+			if !ok {
+				break
 			}
-			a := all[i]
-			c := load[a.class]
-			free[s] = now + a.cost
-			switch took := free[s] - a.at; {
-			case took <= c.target:
-				o.earnedWorth += c.worth
-				o.inTarget[a.class]++
-			case took <= c.deadline:
-				o.earnedWorth += c.late
+			if !drop && at(now).After(item.Deadline) {
+				refuse(item.Value, 100*time.Millisecond)
+				continue
 			}
+			item.Value.ended = now + item.Value.cost
+			running = append(running, item)
 		}
 	}
 	return o
 }
 
-// fifo serves first come first served and drops statements past their deadline.
-type fifo struct {
-	load    map[string]class
-	all     []arrival
-	waiting []int
+// worth returns what a call earned.
+func (l load) worth(c *call) float64 {
+	class := l.classes[c.class]
+	switch took := c.ended - c.at; {
+	case c.ended == 0 || c.ended > l.end || took > class.giveUpAt:
+		return 0
+	case took > class.target:
+		return class.late
+	}
+	return class.worth
 }
 
-func (f *fifo) add(_ time.Duration, i int) bool {
-	f.waiting = append(f.waiting, i)
-	return true
+// earned returns the part of the offered worth that was earned, in total and by class.
+func (o *outcome) earned() (total float64, byClass []float64) {
+	earned, offered := make([]float64, len(o.classes)), make([]float64, len(o.classes))
+	sumEarned, sumOffered := 0.0, 0.0
+	for _, c := range o.calls {
+		earned[c.class] += o.worth(c)
+		offered[c.class] += o.classes[c.class].worth
+		sumEarned, sumOffered = sumEarned+o.worth(c), sumOffered+o.classes[c.class].worth
+	}
+	for class := range earned {
+		earned[class] /= offered[class]
+	}
+	return sumEarned / sumOffered, earned
 }
 
-func (f *fifo) next(now time.Duration) (int, bool) {
-	for len(f.waiting) > 0 {
-		i := f.waiting[0]
-		f.waiting = f.waiting[1:]
-		if now < f.all[i].at+f.load[f.all[i].class].deadline {
-			return i, true
+// inTarget returns the part of the calls of each class that were answered within their target.
+func (o *outcome) inTarget() []float64 {
+	met, all := make([]float64, len(o.classes)), make([]float64, len(o.classes))
+	for _, c := range o.calls {
+		all[c.class]++
+		if c.ended > 0 && c.ended-c.at <= o.classes[c.class].target {
+			met[c.class]++
 		}
 	}
-	return 0, false
-}
-
-// byTarget is the policy of wait.Queue.
-type byTarget struct {
-	load  map[string]class
-	all   []arrival
-	queue *wait.Queue[int]
-	// dropped counts the statements that were removed before they ran, and droppedWait is
-	// the sum of their waits.
-	dropped     int
-	droppedWait time.Duration
-}
-
-func (b *byTarget) add(now time.Duration, i int) bool {
-	c := b.load[b.all[i].class]
-	_, ok := b.queue.Add(at(now), wait.Item[int]{
-		Value: i, Class: b.all[i].class, Priority: c.priority, Target: at(now + c.target), Deadline: at(now + c.deadline),
-	}, 2)
-	return ok
+	for class := range met {
+		met[class] /= all[class]
+	}
+	return met
 }
 
-func (b *byTarget) next(now time.Duration) (int, bool) {
-	for _, i := range b.queue.RemoveUnservable(at(now)) {
-		b.dropped++
-		b.droppedWait += now - b.all[i.Value].at
-	}
-	i, ok := b.queue.Next(at(now), fitsAll)
-	if ok {
-		b.queue.ObserveCost(i.Class, b.all[i.Value].cost)
-	}
-	return i.Value, ok
+// lagging is the load on a primary with two slots while its replicas lag: all reads of the
+// service, about one and a half times what the slots can serve.
+var lagging = load{
+	slots: 2, weights: []float64{1}, factor: func(int, int, time.Duration) float64 { return 1 },
+	length: 8 * time.Second, end: 20 * time.Second, noReturn: true,
+	classes: []class{
+		{18, 4500 * time.Microsecond, 120 * time.Millisecond, 800 * time.Millisecond, 800 * time.Millisecond, 1, 2, 0.6},
+		{25, 22 * time.Millisecond, 400 * time.Millisecond, 1500 * time.Millisecond, 1500 * time.Millisecond, 2, 1, 0.3},
+		{150, 14 * time.Millisecond, 200 * time.Millisecond, 800 * time.Millisecond, 800 * time.Millisecond, 2, 2, 0.3},
+	},
 }
 
 var _ = Describe("Queue under the reads of a service whose replicas lag", func() {
-	load := arrivals(lagging, 8*time.Second)
-	fifoOutcome := simulate(lagging, load, &fifo{load: lagging, all: load})
-	byTargetPolicy := &byTarget{load: lagging, all: load, queue: wait.New[int](2)}
-	byTargetOutcome := simulate(lagging, load, byTargetPolicy)
-
-	It("earns at least twice the worth that first come first served earns", func() {
-		Expect(byTargetOutcome.earnedWorth / byTargetOutcome.totalWorth).To(BeNumerically(">=", 2*fifoOutcome.earnedWorth/fifoOutcome.totalWorth))
-	})
-
-	It("serves the first priority within its target", func() {
-		Expect(float64(byTargetOutcome.inTarget["post"]) / float64(byTargetOutcome.arrived["post"])).To(BeNumerically(">=", 0.99))
-	})
-
-	It("removes unservable statements long before their deadline", func() {
+	It("earns twice what first come first served does, meets the first targets, drops early and starves no class", func() {
+		o := lagging.serve(1, wait.Policy{}, true)
+		byTarget, _ := o.earned()
+		fifo, _ := lagging.serve(1, wait.Policy{ArrivalOrder: true, AcceptAll: true}, false).earned()
+		Expect(byTarget).To(BeNumerically(">=", 2*fifo), "earned part of the worth")
+		inTarget := o.inTarget()
+		Expect(inTarget[0]).To(BeNumerically(">=", 0.99), "the first priority is served within its target")
 		// Half of the shortest time to a deadline in this load.
-		Expect(byTargetPolicy.droppedWait / time.Duration(max(byTargetPolicy.dropped, 1))).To(BeNumerically("<=", 400*time.Millisecond))
-	})
-
-	It("starves no class", func() {
-		for name, arrived := range byTargetOutcome.arrived {
-			Expect(byTargetOutcome.inTarget[name]).To(BeNumerically(">=", arrived/10), name)
-		}
+		Expect(o.droppedWait/time.Duration(max(o.dropped, 1))).To(BeNumerically("<=", 400*time.Millisecond), "mean wait of dropped statements")
+		Expect(inTarget).To(HaveEach(BeNumerically(">=", 0.1)), "no class starves")
 	})
 })
