io/proxy: shared set-up in the tests of gateways, homes, outages and domains

Cause: three tests registered instances with a relay server each, and the specs about domains repeated the entries of services and the reading of monitors.

Change: addInstance, and methods of domainFleet that keep the domains of the primaries. The spec about the time to return is a column of the table about homes; those about orders at a gateway and at a server elsewhere are one, with the same assertions.

--- a/io/proxy/domains_test.go
+++ b/io/proxy/domains_test.go
@@ -42,16 +42,22 @@
 	domains map[model.InstanceID]model.Domain
 	rights  map[model.InstanceID]*right.Manager
 	stops   map[model.InstanceID]context.CancelFunc
+	// primaries are the domains of the primaries.
+	primaries map[model.ServiceID]model.Domain
 }
 
 func newDomainFleet() *domainFleet {
-	f := &domainFleet{kvsim.New(), map[model.InstanceID]model.Domain{}, map[model.InstanceID]*right.Manager{}, map[model.InstanceID]context.CancelFunc{}}
+	f := &domainFleet{kvsim.New(), map[model.InstanceID]model.Domain{}, map[model.InstanceID]*right.Manager{}, map[model.InstanceID]context.CancelFunc{}, map[model.ServiceID]model.Domain{}}
 	f.table.Set("config", nil)
 	return f
 }
 
-// start starts an instance in a failure domain.
-func (f *domainFleet) start(id model.InstanceID, domain model.Domain) {
+// fleetDomains are the failure domains of a domainFleet.
+var fleetDomains = []model.Domain{"a", "b", "c"}
+
+// start starts instance i in failure domain i modulo 3.
+func (f *domainFleet) start(i int) {
+	id, domain := model.InstanceID(fmt.Sprint("i", i)), fleetDomains[i%3]
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	log := slog.New(slog.NewTextHandler(GinkgoWriter, nil)).With("self", string(id))
@@ -67,15 +73,30 @@
 	})
 }
 
-// register writes the entries of a service with a server in each of the domains, the first of which
-// has the primary.
-func (f *domainFleet) register(service string, domains ...model.Domain) {
-	for i, domain := range domains {
-		role := "replica"
-		if i == 0 {
-			role = "primary"
-		}
-		f.table.Set(fmt.Sprintf("server/%s-%s", service, domain), []byte(fmt.Sprintf("%s %s %s", service, domain, role)))
+// register writes the entries of a service with a server in each of the domains. The domain of the primary
+// is given by its index modulo 3.
+func (f *domainFleet) register(service, primary int) {
+	id := model.ServiceID(fmt.Sprint("s", service))
+	f.primaries[id] = fleetDomains[primary%3]
+	for k, role := range []string{"primary", "replica", "replica"} {
+		domain := fleetDomains[(primary+k)%3]
+		f.table.Set(fmt.Sprintf("server/%s-%s", id, domain), []byte(fmt.Sprintf("%s %s %s", id, domain, role)))
+	}
+}
+
+// monitors returns the entries of the rights to monitor the services.
+func (f *domainFleet) monitors() map[model.ServiceID]store.Entry {
+	entries := map[model.ServiceID]store.Entry{}
+	for id := range f.primaries {
+		entries[id], _ = f.table.Get("own/right/" + monitorRight(id))
+	}
+	return entries
+}
+
+// apart checks that each monitor is in another domain than its primary.
+func (f *domainFleet) apart(g Gomega) {
+	for id, domain := range f.primaries {
+		g.Expect(f.holderDomain(monitorRight(id))).NotTo(BeElementOf(model.Domain(""), domain), string(id))
 	}
 }
 
@@ -92,30 +113,19 @@
 // Monitors that had been acquired before their primaries registered were in the domains of these, and
 // were lost together with them.
 var _ = Describe("In a fleet that bears the loss of a failure domain", Ordered, func() {
-	domains := []model.Domain{"a", "b", "c"}
-	settle := func(f *domainFleet, check func(g Gomega)) {
+	var f *domainFleet
+	BeforeEach(func() { f = newDomainFleet() })
+	settle := func(check func(g Gomega)) {
 		Eventually(check).WithTimeout(30 * time.Second).WithPolling(20 * time.Millisecond).Should(Succeed())
 	}
-	apart := func(f *domainFleet, primaries map[string]model.Domain) func(g Gomega) {
-		return func(g Gomega) {
-			for service, domain := range primaries {
-				holder := f.holderDomain(monitorRight(model.ServiceID(service)))
-				g.Expect(holder).NotTo(BeElementOf(model.Domain(""), domain), service)
-			}
-		}
-	}
 	for seed := range uint64(2) {
 		It(fmt.Sprint("no monitor stays in the domain of its primary, in order of starts ", seed), func() {
-			f := newDomainFleet()
 			var starts []func()
 			for i := range 6 {
-				starts = append(starts, func() { f.start(model.InstanceID(fmt.Sprint("i", i)), domains[i%3]) })
+				starts = append(starts, func() { f.start(i) })
 			}
-			primaries := map[string]model.Domain{}
 			for i := range 6 {
-				service := fmt.Sprint("s", i)
-				primaries[service] = domains[i%3]
-				starts = append(starts, func() { f.register(service, domains[i%3], domains[(i+1)%3], domains[(i+2)%3]) })
+				starts = append(starts, func() { f.register(i, i) })
 			}
 			random := rand.New(rand.NewPCG(seed, 0))
 			random.Shuffle(len(starts), func(i, k int) { starts[i], starts[k] = starts[k], starts[i] })
@@ -123,42 +133,30 @@
 				start()
 				time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
 			}
-			settle(f, apart(f, primaries))
+			settle(f.apart)
 			By("promoting servers in other domains")
 			for i := range 6 {
-				service := fmt.Sprint("s", i)
-				primaries[service] = domains[(i+1)%3]
-				f.register(service, domains[(i+1)%3], domains[(i+2)%3], domains[i%3])
+				f.register(i, i+1)
 			}
-			settle(f, apart(f, primaries))
+			settle(f.apart)
 			By("checking that no right is written any more")
-			held := map[string]store.Entry{}
-			for service := range primaries {
-				held[service], _ = f.table.Get("own/right/" + monitorRight(model.ServiceID(service)))
-			}
-			Consistently(func(g Gomega) {
-				for service, entry := range held {
-					now, _ := f.table.Get("own/right/" + monitorRight(model.ServiceID(service)))
-					g.Expect(now).To(Equal(entry))
-				}
-			}).WithTimeout(3 * time.Second).Should(Succeed())
+			Consistently(f.monitors).WithTimeout(3 * time.Second).Should(Equal(f.monitors()))
 		})
 	}
 
 	It("the issuers of a group of accounts move to different domains", func() {
-		f := newDomainFleet()
-		f.register("s0", "a", "b", "c")
+		f.register(0, 0)
 		for i := range 3 {
-			f.start(model.InstanceID(fmt.Sprint("a", i)), "a")
+			f.start(3 * i)
 		}
-		settle(f, func(g Gomega) {
+		settle(func(g Gomega) {
 			for issuer := range 3 {
 				g.Expect(f.holderDomain(issuerRight(0, issuer))).To(Equal(model.Domain("a")))
 			}
 		})
-		f.start("b0", "b")
-		f.start("c0", "c")
-		settle(f, func(g Gomega) {
+		f.start(1)
+		f.start(2)
+		settle(func(g Gomega) {
 			for group := range accountGroups {
 				found := map[model.Domain]bool{}
 				for issuer := range 3 {
@@ -170,17 +168,13 @@
 	})
 
 	It("a domain that returns costs few writes, and its rights move at most once", func() {
-		f := newDomainFleet()
 		for i := range 9 {
-			f.start(model.InstanceID(fmt.Sprint("i", i)), domains[i%3])
+			f.start(i)
 		}
-		primaries := map[string]model.Domain{}
 		for i := range 12 {
-			service := fmt.Sprint("s", i)
-			primaries[service] = domains[i%3]
-			f.register(service, domains[i%3], domains[(i+1)%3], domains[(i+2)%3])
+			f.register(i, i)
 		}
-		settle(f, apart(f, primaries))
+		settle(f.apart)
 		By("losing domain c, whose primaries are replaced")
 		for i := 2; i < 9; i += 3 {
 			id := model.InstanceID(fmt.Sprint("i", i))
@@ -188,50 +182,38 @@
 			delete(f.rights, id)
 		}
 		for i := 2; i < 12; i += 3 {
-			service := fmt.Sprint("s", i)
-			primaries[service] = "a"
-			f.register(service, "a", "b", "c")
+			f.register(i, 0)
 		}
-		settle(f, apart(f, primaries))
+		settle(f.apart)
 		// The rights of a moment ago are settled when nothing but renewals happens.
 		var before uint64
-		settle(f, func(g Gomega) {
+		settle(func(g Gomega) {
 			before = f.table.Revision()
 			time.Sleep(2500 * time.Millisecond)
 			g.Expect(f.table.Revision()).To(Equal(before))
 		})
-		holders := map[string]string{}
-		for service := range primaries {
-			entry, _ := f.table.Get("own/right/" + monitorRight(model.ServiceID(service)))
-			holders[service] = string(entry.Value)
-		}
+		holders := f.monitors()
 		for i := 2; i < 9; i += 3 {
-			f.start(model.InstanceID(fmt.Sprint("i", i)), "c")
+			f.start(i)
 		}
 		// Three checks for rights that other instances should hold.
 		time.Sleep(6 * time.Second)
 		moved := 0
-		for service := range primaries {
-			entry, _ := f.table.Get("own/right/" + monitorRight(model.ServiceID(service)))
-			if string(entry.Value) != holders[service] {
+		for id, entry := range f.monitors() {
+			if string(entry.Value) != string(holders[id].Value) {
 				moved++
 			}
 		}
 		Expect(moved).To(BeNumerically("<=", 4))
 		Expect(f.table.Revision()-before).To(BeNumerically("<=", 24), "3 for each registration, and a few rights")
-		apart(f, primaries)(NewWithT(GinkgoT()))
+		f.apart(NewWithT(GinkgoT()))
 	})
 
 	It("instances keep the monitors if all of them are in the domain of the primary", func() {
-		f := newDomainFleet()
-		f.register("s0", "a", "b", "c")
-		f.start("a0", "a")
-		f.start("a1", "a")
-		settle(f, func(g Gomega) { g.Expect(f.holderDomain("lead-s0")).To(Equal(model.Domain("a"))) })
-		entry, _ := f.table.Get("own/right/lead-s0")
-		Consistently(func() store.Entry {
-			now, _ := f.table.Get("own/right/lead-s0")
-			return now
-		}).WithTimeout(3 * time.Second).Should(Equal(entry))
+		f.register(0, 0)
+		f.start(0)
+		f.start(3)
+		settle(func(g Gomega) { g.Expect(f.holderDomain(monitorRight("s0"))).To(Equal(model.Domain("a"))) })
+		Consistently(f.monitors).WithTimeout(3 * time.Second).Should(Equal(f.monitors()))
 	})
 })
--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -49,19 +49,25 @@
 	return nil
 }
 
+// addInstance registers an instance whose statements h handles, or that never answers if h is nil.
+func addInstance(table *kvsim.Table, id string, domain model.Domain, h relay.Handler) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = listener.Close() })
+	if h != nil {
+		Expect(relay.NewServer(relay.ServerConfig{Listener: listener, Handler: h, Disconnected: func(uint64) {}, Log: slog.New(slog.DiscardHandler)})).To(Succeed())
+	}
+	table.Set("own/instance/"+id, []byte(fmt.Sprintf(`{"address":%q,"domain":%q,"weight":1}`, listener.Addr(), domain)))
+}
+
 // newNodeWithGateways returns a node whose view has the given number of other instances, all of
 // which are lost gateways, and the count of their orders. The node acquires the given rights.
 func newNodeWithGateways(count int, wanted ...right.Spec) (*Node, *atomic.Int64) {
 	table := kvsim.New()
 	table.Set("config", nil)
 	orders := &atomic.Int64{}
-	log := slog.New(slog.DiscardHandler)
 	for i := range count {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(func() { _ = listener.Close() })
-		Expect(relay.NewServer(relay.ServerConfig{Listener: listener, Handler: &lostGateway{orders: orders}, Disconnected: func(uint64) {}, Log: log})).To(Succeed())
-		table.Set(fmt.Sprint("own/instance/g", i), []byte(fmt.Sprintf(`{"address":%q,"domain":"d","weight":1}`, listener.Addr())))
+		addInstance(table, fmt.Sprint("g", i), "d", &lostGateway{orders: orders})
 	}
 	return newNodeFor(table, count, wanted...), orders
 }
--- a/io/proxy/home_test.go
+++ b/io/proxy/home_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"fmt"
 	"log/slog"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -29,11 +27,7 @@
 	counts := map[string]*atomic.Int64{}
 	for _, domain := range domains {
 		counts[domain] = &atomic.Int64{}
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(func() { _ = listener.Close() })
-		Expect(relay.NewServer(relay.ServerConfig{Listener: listener, Handler: &lostGateway{orders: counts[domain]}, Disconnected: func(uint64) {}, Log: slog.New(slog.DiscardHandler)})).To(Succeed())
-		table.Set("own/instance/"+domain, []byte(fmt.Sprintf(`{"address":%q,"domain":%q,"weight":1}`, listener.Addr(), domain)))
+		addInstance(table, domain, model.Domain(domain), &lostGateway{orders: counts[domain]})
 	}
 	n := newNodeFor(table, len(domains))
 	n.config.Self.Domain = "w1"
@@ -53,42 +47,33 @@
 	for name, c := range map[string]struct {
 		instances []string
 		homes     []model.Region
+		refused   bool
 		asked     map[string]int64
 	}{
-		"goes to all gateways if it has none":            {[]string{"e1", "w2", "e2"}, nil, map[string]int64{"e1": 1, "w2": 1, "e2": 1}},
-		"goes only to gateways in them":                  {[]string{"e1", "w2", "e2"}, []model.Region{"east"}, map[string]int64{"e1": 1, "w2": 0, "e2": 1}},
-		"is refused if there is no gateway in them":      {[]string{"w2", "w3", "w4"}, []model.Region{"east"}, map[string]int64{"w2": 0, "w3": 0, "w4": 0}},
-		"is refused if no failure domain belongs to one": {[]string{"e1", "w2"}, []model.Region{"north"}, map[string]int64{"e1": 0, "w2": 0}},
+		"goes to all gateways if it has none":            {[]string{"e1", "w2", "e2"}, nil, false, map[string]int64{"e1": 1, "w2": 1, "e2": 1}},
+		"goes only to gateways in them":                  {[]string{"e1", "w2", "e2"}, []model.Region{"east"}, false, map[string]int64{"e1": 1, "w2": 0, "e2": 1}},
+		"is refused if there is no gateway in them":      {[]string{"w2", "w3", "w4"}, []model.Region{"east"}, true, map[string]int64{"w2": 0, "w3": 0, "w4": 0}},
+		"is refused if no failure domain belongs to one": {[]string{"e1", "w2"}, []model.Region{"north"}, true, map[string]int64{"e1": 0, "w2": 0}},
 	} {
 		It(name, func() {
 			n, counts := newNodeWithRegions(c.instances...)
 			result := n.Run(clock.Now(), server, homeOrder(c.homes...))
 			Expect(result.NotSent).To(BeTrue())
+			Expect(result.Answer.Text == awayText).To(Equal(c.refused))
+			Expect(result.RetryAfter > 0).To(Equal(c.refused), "the time to return")
 			for domain, want := range c.asked {
 				Expect(counts[domain].Load()).To(Equal(want), domain)
 			}
 		})
 	}
 
-	It("is refused, with the time to return, where no gateway is left", func() {
-		n, _ := newNodeWithRegions("w2", "w3", "w4")
-		result := n.Run(clock.Now(), server, homeOrder("east"))
-		Expect(result.Answer.Text).To(Equal(awayText))
-		Expect(result.RetryAfter).To(BeNumerically(">", 0))
-	})
-
-	It("isn't run by a gateway elsewhere, although an entry sent it there", func() {
+	It("isn't run by a gateway or at a server elsewhere, although an entry sent it there", func() {
 		n, _ := newNodeWithRegions("e1")
 		n.pools = map[model.ServerID]*pooler.Pool{"s1": pooler.NewPool(pooler.Config{Server: server, Log: n.config.Log})}
 		var response relay.RunResponse
 		Expect((&handler{n}).Run(&relay.RunRequest{Order: *homeOrder("east")}, &response)).To(Succeed())
 		Expect(response.Result.Answer.Text).To(Equal(awayText))
 		Expect(response.Result.NotSent).To(BeTrue())
-	})
-
-	It("isn't run at a server elsewhere, although an entry chose it", func() {
-		n, _ := newNodeWithRegions("e1")
-		n.pools = map[model.ServerID]*pooler.Pool{"s1": pooler.NewPool(pooler.Config{Server: server, Log: n.config.Log})}
 		Expect(n.runLocally(clock.Now(), homeOrder("west")).Answer.Text).To(Equal(awayText))
 		Expect(n.runLocally(clock.Now(), homeOrder("east")).Answer.Text).NotTo(Equal(awayText), "the caller is connected to this instance")
 	})
--- a/io/proxy/outages_test.go
+++ b/io/proxy/outages_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"log/slog"
-	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -39,14 +37,12 @@
 	start := func(w *witness) *Node {
 		table := kvsim.New()
 		table.Set("config", nil)
-		for i, domain := range []string{"x", "x", "x", "y", "y"} {
-			listener, err := net.Listen("tcp4", "127.0.0.1:0")
-			Expect(err).NotTo(HaveOccurred())
-			DeferCleanup(func() { _ = listener.Close() })
+		for i, domain := range []model.Domain{"x", "x", "x", "y", "y"} {
+			var h relay.Handler
 			if i == 3 {
-				Expect(relay.NewServer(relay.ServerConfig{Listener: listener, Handler: w, Disconnected: func(uint64) {}, Log: slog.New(slog.DiscardHandler)})).To(Succeed())
+				h = w
 			}
-			table.Set(fmt.Sprint("own/instance/", domain, i), []byte(fmt.Sprintf(`{"address":%q,"domain":%q,"weight":1}`, listener.Addr(), domain)))
+			addInstance(table, fmt.Sprint(domain, i), domain, h)
 		}
 		n := newNodeFor(table, 5)
 		n.config.ToleratedDomains, n.config.Self.Domain = 1, "d"
