--- a/io/pooler/beside_test.go
+++ b/io/pooler/beside_test.go
@@ -1,7 +1,6 @@
 package pooler_test
 
 import (
-	"log/slog"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -40,12 +39,7 @@
 		// Otherwise no connection is opened for the third account.
 		switches, err := trial.Parse([]string{string(trial.OpeningWork)})
 		Expect(err).NotTo(HaveOccurred())
-		pool = pooler.NewPool(pooler.Config{
-			Server: plan.Server{ID: "p", Service: "s", Slots: 2, Primary: true}, Dialer: &scriptedDialer{conns: conns}, Log: slog.New(slog.DiscardHandler),
-			Contended: true, Disabled: switches, Observe: func(model.ServiceID, time.Time, model.Point) {},
-			Latest: func(model.ServiceID) (time.Time, model.Point, bool) { return time.Time{}, model.Point{}, false },
-		})
-		DeferCleanup(pool.Close)
+		pool = newPoolOf(pooler.Config{Server: plan.Server{ID: "p", Service: "s", Slots: 2, Primary: true}, Dialer: &scriptedDialer{conns: conns}, Contended: true, Disabled: switches})
 		for _, account := range []model.AccountID{"a", "b", "c"} {
 			run(account, "WRITE held", stmt.KindWrite)
 		}
--- a/io/pooler/contended_test.go
+++ b/io/pooler/contended_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"sync"
 	"time"
 
@@ -57,25 +56,26 @@
 	return conn, nil
 }
 
-func (d *slotDialer) counts() (used, peak, dials int) {
+func (d *slotDialer) inUse() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.used, d.peak, d.dials
+	return d.used
+}
+
+func (d *slotDialer) opened() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dials
 }
 
 var _ = Describe("Pool where callers compete for the server", func() {
 	var dialer *slotDialer
 	var p *pooler.Pool
 	BeforeEach(func() { dialer = &slotDialer{hold: make(chan struct{})} })
-	newPool := func(disabled ...string) {
+	open := func(disabled ...string) {
 		switches, err := trial.Parse(disabled)
 		Expect(err).NotTo(HaveOccurred())
-		p = pooler.NewPool(pooler.Config{
-			Server: plan.Server{ID: "p", Service: "s", Slots: 3, Primary: true}, Dialer: dialer, Log: slog.New(slog.DiscardHandler), Contended: true, Disabled: switches,
-			Observe: func(model.ServiceID, time.Time, model.Point) {},
-			Latest:  func(model.ServiceID) (time.Time, model.Point, bool) { return time.Time{}, model.Point{}, false },
-		})
-		DeferCleanup(p.Close)
+		p = newPoolOf(pooler.Config{Server: plan.Server{ID: "p", Service: "s", Slots: 3, Primary: true}, Dialer: dialer, Contended: true, Disabled: switches})
 	}
 	// send runs statements in the background, each of another account, and returns their results.
 	send := func(count int) chan stmt.Result {
@@ -95,9 +95,9 @@
 
 	DescribeTable("never has more at a server than its slots while connections are being opened, so that the server refuses none",
 		func(wantPeak int, disabled ...string) {
-			newPool(disabled...)
+			open(disabled...)
 			results := send(9)
-			Eventually(func() int { used, _, _ := dialer.counts(); return used }).WithTimeout(waitTimeout).Should(Equal(wantPeak))
+			Eventually(dialer.inUse).WithTimeout(waitTimeout).Should(Equal(wantPeak))
 			release(18)
 			for range 9 {
 				var result stmt.Result
@@ -106,16 +106,15 @@
 				Expect(result.Waits).To(HaveLen(1))
 				Expect(result.Waits[0].Priority).To(Equal(1))
 			}
-			_, peak, dials := dialer.counts()
-			Expect(peak).To(Equal(wantPeak))
-			Expect(dials).To(Equal(9))
+			Expect(dialer.opened()).To(Equal(9))
+			Expect(dialer.peak).To(Equal(wantPeak))
 		},
 		Entry("with openings counted as work", 3),
 		Entry("without", 4, string(trial.OpeningWork)),
 	)
 
 	It("opens a connection for an account that has none although statements of others could run", func() {
-		newPool()
+		open()
 		results := make(chan stmt.Result, 1001)
 		run := func(account model.AccountID, now time.Time) {
 			o := order("w", "WRITE x one", stmt.KindWrite)
@@ -125,18 +124,16 @@
 		for range 1000 {
 			run("a", clock.Now())
 		}
-		Eventually(func() int { _, _, dials := dialer.counts(); return dials }).WithTimeout(waitTimeout).Should(Equal(3))
+		Eventually(dialer.opened).WithTimeout(waitTimeout).Should(Equal(3))
 		release(3)
-		Eventually(func() int { used, _, _ := dialer.counts(); return used }).WithTimeout(waitTimeout).Should(Equal(3))
+		Eventually(dialer.inUse).WithTimeout(waitTimeout).Should(Equal(3))
 		// More than half of the time to its target has passed.
 		run("b", clock.Now().Add(-30*time.Second))
 		Eventually(func() int {
-			if used, _, dials := dialer.counts(); used < 3 || dials > 3 {
-				return dials
+			if dialer.inUse() == 3 && dialer.opened() == 3 {
+				release(1)
 			}
-			release(1)
-			_, _, dials := dialer.counts()
-			return dials
+			return dialer.opened()
 		}).WithTimeout(waitTimeout).Should(Equal(4))
 		Expect(len(results)).To(BeNumerically("<", 1000))
 		for len(results) < 1001 {
@@ -148,7 +145,7 @@
 	})
 
 	It("tells the queued statements that they have not run when another instance holds the connections", func() {
-		newPool()
+		open()
 		p.Tick(clock.Now(), true)
 		results := send(5)
 		Eventually(func() int {
--- a/io/pooler/faults_test.go
+++ b/io/pooler/faults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -112,13 +111,10 @@
 			}
 			return done(c)
 		}
-		p = pooler.NewPool(pooler.Config{
-			Server: plan.Server{ID: "p", Service: "s", Slots: 2, Primary: true}, Dialer: &scriptedDialer{conns: []*scriptedConn{conn}}, Log: slog.New(slog.DiscardHandler),
-			Observe: func(model.ServiceID, time.Time, model.Point) {},
-			Latest:  func(model.ServiceID) (time.Time, model.Point, bool) { return time.Time{}, model.Point{}, false },
-			Allows:  func(_ time.Time, epoch uint64) bool { return epoch >= withdrawn.Load() },
+		p = newPoolOf(pooler.Config{
+			Server: plan.Server{ID: "p", Service: "s", Slots: 2, Primary: true}, Dialer: &scriptedDialer{conns: []*scriptedConn{conn}},
+			Allows: func(_ time.Time, epoch uint64) bool { return epoch >= withdrawn.Load() },
 		})
-		DeferCleanup(p.Close)
 	})
 
 	// start runs a write under an epoch and returns when it was sent.
--- a/io/pooler/pooler_test.go
+++ b/io/pooler/pooler_test.go
@@ -1,7 +1,6 @@
 package pooler_test
 
 import (
-	"log/slog"
 	"sync"
 	"testing"
 	"time"
@@ -45,17 +44,14 @@
 
 // newPool returns a new pool for a server of the group.
 func (f *fixture) newPool(id model.ServerID, connections int) *pooler.Pool {
-	p := pooler.NewPool(pooler.Config{
-		Server: f.group.Server(id).Registration(), Connections: connections, Dialer: group.Dialer{f.group}, Log: slog.New(slog.DiscardHandler),
+	return newPoolOf(pooler.Config{
+		Server: f.group.Server(id).Registration(), Connections: connections, Dialer: group.Dialer{f.group},
 		Observe: func(_ model.ServiceID, _ time.Time, point model.Point) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.points = append(f.points, point)
 		},
-		Latest: func(model.ServiceID) (time.Time, model.Point, bool) { return time.Time{}, model.Point{}, false },
 	})
-	DeferCleanup(p.Close)
-	return p
 }
 
 // order returns an order for a statement outside of a transaction. id is the identifier of
--- a/io/pooler/scripted_test.go
+++ b/io/pooler/scripted_test.go
@@ -94,11 +94,17 @@
 
 // newScriptedPool returns a pool for a primary that uses the given connections.
 func newScriptedPool(conns ...*scriptedConn) *pooler.Pool {
-	p := pooler.NewPool(pooler.Config{
-		Server: plan.Server{ID: "p", Service: "s", Slots: 2, Primary: true}, Dialer: &scriptedDialer{conns: conns}, Log: slog.New(slog.DiscardHandler),
-		Observe: func(model.ServiceID, time.Time, model.Point) {},
-		Latest:  func(model.ServiceID) (time.Time, model.Point, bool) { return time.Time{}, model.Point{}, false },
-	})
+	return newPoolOf(pooler.Config{Server: plan.Server{ID: "p", Service: "s", Slots: 2, Primary: true}, Dialer: &scriptedDialer{conns: conns}})
+}
+
+// newPoolOf returns a pool that knows no point of a primary and keeps none unless c.Observe is set.
+func newPoolOf(c pooler.Config) *pooler.Pool {
+	c.Log = slog.New(slog.DiscardHandler)
+	if c.Observe == nil {
+		c.Observe = func(model.ServiceID, time.Time, model.Point) {}
+	}
+	c.Latest = func(model.ServiceID) (time.Time, model.Point, bool) { return time.Time{}, model.Point{}, false }
+	p := pooler.NewPool(c)
 	DeferCleanup(p.Close)
 	return p
 }
--- a/io/proxy/domains_test.go
+++ b/io/proxy/domains_test.go
@@ -73,8 +73,8 @@
 	})
 }
 
-// register writes the entries of a service with a server in each of the domains. The domain of the primary
-// is given by its index modulo 3.
+// register writes the entries of a service with a server in each of the domains. The domain of the
+// primary is given by its index modulo 3.
 func (f *domainFleet) register(service, primary int) {
 	id := model.ServiceID(fmt.Sprint("s", service))
 	f.primaries[id] = fleetDomains[primary%3]
