--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -122,6 +122,19 @@
 	})
 })
 
+// Answers to checks carried the whole configuration, up to 15 MB a second from a watcher of a large fleet.
+var _ = Describe("A peer's check of its copy of the store", func() {
+	It("is answered without the changes, which show in the revision", func() {
+		n, _ := newNodeWithGateways(1)
+		Eventually(n.view.Revision).WithTimeout(10 * time.Second).Should(BeNumerically(">", 1))
+		var response relay.FollowResponse
+		Expect((&handler{n}).Follow(&relay.FollowRequest{After: 1, CheckOnly: true}, &response)).To(Succeed())
+		Expect(response.Known).To(BeTrue())
+		Expect(response.Entries).To(BeEmpty())
+		Expect(response.Revision).To(BeNumerically(">", 1))
+	})
+})
+
 var _ = Describe("The guard of a service's primary", func() {
 	It("follows the appointments in the view and the withdrawals of peers", func() {
 		n, _ := newNodeWithGateways(1)
--- a/io/proxy/source.go
+++ b/io/proxy/source.go
@@ -129,7 +129,7 @@
 // Fetch implements view.Source.
 func (s peerSource) Fetch(_ context.Context, q view.Query) (view.Update, error) {
 	now, wait := clock.Now(), min(followWait, q.Wait)
-	response, err := s.node.peer(s.peer).Follow(now, &relay.FollowRequest{After: q.After, All: q.All, Wait: wait}, wait+followSlack)
+	response, err := s.node.peer(s.peer).Follow(now, &relay.FollowRequest{After: q.After, All: q.All, Wait: wait, CheckOnly: q.CheckOnly}, wait+followSlack)
 	if err != nil {
 		s.node.endLeaseIfRefused(s.peer, err)
 		if errors.Is(err, relay.ErrConnRefused) {
@@ -154,7 +154,7 @@
 func (h *handler) Follow(args *relay.FollowRequest, result *relay.FollowResponse) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+lookTimeout)
 	defer cancel()
-	if args.Wait == 0 {
+	if args.CheckOnly {
 		h.node.confirmForFollower()
 	}
 	update, err := h.node.view.Serve(ctx, view.Query{After: args.After, All: args.All, Wait: args.Wait})
@@ -162,6 +162,12 @@
 		// The empty result tells the peer that this instance has no configuration yet.
 		return nil
 	}
-	result.Known, result.All, result.Revision, result.Age, result.Entries = true, update.All, update.Revision, update.Age, h.node.encoded.encode(update.Entries)
+	result.Known, result.Revision, result.Age = true, update.Revision, update.Age
+	if args.CheckOnly {
+		// The peer gets the changes by its other query. A large configuration that was sent with the
+		// answer to each check would fill the link of this instance.
+		return nil
+	}
+	result.All, result.Entries = update.All, h.node.encoded.encode(update.Entries)
 	return nil
 }
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -83,6 +83,8 @@
 	All bool
 	// Wait is the longest time for which the peer waits for a change before it answers.
 	Wait time.Duration
+	// CheckOnly asks only for the revision and the age of the peer's copy, without the changes.
+	CheckOnly bool
 }
 
 // FollowResponse is the result of Follow.
@@ -104,12 +106,14 @@
 	w.uint(m.After)
 	w.bool(m.All)
 	w.int(int64(m.Wait))
+	w.bool(m.CheckOnly)
 }
 
 func (m *FollowRequest) decode(r *reader) {
 	m.After = r.uint()
 	m.All = r.bool()
 	m.Wait = time.Duration(r.int())
+	m.CheckOnly = r.bool()
 }
 
 func (m *FollowResponse) encode(w *writer) {
--- a/io/view/confirm.go
+++ b/io/view/confirm.go
@@ -19,12 +19,12 @@
 		return
 	}
 	sent := clock.Now()
-	update, err := source.Fetch(ctx, Query{After: after})
+	update, err := source.Fetch(ctx, Query{After: after, CheckOnly: true})
 	if err != nil {
 		v.config.Log.LogAttrs(ctx, slog.LevelInfo, "state not confirmed", slog.String("source", source.Name()), slog.String("error", err.Error()))
 		return
 	}
-	if len(update.Entries) > 0 || update.All || store.Era(update.Revision) != store.Era(after) {
+	if len(update.Entries) > 0 || update.All || update.Revision > after || store.Era(update.Revision) != store.Era(after) {
 		return
 	}
 	v.confirm(clock.Now(), sent.Add(-update.Age))
--- a/io/view/source.go
+++ b/io/view/source.go
@@ -16,6 +16,9 @@
 	All bool
 	// Wait is the longest time to wait for a change.
 	Wait time.Duration
+	// CheckOnly asks only whether there are changes. A source may then leave out the entries. The revision
+	// of its answer is above After if there are changes.
+	CheckOnly bool
 }
 
 // Update is a source's answer to a Query.
