io/proxy: the check for isolation takes its own confirmation after the survey

Cause: "serves on while the store comes back from older copies" ended with EOF when its process was stalled for some tenths of a second at a time, as a loaded machine may do. The trace shows that all three instances declared themselves isolated within 1 ms and ended their idle sessions. After the stall each one's configuration was 2.36 s old, 60 ms more than is allowed, and was confirmed at the same time. The age from before the survey was compared with what the peers said after their confirmation. Change: the age is taken again after the survey. If the peers are confirmed first, an instance may still find itself isolated after a stall; the spec is as strict as before.

--- a/io/proxy/isolation.go
+++ b/io/proxy/isolation.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"pomelofork/core/plan"
 	"pomelofork/core/reach"
 	"pomelofork/core/trial"
+	"pomelofork/io/clock"
 )
 
 const (
@@ -24,15 +26,30 @@
 // updateIsolation finds out whether this instance is isolated, as package reach decides,
 // and tells the entry. Only one goroutine calls it.
 func (n *Node) updateIsolation(now time.Time) {
-	confirmed, ok := n.view.FreshAsOf()
-	if !ok || n.config.Disabled.Has(trial.Isolation) {
+	if n.config.Disabled.Has(trial.Isolation) {
 		return
 	}
-	n.isolation.UpdateFreshness(now, confirmed)
-	if n.isolation.NeedsSurvey(now, confirmed, n.peerUnresponsive.Swap(false)) {
-		n.isolation.ApplySurvey(now, confirmed, n.survey(now))
+	if checkIsolation(now, &n.isolation, &n.peerUnresponsive, n.view.FreshAsOf, n.survey) {
+		n.entry.SetIsolated(n.isolation.Isolated())
 	}
-	n.entry.SetIsolated(n.isolation.Isolated())
+}
+
+// checkIsolation updates the detector, with a survey if one is needed. It returns false as long as there is
+// no content of the store yet.
+func checkIsolation(now time.Time, d *reach.Detector, unresponsive *atomic.Bool, freshAsOf func() (time.Time, bool), survey func(time.Time) reach.Survey) bool {
+	confirmed, ok := freshAsOf()
+	if !ok {
+		return false
+	}
+	d.UpdateFreshness(now, confirmed)
+	if d.NeedsSurvey(now, confirmed, unresponsive.Swap(false)) {
+		sum := survey(now)
+		// The peers' answers are more recent than the confirmation from before the survey. After a stall of
+		// the machine, all instances are stale for a moment, and are confirmed during the survey.
+		confirmed, _ = freshAsOf()
+		d.ApplySurvey(clock.Now(), confirmed, sum)
+	}
+	return true
 }
 
 // survey asks some peers in parallel. It asks the store only if so few of them answered
