io/entry: the tests of contention use the fixture

Cause: two tests started an entry with a fake fleet, view and listener of their own, beside newFixture.

Change: they use newUnobservedFixture, which newFixture calls. The entry in one of them must know no older point, since the read would otherwise be satisfied with it.

--- a/io/entry/contention_test.go
+++ b/io/entry/contention_test.go
@@ -1,8 +1,6 @@
 package entry_test
 
 import (
-	"log/slog"
-	"net"
 	"strings"
 	"sync"
 	"time"
@@ -13,11 +11,9 @@
 	"pomelofork/core/model"
 	"pomelofork/core/pick"
 	"pomelofork/core/plan"
-	"pomelofork/core/quota"
 	"pomelofork/core/stmt"
 	"pomelofork/io/clock"
 	"pomelofork/io/entry"
-	"pomelofork/io/view"
 )
 
 // The failures guarded against: reads and further attempts that burden servers although it is known that
@@ -30,28 +26,19 @@
 	busy := stmt.Result{Answer: stmt.Refuse(stmt.CodeBusy, stmt.StateIdle, "full"), NotSent: true, RetryAfter: 10 * time.Second}
 	BeforeEach(func() {
 		reasons = nil
-		f = &fakeFleet{grant: quota.Grant{Tokens: 1}, held: true}
-		route := plan.Route{Name: "r", Service: "s", Timeout: time.Second, TargetLatency: 20 * time.Millisecond, MaxAge: 10 * time.Second, Freshness: plan.FreshBounded, Priority: 1, Public: true}
-		v := &fakeView{fresh: clock.Now(), state: view.State{
-			Plan:     plan.New(plan.Config{Version: 1, Routes: map[string]plan.Route{"r": route}}),
-			Services: map[model.ServiceID][]plan.Server{"s": {{ID: "p", Service: "s", Primary: true, Slots: 2}, {ID: "r", Service: "s", Slots: 2}}},
-		}}
-		e := entry.New(entry.Config{
-			View: v, Fleet: f, Meter: discardMeter{}, Log: slog.New(slog.DiscardHandler), Contended: true,
-			Codec: func(c net.Conn) entry.Caller { return c.(callerConn).caller },
-			Decided: func(reason string, _ int) {
+		servers := []plan.Server{{ID: "p", Service: "s", Primary: true, Slots: 2}, {ID: "r", Service: "s", Slots: 2}}
+		started := newUnobservedFixture(servers, func(c *entry.Config, p *plan.Config) {
+			route := p.Routes["db"]
+			route.TargetLatency, route.MaxAge, route.Priority = 20*time.Millisecond, 10*time.Second, 1
+			p.Routes["db"], c.Contended = route, true
+			c.Decided = func(reason string, _ int) {
 				mu.Lock()
 				defer mu.Unlock()
 				reasons = append(reasons, reason)
-			},
+			}
 		})
-		conns := make(chan net.Conn)
-		e.Serve(&fakeListener{conns})
-		DeferCleanup(func() { close(conns) })
-		e.Observe("s", clock.Now(), model.NewPoint(1, 50))
-		c = newCaller("r", "")
-		conns <- callerConn{caller: c}
-		Expect(c.answer().Code).To(Equal(stmt.CodeDone))
+		started.entry.Observe("s", clock.Now(), model.NewPoint(1, 50))
+		f, c = started.fleet, started.connect()
 	})
 
 	It("asks the primary once for a read while replicas lag, and passes on the place in its line", func() {
--- a/io/entry/fixture_test.go
+++ b/io/entry/fixture_test.go
@@ -25,8 +25,15 @@
 	conns chan net.Conn
 }
 
-// newFixture starts an entry. change adapts its configuration and the plan.
+// newFixture starts an entry that knows a point of the service. change adapts its configuration and the plan.
 func newFixture(servers []plan.Server, change func(*entry.Config, *plan.Config)) *fixture {
+	f := newUnobservedFixture(servers, change)
+	f.entry.Observe("s", clock.Now(), model.NewPoint(1, 2))
+	return f
+}
+
+// newUnobservedFixture does the same for an entry that knows no point.
+func newUnobservedFixture(servers []plan.Server, change func(*entry.Config, *plan.Config)) *fixture {
 	route := plan.Route{Name: "route", Service: "s", Timeout: time.Second, TargetLatency: 200 * time.Millisecond, MaxAge: time.Second, Freshness: plan.FreshBounded}
 	contents := plan.Config{
 		Version: 1, Routes: map[string]plan.Route{"db": route}, Keys: map[string]model.AccountID{"key": "acc"}, Accounts: map[model.AccountID]plan.Account{"acc": {ID: "acc"}},
@@ -42,7 +49,6 @@
 	change(&c, &contents)
 	f.view.state = view.State{Plan: plan.New(contents), Services: map[model.ServiceID][]plan.Server{"s": servers}}
 	f.entry = entry.New(c)
-	f.entry.Observe("s", clock.Now(), model.NewPoint(1, 2))
 	f.entry.Serve(&fakeListener{f.conns})
 	DeferCleanup(func() { close(f.conns) })
 	return f
