io/entry: the specs of the entry use the fixture

Cause: the set-up of entry_test.go repeated what newFixture does.

Change: it uses newUnobservedFixture, and sets what differs: routes, times and the age of the view.

--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"log/slog"
 	"net"
 	"testing"
 	"time"
@@ -9,7 +8,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"pomelofork/core/evac"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
@@ -17,7 +15,6 @@
 	"pomelofork/emul/seed"
 	"pomelofork/io/clock"
 	"pomelofork/io/entry"
-	"pomelofork/io/view"
 )
 
 func TestEntry(t *testing.T) {
@@ -31,30 +28,19 @@
 	var e *entry.Entry
 	var conns chan net.Conn
 	BeforeEach(func() {
-		f = &fakeFleet{run: func(plan.Server, *stmt.Order) stmt.Result { return done(5) }, grant: quota.Grant{Tokens: 1}, held: true}
 		route := plan.Route{Service: "s", Timeout: time.Second, TargetLatency: 200 * time.Millisecond, MaxAge: time.Second, Priority: 1}
 		latest, bounded, session, open := route, route, route, route
 		latest.Name, bounded.Name, session.Name, open.Name = "latest", "bounded", "session", "open"
 		bounded.Freshness, session.Freshness, open.Public = plan.FreshBounded, plan.FreshSession, true
-		v = &fakeView{fresh: clock.Now(), state: view.State{
-			Plan: plan.New(plan.Config{
-				Version: 1, MaxIdle: 200 * time.Millisecond,
-				Routes:   map[string]plan.Route{"latest": latest, "bounded": bounded, "session": session, "open": open},
-				Keys:     map[string]model.AccountID{"key": "acc"},
-				Accounts: map[model.AccountID]plan.Account{"acc": {ID: "acc"}},
-			}),
-			Services: map[model.ServiceID][]plan.Server{
-				"s": {{ID: "p", Service: "s", Primary: true, Slots: 2}, {ID: "r", Service: "s", Slots: 2}},
-			},
-		}}
-		conns = make(chan net.Conn)
-		e = entry.New(entry.Config{
-			Evacuation: evac.Policy{Bound: time.Hour},
-			RunID:      3, KeyLife: time.Second, View: v, Fleet: f, Meter: discardMeter{}, Log: slog.New(slog.DiscardHandler),
-			Codec: func(c net.Conn) entry.Caller { return c.(callerConn).caller },
+		servers := []plan.Server{{ID: "p", Service: "s", Primary: true, Slots: 2}, {ID: "r", Service: "s", Slots: 2}}
+		started := newUnobservedFixture(servers, func(c *entry.Config, p *plan.Config) {
+			c.KeyLife, c.Evacuation.Bound = time.Second, time.Hour
+			p.MaxIdle, p.Routes = 200*time.Millisecond, map[string]plan.Route{"latest": latest, "bounded": bounded, "session": session, "open": open}
 		})
-		e.Serve(&fakeListener{conns})
-		DeferCleanup(func() { close(conns) })
+		f, v, e, conns = started.fleet, started.view, started.entry, started.conns
+		v.mu.Lock()
+		v.fresh = clock.Now()
+		v.mu.Unlock()
 	})
 
 	// connect opens a session and expects it to be accepted.
