io/pooler: a spec of an opening that outlasts an evacuation

It guards against a queued statement that waits for the next Tick, because the opening that it was counting on is closed as unwanted. It fails without the dispatch at the end of such an opening, and passes with it.

--- a/io/pooler/evacuated_test.go
+++ b/io/pooler/evacuated_test.go
@@ -1,6 +1,7 @@
 package pooler_test
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -15,6 +16,17 @@
 	"pomelofork/io/pooler"
 )
 
+// heldDialer returns the connections only when hold is closed.
+type heldDialer struct {
+	scriptedDialer
+	hold chan struct{}
+}
+
+func (d *heldDialer) Dial(ctx context.Context, server plan.Server, account model.AccountID) (pooler.Conn, error) {
+	<-d.hold
+	return d.scriptedDialer.Dial(ctx, server, account)
+}
+
 var _ = Describe("A pool of a server whose failure domain is evacuated", func() {
 	server := plan.Server{ID: "p", Service: "s", Slots: 2, Primary: true}
 	newPool := func(conns ...*scriptedConn) *pooler.Pool {
@@ -67,6 +79,31 @@
 		Expect(later.texts()).To(Equal([]string{"READ x"}))
 	})
 
+	It("opens a connection for a statement that came after the return, when an opening from before the evacuation ends", func() {
+		d := &heldDialer{scriptedDialer: scriptedDialer{conns: []*scriptedConn{newScriptedConn(done), newScriptedConn(done)}}, hold: make(chan struct{})}
+		p := pooler.NewPool(pooler.Config{
+			Server: server, Dialer: d, Log: slog.New(slog.DiscardHandler), Evacuation: evac.Policy{Bound: time.Hour},
+			Observe: func(model.ServiceID, time.Time, model.Point) {},
+			Latest:  func(model.ServiceID) (time.Time, model.Point, bool) { return time.Time{}, model.Point{}, false },
+		})
+		DeferCleanup(p.Close)
+		run := func(id string) <-chan stmt.Result {
+			result := make(chan stmt.Result, 1)
+			go func() { result <- p.Run(clock.Now(), order(id, "READ x", stmt.KindRead)) }()
+			return result
+		}
+		before := run("r1")
+		Eventually(p.Idle).WithTimeout(waitTimeout).Should(BeFalse())
+		evacuate(p, closed)
+		Eventually(before).WithTimeout(waitTimeout).Should(Receive(HaveField("Answer.Code", stmt.CodeMoved)))
+		evacuate(p, 0)
+		after := run("r2")
+		Consistently(after, 50*time.Millisecond).ShouldNot(Receive())
+		close(d.hold)
+		Eventually(after).WithTimeout(waitTimeout).Should(Receive(HaveField("Answer.Code", stmt.CodeDone)))
+		Eventually(p.Idle).WithTimeout(waitTimeout).Should(BeTrue())
+	})
+
 	It("delivers the answer to a commit that was sent before, and then closes its connection", func() {
 		conn := newScriptedConn(func(c stmt.Command) (stmt.Answer, bool) {
 			if c.Text == "COMMIT" {
