io/proxy: the test of evacuated domains adds its servers in order

Cause: it made a map of servers, sorted that by identifier and made the service from it.

Change: one loop adds each server to both.

Measured: the tests of io/proxy pass.

--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -196,16 +196,13 @@
 	} {
 		It("don't prefer evacuated failure domains: "+name, func() {
 			s := state(nil)
-			s.Servers, s.Evacuations = map[model.ServerID]plan.Server{}, map[model.Domain]view.Evacuation{}
-			for id, domain := range map[model.ServerID]model.Domain{"1": "a", "2": "b", "3": "c"} {
-				server := plan.Server{ID: id, Service: "s", Domain: domain, Primary: id == "1"}
+			s.Servers, s.Services, s.Evacuations = map[model.ServerID]plan.Server{}, map[model.ServiceID][]plan.Server{}, map[model.Domain]view.Evacuation{}
+			for i, domain := range []model.Domain{"a", "b", "c"} {
+				server := plan.Server{ID: model.ServerID(fmt.Sprint(i + 1)), Service: "s", Domain: domain, Primary: i == 0}
 				if slices.Contains(c.evacuated, domain) {
 					server.EvacuatedSince = clock.Now()
 				}
-				s.Servers[id] = server
-			}
-			for _, id := range slices.Sorted(maps.Keys(s.Servers)) {
-				s.Services = map[model.ServiceID][]plan.Server{"s": append(s.Services["s"], s.Servers[id])}
+				s.Servers[server.ID], s.Services["s"] = server, append(s.Services["s"], server)
 			}
 			for _, domain := range c.evacuated {
 				s.Evacuations[domain] = view.Evacuation{Since: clock.Now()}
