Watchers of the store are instances with fast links

A watcher on a slow link takes more than ten seconds to send a large configuration to its 24 followers, and after a loss of all instances nobody is served for half a minute.

Change: instances register the capacity of their link, and only those with at least a quarter of the fastest one of their failure domain are watchers. With equal or unknown links nothing changes.

--- a/core/plan/instance.go
+++ b/core/plan/instance.go
@@ -17,6 +17,8 @@
 	Domain model.Domain
 	// Weight is its share of the processor.
 	Weight float64
+	// Bandwidth is the capacity of its link, in Mbit/s. Zero means that it isn't known.
+	Bandwidth float64
 	// Lease is the identifier of the store's lease under which the instance is
 	// registered. The store removes the registration when the lease ends.
 	Lease uint64
--- a/core/rank/rank_test.go
+++ b/core/rank/rank_test.go
@@ -84,3 +84,35 @@
 		Expect(before).To(Equal(3))
 	})
 })
+
+// With watchers on links of 10 Mbit/s, a configuration took more than ten seconds to reach 300 instances.
+var _ = Describe("Watchers", func() {
+	for name, c := range map[string]struct {
+		bandwidths []float64
+		want       int
+	}{
+		"of equal links":     {[]float64{10, 10, 10, 10, 10, 10, 10}, 3},
+		"of unknown links":   {[]float64{0, 0, 0, 0, 0, 0, 0}, 3},
+		"of uneven links":    {[]float64{10, 200, 10, 10, 10, 100, 10}, 2},
+		"beside unknown":     {[]float64{0, 200, 0, 0, 0, 0, 0}, 1},
+		"of one instance":    {[]float64{10}, 1},
+		"of no instance":     {nil, 0},
+		"of many fast links": {[]float64{200, 200, 200, 200, 10, 10, 10}, 3},
+	} {
+		It("are those with fast links: "+name, func() {
+			all := members(len(c.bandwidths), 1)
+			fastest := 0.0
+			for i, b := range c.bandwidths {
+				all[i].Bandwidth, fastest = b, max(fastest, b)
+			}
+			watchers := rank.Watchers(all, 3)
+			Expect(watchers).To(HaveLen(c.want))
+			for _, w := range watchers {
+				Expect(w.Bandwidth).To(BeNumerically(">=", fastest/4))
+			}
+			if c.want == 3 && fastest <= 10 {
+				Expect(watchers).To(Equal(rank.Order("watch", "", all)[:3]))
+			}
+		})
+	}
+})
--- a/io/proxy/source.go
+++ b/io/proxy/source.go
@@ -86,8 +86,7 @@
 	var far []plan.Instance
 	watches := false
 	for domain, members := range domains {
-		order := rank.Order("watch", "", members)
-		for _, inst := range order[:1+(len(order)-1)/instancesPerWatcher] {
+		for _, inst := range rank.Watchers(members, instancesPerWatcher) {
 			switch {
 			case inst.ID == n.config.Self.ID:
 				watches = true
--- a/io/view/entries.go
+++ b/io/view/entries.go
@@ -25,6 +25,8 @@
 	Address string  `json:"address"`
 	Domain  string  `json:"domain"`
 	Weight  float64 `json:"weight"`
+	// BandwidthMbps is the capacity of its link, in Mbit/s.
+	BandwidthMbps float64 `json:"bandwidth_mbps,omitempty"`
 	// LeaseMs is the lifetime of the lease, in milliseconds.
 	LeaseMs int64 `json:"lease_ms,omitempty"`
 	// PermitMs is the time after a confirmation for which the instance may use primaries, in
@@ -76,7 +78,7 @@
 // InstanceValue encodes the registration of an instance. The key holds its ID, and the store
 // its lease.
 func InstanceValue(i plan.Instance, era uint64) ([]byte, error) {
-	return json.Marshal(instanceEntry{Address: i.Address, Domain: string(i.Domain), Weight: i.Weight, LeaseMs: i.LeaseLife.Milliseconds(), PermitMs: i.PermitLife.Milliseconds(), Era: era})
+	return json.Marshal(instanceEntry{Address: i.Address, Domain: string(i.Domain), Weight: i.Weight, BandwidthMbps: i.Bandwidth, LeaseMs: i.LeaseLife.Milliseconds(), PermitMs: i.PermitLife.Milliseconds(), Era: era})
 }
 
 // RightValue encodes the value of a right with the given holder.
@@ -121,7 +123,7 @@
 	if b.hasFormer = b.hasFormer || former; former && !b.initial {
 		return
 	}
-	next := plan.Instance{ID: id, Address: entry.Address, Domain: model.Domain(entry.Domain), Weight: entry.Weight, Lease: uint64(e.Lease), Revision: revision, LeaseLife: time.Duration(entry.LeaseMs) * time.Millisecond, PermitLife: time.Duration(entry.PermitMs) * time.Millisecond}
+	next := plan.Instance{ID: id, Address: entry.Address, Domain: model.Domain(entry.Domain), Weight: entry.Weight, Bandwidth: entry.BandwidthMbps, Lease: uint64(e.Lease), Revision: revision, LeaseLife: time.Duration(entry.LeaseMs) * time.Millisecond, PermitLife: time.Duration(entry.PermitMs) * time.Millisecond}
 	if next == b.next.Instances[id] {
 		return
 	}
