--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -33,16 +33,16 @@
 			break
 		}
 		decision := a.decide(now, chosen, ok, tries)
-		switch decision.Action {
-		case pick.ActionWait:
+		if decision.Action == pick.ActionWait {
 			a.awaitReplica(decision.After)
 			continue
-		case pick.ActionRefuse:
+		}
+		if decision.Action == pick.ActionRefuse {
 			last = refuseWithReason(decision)
-		case pick.ActionStop:
-			last.RetryAfter = max(last.RetryAfter, decision.After)
+			break
 		}
-		if decision.Action == pick.ActionRefuse || decision.Action == pick.ActionStop {
+		if decision.Action == pick.ActionStop {
+			last.RetryAfter = max(last.RetryAfter, decision.After)
 			break
 		}
 		if !ok {
