--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -172,9 +172,9 @@
 }
 
 // Admit decides whether new work with the given number of starts may wait at the server, where work
-// with queued starts waits already. patience is the time for which bound work may wait. If the work
+// with queued starts waits already. maxWait is the time for which bound work may wait. If the work
 // may not wait, Admit returns the time after which its turn is expected.
-func (r *Ramp) Admit(now time.Time, work Work, queued, starts int, patience time.Duration) (time.Duration, bool) {
+func (r *Ramp) Admit(now time.Time, work Work, queued, starts int, maxWait time.Duration) (time.Duration, bool) {
 	if !r.Cold(now) || work == Open {
 		return 0, true
 	}
@@ -182,13 +182,13 @@
 		return min(r.left(now), maxRetry), work != Movable
 	}
 	if work == Movable {
-		patience /= movableDivisor
+		maxWait /= movableDivisor
 	}
 	if r.known(now) && !r.claim.gateway(now) {
 		return elsewhereRetry, false
 	}
 	wait := r.wait(now, queued, r.needed(now, work, starts))
-	return min(wait, r.left(now), maxRetry), wait <= patience
+	return min(wait, r.left(now), maxRetry), wait <= maxWait
 }
 
 // wait returns the time until the needed room is there, after the queued starts.
--- a/core/ramp/ramp_test.go
+++ b/core/ramp/ramp_test.go
@@ -121,10 +121,10 @@
 	})
 
 	for name, c := range map[string]struct {
-		work           ramp.Work
-		sent, queued   int
-		patience, wait time.Duration
-		ok             bool
+		work          ramp.Work
+		sent, queued  int
+		maxWait, wait time.Duration
+		ok            bool
 	}{
 		"an empty queue":                         {ramp.Movable, 0, 0, 0, 0, true},
 		"a full second, bound":                   {ramp.Bound, 10, 0, time.Second, time.Second, true},
@@ -136,7 +136,7 @@
 		It("admits what it can serve in time, and says when to return: "+name, func() {
 			r := ramp.New(time.Time{}, gateway(at(100), 10), at(99_000))
 			r.Send(start, c.sent)
-			wait, ok := r.Admit(at(100), c.work, c.queued, 1, c.patience)
+			wait, ok := r.Admit(at(100), c.work, c.queued, 1, c.maxWait)
 			if name == "a full second and a full queue" {
 				Expect(wait).To(Equal(2*time.Second), "no caller is told to stay away for longer")
 				return
--- a/core/wait/queue.go
+++ b/core/wait/queue.go
@@ -86,10 +86,9 @@
 	slots  int
 	items  []Item[T]
 	costs  map[string]time.Duration
-	// onTimeWork is the slot time of recent items that could meet their target, as of
-	// onTimeWorkAt. It fades to zero within loadWindow.
-	onTimeWork   time.Duration
-	onTimeWorkAt time.Time
+	// onTimeWork is the slot time, in seconds, of the items that started in about the last loadWindow
+	// and could meet their target.
+	onTimeWork line.Sum
 
 	// The rest is used where policy.Contended is set.
 
@@ -260,25 +259,14 @@
 		q.flows.started(item.key(), item.flow, item.charged)
 	}
 	if !q.late(now, item) {
-		q.onTimeWork = q.recentOnTimeWork(now) + q.Cost(item.Class)
-		q.onTimeWorkAt = now
+		q.onTimeWork.Add(now, loadWindow, q.Cost(item.Class).Seconds())
 	}
 	return item, true
 }
 
-// recentOnTimeWork returns the slot time of items that could meet their target, over about
-// the last loadWindow.
-func (q *Queue[T]) recentOnTimeWork(now time.Time) time.Duration {
-	past := now.Sub(q.onTimeWorkAt)
-	if past >= loadWindow {
-		return 0
-	}
-	return time.Duration(float64(q.onTimeWork) * (1 - past.Seconds()/loadWindow.Seconds()))
-}
-
 // spare returns the part of the slots that on-time items leave for late ones.
 func (q *Queue[T]) spare(now time.Time) float64 {
-	used := q.recentOnTimeWork(now).Seconds() / (loadWindow.Seconds() * float64(q.slots))
+	used := q.onTimeWork.Value(now, loadWindow) / (loadWindow.Seconds() * float64(q.slots))
 	return max(1-used, minSpare)
 }
 
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -26,9 +26,9 @@
 			break
 		}
 		chosen, ok := a.chooseServer(now)
-		if !ok && a.homeless() {
+		if !ok && a.hasNoHome() {
 			if !a.sent {
-				last = refuseHomeless()
+				last = refuseOutsideHomes()
 			}
 			break
 		}
--- a/io/entry/home.go
+++ b/io/entry/home.go
@@ -9,9 +9,9 @@
 	"pomelofork/core/stmt"
 )
 
-// homelessRetryAfter is the time after which a caller is told to retry when its service has no server
+// noHomeRetryAfter is the time after which a caller is told to retry when its service has no server
 // in the regions in which its statement may run: about the time in which a server starts.
-const homelessRetryAfter = 2 * time.Second
+const noHomeRetryAfter = 2 * time.Second
 
 // homes returns the regions in which a statement of the session may run, by the configuration in
 // force. Empty means all.
@@ -34,9 +34,9 @@
 	return s.entry.config.Homes.Allows(homes, server.Domain)
 }
 
-// homeless reports whether no server can run the statement in its homes, and none can be expected soon:
+// hasNoHome reports whether no server can run the statement in its homes, and none can be expected soon:
 // the service has none there, or the statement needs the primary, which is elsewhere.
-func (a *attempts) homeless() bool {
+func (a *attempts) hasNoHome() bool {
 	if len(a.order.Homes) == 0 {
 		return false
 	}
@@ -52,7 +52,7 @@
 	return !found
 }
 
-// refuseHomeless returns the result of a statement that no server in its homes can run.
-func refuseHomeless() stmt.Result {
-	return stmt.Result{Answer: stmt.Refuse(stmt.CodeBusy, stmt.StateIdle, "no server in an allowed region can take the statement"), NotSent: true, RetryAfter: homelessRetryAfter}
+// refuseOutsideHomes returns the result of a statement that no server in its homes can run.
+func refuseOutsideHomes() stmt.Result {
+	return stmt.Result{Answer: stmt.Refuse(stmt.CodeBusy, stmt.StateIdle, "no server in an allowed region can take the statement"), NotSent: true, RetryAfter: noHomeRetryAfter}
 }
--- a/io/pooler/cold.go
+++ b/io/pooler/cold.go
@@ -64,8 +64,8 @@
 	return count
 }
 
-// patience returns how much longer bound work may wait for its turn.
-func patience(now time.Time, r *request) time.Duration {
+// maxWait returns how much longer bound work may wait for its turn.
+func maxWait(now time.Time, r *request) time.Duration {
 	timeLeft := r.deadline.Sub(now)
 	targetLeft := timeLeft - (r.order.Timeout - r.order.Target)
 	return max(targetLeft, 0) + max(timeLeft-max(targetLeft, 0), 0)/lateDivisor
@@ -86,7 +86,7 @@
 	}
 	queued := 0
 	p.queue.Each(func(other *request) { queued += startsOf(other) })
-	return p.ramp.Admit(now, workOf(r), queued, startsOf(r), patience(now, r))
+	return p.ramp.Admit(now, workOf(r), queued, startsOf(r), maxWait(now, r))
 }
 
 // refuseCold returns the result of a request that a cold server can't take in time.
@@ -105,7 +105,7 @@
 	}
 	queued, shed := 0, 0
 	p.queue.Remove(func(r *request) bool {
-		after, ok := p.ramp.Admit(now, workOf(r), queued, startsOf(r), patience(now, r))
+		after, ok := p.ramp.Admit(now, workOf(r), queued, startsOf(r), maxWait(now, r))
 		if ok {
 			queued += startsOf(r)
 			return false
