io/proxy: no probe reaches a server of a sealed domain

Cause: where the loss of a failure domain is to be borne, an instance that doubts a domain probes some of its servers by a BEGIN and a ROLLBACK to find out whether they answer. It didn't ask whether the domain is evacuated.

Ruled out: work of callers (BEGIN and ROLLBACK arrive within 40 us, as only a probe sends them) and the monitors, which check the phase already.

Change: outages.mayContact leaves out servers that are cold or sealed. The spec fails without it.

--- a/io/proxy/examine.go
+++ b/io/proxy/examine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"pomelofork/core/evac"
 	"pomelofork/core/model"
 	"pomelofork/core/outage"
 	"pomelofork/core/plan"
@@ -89,14 +90,19 @@
 	}
 	left := examinedMembers - len(members)
 	for _, server := range state.Servers {
-		// A cold server takes few commands, and only from its gateway.
-		if left > 0 && server.Domain == domain && !server.Cold(now) {
+		if left > 0 && server.Domain == domain && o.mayContact(now, server) {
 			left--
 			go func() { o.contactServer(server) }()
 		}
 	}
 }
 
+// mayContact reports whether a server may be sent a probe only to find out whether it answers. A cold
+// server takes few commands, and only from its gateway. A server of a sealed domain takes none.
+func (o *outages) mayContact(now time.Time, server plan.Server) bool {
+	return !server.Cold(now) && o.node.config.evacuation().Phase(now, server.EvacuatedSince) < evac.PhaseSealed
+}
+
 // contactInstance asks an instance something that it can answer at once, and records whether it did.
 func (o *outages) contactInstance(inst plan.Instance) {
 	sent, answer := clock.Now(), make(chan error, 1)
--- a/io/proxy/outages_test.go
+++ b/io/proxy/outages_test.go
@@ -83,6 +83,22 @@
 		})
 	}
 
+	// Probes reached servers of an evacuated domain whose instances had stopped answering.
+	for name, c := range map[string]struct {
+		server     plan.Server
+		mayContact bool
+	}{
+		"a usual one":                  {plan.Server{}, true},
+		"one that is cold":             {plan.Server{ColdUntil: clock.Now().Add(time.Hour)}, false},
+		"one of a domain being closed": {plan.Server{EvacuatedSince: clock.Now().Add(-31 * time.Minute)}, true},
+		"one of a sealed domain":       {plan.Server{EvacuatedSince: clock.Now().Add(-46 * time.Minute)}, false},
+	} {
+		It("has its servers contacted unless they may get nothing: "+name, func() {
+			o := &outages{node: &Node{config: Config{EvacuationBound: time.Hour}}}
+			Expect(o.mayContact(clock.Now(), c.server)).To(Equal(c.mayContact))
+		})
+	}
+
 	It("isn't suspected for one instance while the others answer", func() {
 		n := start(&witness{})
 		n.outages.silent("y", outage.Instance("y4"))
