core/ramp: the first connection of a gateway may reach a server that has just started

Cause: the first connection of an instance counted as one to a server that may have been started anew unless the instance was its gateway.

Ruled out: the view's memory of the former start (the log has no entry of the new start at that instance), the change of gateways (it had been the first for long).

Change: every first connection is followed by the part of the limit for servers that may be cold, until the view is confirmed as of 0.3 s later. io/proxy asks for that confirmation, since the next one by a watch may be a second away. The table of core/ramp expected the full limit there; it expects half now, and the spec of io/pooler gives its pool a recent view before it expects no limit.

--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -82,15 +82,20 @@
 }
 
 // Opened records that a connection was opened: the first one of this instance, or one after all others
-// were lost. In both cases the server's process may have been started anew before its entry says so,
-// unless this instance is the gateway and has just become that. Any instance may use a part of the limit
-// then, since most servers that were lost were only unreachable.
+// were lost. In both cases the server's process may have been started anew before its entry says so, or
+// before this instance has read the entry. Any instance may use a part of the limit then, since most
+// servers that were lost were only unreachable.
 func (r *Ramp) Opened(now time.Time, first, lost bool) {
-	if r.claim.counts() && (lost || (first && !r.claim.First)) {
+	if r.claim.counts() && (lost || first) {
 		r.returned = now
 	}
 }
 
+// Unconfirmed reports whether a confirmation of the view would show whether the server was started anew.
+func (r *Ramp) Unconfirmed(now time.Time) bool {
+	return r.presumed(now) && now.Sub(r.returned) >= entryDelay
+}
+
 // presumed reports whether the server may have been started anew although its entry, as far as this
 // instance knows it, doesn't say so.
 func (r *Ramp) presumed(now time.Time) bool {
--- a/core/ramp/ramp_test.go
+++ b/core/ramp/ramp_test.go
@@ -88,7 +88,7 @@
 		part        int
 	}{
 		"half of it at its gateway if it was lost":                   {gateway(start, 24), false, true, 12},
-		"all it takes at its gateway at first":                       {gateway(start, 24), true, false, 99},
+		"half of it at its gateway at first":                         {gateway(start, 24), true, false, 12},
 		"a sixth of it at another instance if it was lost":           {ramp.Claim{Limited: true, Max: 24}, false, true, 4},
 		"a sixth of it at another instance that uses it for once":    {ramp.Claim{Limited: true, Max: 24}, true, false, 4},
 		"all it takes at another instance that has used it for long": {ramp.Claim{Limited: true, Max: 24}, false, false, 99},
@@ -102,6 +102,8 @@
 			}
 			Expect(sent).To(Equal(c.part))
 			Expect(r.Allows(at(1000), ramp.Open, 12)).To(Equal(c.part == 99), "the view is older than the return of the server")
+			Expect(r.Unconfirmed(at(299))).To(BeFalse(), "its entry may not be written yet")
+			Expect(r.Unconfirmed(at(300))).To(Equal(c.part != 99))
 			later := c.claim
 			later.Confirmed = at(400)
 			r.Update(at(500), later, time.Time{})
--- a/io/pooler/cold.go
+++ b/io/pooler/cold.go
@@ -28,6 +28,14 @@
 	p.ramp.Update(now, claim, p.server.ColdUntil)
 }
 
+// StartUnconfirmed reports whether the server gets less than it could take only because the view hasn't
+// been confirmed since it was reached.
+func (p *Pool) StartUnconfirmed(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ramp.Unconfirmed(now)
+}
+
 // alone reports whether no other connection than the given one is open. The server's process may have
 // been started anew while there was none.
 func (p *Pool) alone(sc *serverConn) bool {
--- a/io/pooler/cold_test.go
+++ b/io/pooler/cold_test.go
@@ -184,8 +184,8 @@
 var _ = Describe("The pool of a server that was lost", func() {
 	It("takes it as cold until its entry can show whether it was started anew", func() {
 		first, second := newScriptedConn(done), newScriptedConn(done)
+		// The view shows for a while that the server wasn't started anew before the first connection.
 		claim := gatewayClaim(4)
-		claim.Confirmed = clock.Now()
 		p := pooler.NewPool(pooler.Config{
 			Server: plan.Server{ID: "p", Service: "s", Slots: 2}, Dialer: &scriptedDialer{conns: []*scriptedConn{first, second}}, Claim: claim, Log: slog.New(slog.DiscardHandler),
 			Observe: func(model.ServiceID, time.Time, model.Point) {},
@@ -200,6 +200,8 @@
 		for range 10 {
 			Expect(read()).To(BeEmpty(), "it was warm")
 		}
+		claim.Confirmed = clock.Now()
+		p.Cold(clock.Now(), claim)
 		Expect(first.Close()).To(Succeed())
 		Eventually(read).WithTimeout(waitTimeout).Should(ContainSubstring("just started"))
 	})
--- a/io/proxy/cold.go
+++ b/io/proxy/cold.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/ramp"
+	"pomelofork/io/pooler"
 	"pomelofork/io/view"
 )
 
@@ -89,6 +91,17 @@
 	return claim
 }
 
+// confirmStarts has the view confirmed if a server gets only a part of what it could take until then. The
+// next confirmation by a watch may be a second away.
+func (n *Node) confirmStarts(now time.Time) {
+	if n.config.ColdLimit == (ramp.Limit{}) || !slices.ContainsFunc(n.openPools(), func(p *pooler.Pool) bool { return p.StartUnconfirmed(now) }) {
+		return
+	}
+	n.guardsMu.Lock()
+	defer n.guardsMu.Unlock()
+	n.queryView(now)
+}
+
 // updateClaims tells each pool what entitles this instance to send statements to a cold server.
 func (n *Node) updateClaims(now time.Time) {
 	if n.config.ColdLimit == (ramp.Limit{}) {
--- a/io/proxy/permit.go
+++ b/io/proxy/permit.go
@@ -54,7 +54,15 @@
 // ago. Permits that are shorter than the time between two confirmations of the view would end while
 // the monitor of a primary doesn't answer. The caller holds guardsMu.
 func (n *Node) confirmView(now time.Time) {
-	if n.config.Self.PermitLife == 0 || now.Sub(n.confirmingAt) < minEndorseInterval {
+	if n.config.Self.PermitLife > 0 {
+		n.queryView(now)
+	}
+}
+
+// queryView asks the source of the view whether the view is complete, unless that was done a moment ago.
+// The caller holds guardsMu.
+func (n *Node) queryView(now time.Time) {
+	if now.Sub(n.confirmingAt) < minEndorseInterval {
 		return
 	}
 	n.confirmingAt = now
--- a/io/proxy/tick.go
+++ b/io/proxy/tick.go
@@ -36,6 +36,7 @@
 func (n *Node) tickPools(now time.Time) {
 	n.endorseInUse(now)
 	n.updateClaims(now)
+	n.confirmStarts(now)
 	n.outages.tick(now)
 	for _, pool := range n.openPools() {
 		n.outages.watchPool(now, pool)
