io/relay: messages with numbered fields, and a form that both sides state first

Each side failed to decode the other's calls, and an order that was never decoded counted as one that may have run. Nothing tested two builds together.

Ruled out: the store's entries (JSON, unknown members are passed over) and the own interface (gob).

Change: a tagged form (protowire), one method a message for both forms, and a hello at the start of each connection that settles the form, so that no call is sent before it is known. A request that can't be decoded is answered by that and counts as not sent. Instances register a level (core/level).

--- a/cmd/pomelofork/version.go
+++ b/cmd/pomelofork/version.go
@@ -1,12 +1,18 @@
 package main
 
-import "fmt"
+import (
+	"fmt"
+
+	"pomelofork/core/level"
+	"pomelofork/io/build"
+	"pomelofork/io/relay"
+)
 
 // versionCommand prints the version.
 type versionCommand struct{}
 
-// Run prints the name of the program and its version.
+// Run prints the name of the program, its version and build, and what other instances may expect of it.
 func (versionCommand) Run() error {
-	_, err := fmt.Println("pomelofork", version)
+	_, err := fmt.Printf("pomelofork %s, build %q, form of messages %d, level %d\n", version, build.Name(), relay.NewestForm, level.Newest)
 	return err
 }
--- a/core/plan/instance.go
+++ b/core/plan/instance.go
@@ -29,4 +29,6 @@
 	// PermitLife is the time after a confirmation for which the instance may use primaries. Zero means
 	// epoch.PermitLife.
 	PermitLife time.Duration
+	// Level is what other instances may rely on in it, as package level describes.
+	Level int
 }
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -21,6 +21,8 @@
 type Config struct {
 	// Self describes this instance.
 	Self plan.Instance
+	// Build names the version of the program. It may be empty.
+	Build string
 	// Callers accepts the connections of callers.
 	Callers net.Listener
 	// Peers accepts the connections of other instances.
--- a/io/proxy/meter.go
+++ b/io/proxy/meter.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"pomelofork/core/level"
 	"pomelofork/core/model"
 	"pomelofork/core/stmt"
 )
@@ -36,11 +37,15 @@
 	queue   map[string]int64
 	// decisions are those that entries take where callers compete for capacity.
 	decisions map[string]int64
-	latency   map[string]*hdrhistogram.Histogram
+	// undecoded counts what peers sent that this instance couldn't decode, and the reverse.
+	undecoded map[string]int64
+	// fleetLevel is the level of the fleet, and behind the number of instances that hold it back.
+	fleetLevel, behind int
+	latency            map[string]*hdrhistogram.Histogram
 }
 
 func newMeter() *meter {
-	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, beliefs: map[string]int64{}, queue: map[string]int64{}, decisions: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
+	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, beliefs: map[string]int64{}, queue: map[string]int64{}, decisions: map[string]int64{}, undecoded: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
 }
 
 // Statement implements entry.Meter.
@@ -92,6 +97,21 @@
 	m.calls[fmt.Sprintf("store_calls{call=%q,outcome=%q}", call, outcome)]++
 }
 
+// Undecoded counts a request or the start of a connection that this instance couldn't decode, or a call
+// that a peer couldn't decode, by its method.
+func (m *meter) Undecoded(what string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.undecoded[fmt.Sprintf("undecoded_calls{what=%q}", what)]++
+}
+
+// SetLevel records the level of the fleet and the number of instances that hold it back.
+func (m *meter) SetLevel(fleet, behind int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fleetLevel, m.behind = fleet, behind
+}
+
 // SetEvacuated records the number of evacuated failure domains.
 func (m *meter) SetEvacuated(domains int) {
 	m.mu.Lock()
@@ -109,8 +129,11 @@
 // ServeHTTP writes one counter per line, and the quantiles of each route's latency.
 func (m *meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	m.mu.Lock()
-	lines := []string{fmt.Sprintf("pomelofork_evacuated_domains %d\n", m.evacuated)}
-	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls, m.beliefs, m.queue, m.decisions} {
+	lines := []string{
+		fmt.Sprintf("pomelofork_evacuated_domains %d\n", m.evacuated), fmt.Sprintf("pomelofork_fleet_level %d\n", m.fleetLevel),
+		fmt.Sprintf("pomelofork_own_level %d\n", level.Newest), fmt.Sprintf("pomelofork_instances_behind %d\n", m.behind),
+	}
+	for _, counters := range []map[string]int64{m.answers, m.repeated, m.calls, m.beliefs, m.queue, m.decisions, m.undecoded} {
 		for name, n := range counters {
 			lines = append(lines, fmt.Sprintf("pomelofork_%s %d\n", name, n))
 		}
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"pomelofork/core/home"
+	"pomelofork/core/level"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
@@ -92,6 +93,8 @@
 	appointing map[model.ServiceID]uint64
 	// confirmingAt is when the view was last confirmed beyond its own queries.
 	confirmingAt time.Time
+	// fleetLevel is the level of the fleet that was logged last.
+	fleetLevel int
 	// applied are the change counts of the state that applyChange was last given.
 	applied view.ChangeCounts
 
@@ -119,7 +122,7 @@
 // so that callers can finish. Start fails if the instance can't answer its peers.
 func Start(ctx context.Context, c Config) (*Node, error) {
 	meter := newMeter()
-	c.Self.PermitLife = permitLife(c)
+	c.Self.PermitLife, c.Self.Level = permitLife(c), level.Newest
 	c.Table = store.Metered{Table: c.Table, Count: meter.StoreCall}
 	c.Decoder = c.evacuationDecoder()
 	n := &Node{
@@ -128,7 +131,7 @@
 		transactions: map[uint64]plan.Instance{}, endedLeases: map[uint64]bool{}, pathRetryAt: map[serverPath]time.Time{}, encoded: newEncodedValues(), primaryUses: map[model.ServiceID]*primaryUse{}, appointing: map[model.ServiceID]uint64{},
 	}
 	n.outages = newOutages(n)
-	if err := relay.NewServer(relay.ServerConfig{Listener: c.Peers, Handler: &handler{n}, Disconnected: n.rollBackEntry, Log: c.Log}); err != nil {
+	if err := relay.NewServer(relay.ServerConfig{Listener: c.Peers, Handler: &handler{n}, Disconnected: n.rollBackEntry, Build: c.Build, Rejected: meter.Undecoded, Log: c.Log}); err != nil {
 		return nil, fmt.Errorf("start answering peers: %w", err)
 	}
 	ready := make(chan struct{})
@@ -188,6 +191,7 @@
 	n.applied = s.ChangeCounts
 	if applied.Instances != s.ChangeCounts.Instances {
 		clear(n.holderOrder)
+		n.updateLevel(s)
 	}
 	n.observeMembers(clock.Now(), s)
 	n.logUnmatchedHomes(s)
@@ -294,7 +298,7 @@
 	// run transactions of this one, which are rolled back when the connection closes.
 	p, ok := n.peers[inst.Address]
 	if !ok {
-		c := relay.PeerConfig{Name: string(inst.ID), Address: inst.Address, Dial: sock.Dial, Log: n.config.Log}
+		c := relay.PeerConfig{Name: string(inst.ID), Address: inst.Address, Dial: sock.Dial, Build: n.config.Build, Undecoded: n.meter.Undecoded, Log: n.config.Log}
 		n.outages.watchPeer(inst, &c)
 		p = relay.NewPeer(c)
 		n.peers[inst.Address] = p
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -10,10 +10,9 @@
 
 // message is the request or the response of a call.
 type message interface {
-	// encode appends the message to w.
-	encode(w *writer)
-	// decode sets all fields from what encode wrote. The reader keeps an error.
-	decode(r *reader)
+	// fields passes all fields to a coder, which encodes or sets them. A field that is added gets a new
+	// number and goes to the end, and its comment says what is assumed if a peer doesn't send it.
+	fields(c *coder)
 }
 
 // RunRequest is the argument of a call that runs an order.
@@ -83,7 +82,8 @@
 	All bool
 	// Wait is the longest time for which the peer waits for a change before it answers.
 	Wait time.Duration
-	// CheckOnly asks only for the revision and the age of the peer's copy, without the changes.
+	// CheckOnly asks only for the revision and the age of the peer's copy, without the changes. Builds
+	// before db51426 don't know it and send the changes too.
 	CheckOnly bool
 }
 
@@ -102,200 +102,97 @@
 	Entries []store.Entry
 }
 
-func (m *FollowRequest) encode(w *writer) {
-	w.uint(m.After)
-	w.bool(m.All)
-	w.int(int64(m.Wait))
-	w.bool(m.CheckOnly)
+func (m *FollowRequest) fields(c *coder) {
+	unsigned(c, 1, &m.After)
+	c.flag(2, &m.All)
+	signed(c, 3, &m.Wait)
+	c.laterFields()
+	c.flag(4, &m.CheckOnly)
 }
 
-func (m *FollowRequest) decode(r *reader) {
-	m.After = r.uint()
-	m.All = r.bool()
-	m.Wait = time.Duration(r.int())
-	m.CheckOnly = r.bool()
+func (m *FollowResponse) fields(c *coder) {
+	c.flag(1, &m.Known)
+	c.flag(2, &m.All)
+	unsigned(c, 3, &m.Revision)
+	signed(c, 4, &m.Age)
+	list(c, 5, &m.Entries, func(c *coder, e *store.Entry) {
+		text(c, 1, &e.Key)
+		c.bytes(2, &e.Value)
+		unsigned(c, 3, &e.Revision)
+		unsigned(c, 4, &e.Lease)
+		c.flag(5, &e.Removed)
+	})
 }
 
-func (m *FollowResponse) encode(w *writer) {
-	w.bool(m.Known)
-	w.bool(m.All)
-	w.uint(m.Revision)
-	w.int(int64(m.Age))
-	w.uint(uint64(len(m.Entries)))
-	for _, e := range m.Entries {
-		w.text(e.Key)
-		w.text(string(e.Value))
-		w.uint(e.Revision)
-		w.uint(uint64(e.Lease))
-		w.bool(e.Removed)
-	}
-}
-
-func (m *FollowResponse) decode(r *reader) {
-	m.Known = r.bool()
-	m.All = r.bool()
-	m.Revision = r.uint()
-	m.Age = time.Duration(r.int())
-	m.Entries = nil
-	for n := r.count(); n > 0; n-- {
-		m.Entries = append(m.Entries, store.Entry{
-			Key: r.text(), Value: []byte(r.text()), Revision: r.uint(), Lease: store.LeaseID(r.uint()), Removed: r.bool(),
-		})
-	}
-}
-
-func (m *RunRequest) encode(w *writer) {
-	o := &m.Order
-	w.uint(o.Entry)
-	w.uint(o.Unit)
-	w.uint(uint64(o.Begin))
-	w.bool(o.Prove)
-	w.point(o.After)
-	w.text(string(o.Server))
-	w.uint(o.Epoch)
-	w.text(string(o.Account))
-	w.text(o.Class)
-	w.int(int64(o.Priority))
-	w.int(int64(o.Target))
-	w.int(int64(o.Timeout))
-	w.uint(uint64(len(o.Values)))
-	for _, v := range o.Values {
-		w.text(v.Name)
-		w.text(v.Content)
-	}
-	w.text(o.Prepared.Shape)
-	w.bool(o.Prepared.Writes)
-	w.text(o.Statement.ID)
-	w.text(o.Statement.Text)
-	w.uint(uint64(o.Statement.Kind))
-	w.text(o.Statement.Name)
-	w.text(o.Statement.Rest)
-	w.bool(o.Statement.Writes)
-	w.uint(uint64(len(o.Homes)))
-	for _, region := range o.Homes {
-		w.text(string(region))
-	}
-}
-
-func (m *RunRequest) decode(r *reader) {
+func (m *RunRequest) fields(c *coder) {
 	o := &m.Order
-	o.Entry = r.uint()
-	o.Unit = r.uint()
-	o.Begin = stmt.Op(r.uint())
-	o.Prove = r.bool()
-	o.After = r.point()
-	o.Server = model.ServerID(r.text())
-	o.Epoch = r.uint()
-	o.Account = model.AccountID(r.text())
-	o.Class = r.text()
-	o.Priority = int(r.int())
-	o.Target = time.Duration(r.int())
-	o.Timeout = time.Duration(r.int())
-	o.Values = nil
-	for n := r.count(); n > 0; n-- {
-		o.Values = append(o.Values, stmt.Value{Name: r.text(), Content: r.text()})
-	}
-	o.Prepared.Shape = r.text()
-	o.Prepared.Writes = r.bool()
-	o.Statement.ID = r.text()
-	o.Statement.Text = r.text()
-	o.Statement.Kind = stmt.Kind(r.uint())
-	o.Statement.Name = r.text()
-	o.Statement.Rest = r.text()
-	o.Statement.Writes = r.bool()
-	o.Homes = nil
-	for n := r.count(); n > 0; n-- {
-		o.Homes = append(o.Homes, model.Region(r.text()))
-	}
-}
-
-func (m *RunResponse) encode(w *writer) {
-	s := &m.Result
-	w.uint(uint64(len(s.Answer.Rows)))
-	for _, row := range s.Answer.Rows {
-		w.text(row)
-	}
-	w.text(s.Answer.Digest)
-	w.uint(uint64(s.Answer.Code))
-	w.text(s.Answer.Text)
-	w.uint(uint64(s.Answer.State))
-	w.point(s.Answer.Point)
-	w.bool(s.NotSent)
-	w.int(int64(s.RetryAfter))
-	w.int(int64(s.Wait))
-	w.point(s.Latest)
-	w.int(int64(s.LatestAge))
-	w.uint(uint64(len(s.Waits)))
-	for _, p := range s.Waits {
-		w.int(int64(p.Priority))
-		w.int(int64(p.Wait))
-	}
-}
-
-func (m *RunResponse) decode(r *reader) {
-	s := &m.Result
-	s.Answer.Rows = nil
-	for n := r.count(); n > 0; n-- {
-		s.Answer.Rows = append(s.Answer.Rows, r.text())
-	}
-	s.Answer.Digest = r.text()
-	s.Answer.Code = stmt.Code(r.uint())
-	s.Answer.Text = r.text()
-	s.Answer.State = stmt.State(r.uint())
-	s.Answer.Point = r.point()
-	s.NotSent = r.bool()
-	s.RetryAfter = time.Duration(r.int())
-	s.Wait = time.Duration(r.int())
-	s.Latest = r.point()
-	s.LatestAge = time.Duration(r.int())
-	s.Waits = nil
-	for n := r.count(); n > 0; n-- {
-		s.Waits = append(s.Waits, stmt.PriorityWait{Priority: int(r.int()), Wait: time.Duration(r.int())})
-	}
-}
-
-func (m *DrawRequest) encode(w *writer) {
-	w.text(string(m.Account))
-	w.int(int64(m.Mint))
-	w.int(int64(m.Need))
-	w.int(int64(m.Ahead))
-	w.int(int64(m.Patience))
-}
-
-func (m *DrawRequest) decode(r *reader) {
-	m.Account = model.AccountID(r.text())
-	m.Mint = int(r.int())
-	m.Need = int(r.int())
-	m.Ahead = int(r.int())
-	m.Patience = time.Duration(r.int())
-}
-
-func (m *DrawResponse) encode(w *writer) {
-	w.bool(m.Holds)
-	w.int(int64(m.Tokens))
-	w.int(int64(m.Delay))
-	w.int(int64(m.RetryAfter))
-}
-
-func (m *DrawResponse) decode(r *reader) {
-	m.Holds = r.bool()
-	m.Tokens = int(r.int())
-	m.Delay = time.Duration(r.int())
-	m.RetryAfter = time.Duration(r.int())
-}
-
-func (m *LookRequest) encode(w *writer) { w.text(string(m.Service)) }
-
-func (m *LookRequest) decode(r *reader) { m.Service = model.ServiceID(r.text()) }
-
-func (m *LookResponse) encode(w *writer) {
-	w.point(m.Point)
-	w.int(int64(m.Age))
-	w.int(int64(m.ConfigAge))
-}
-
-func (m *LookResponse) decode(r *reader) {
-	m.Point = r.point()
-	m.Age = time.Duration(r.int())
-	m.ConfigAge = time.Duration(r.int())
+	unsigned(c, 1, &o.Entry)
+	unsigned(c, 2, &o.Unit)
+	unsigned(c, 3, &o.Begin)
+	c.flag(4, &o.Prove)
+	c.point(5, &o.After)
+	text(c, 7, &o.Server)
+	unsigned(c, 8, &o.Epoch)
+	text(c, 9, &o.Account)
+	text(c, 10, &o.Class)
+	signed(c, 11, &o.Priority)
+	signed(c, 12, &o.Target)
+	signed(c, 13, &o.Timeout)
+	list(c, 14, &o.Values, func(c *coder, v *stmt.Value) {
+		text(c, 1, &v.Name)
+		text(c, 2, &v.Content)
+	})
+	text(c, 15, &o.Prepared.Shape)
+	c.flag(16, &o.Prepared.Writes)
+	text(c, 17, &o.Statement.ID)
+	text(c, 18, &o.Statement.Text)
+	unsigned(c, 19, &o.Statement.Kind)
+	text(c, 20, &o.Statement.Name)
+	text(c, 21, &o.Statement.Rest)
+	c.flag(22, &o.Statement.Writes)
+	c.laterFields()
+	texts(c, 23, &o.Homes)
+}
+
+func (m *RunResponse) fields(c *coder) {
+	r := &m.Result
+	texts(c, 1, &r.Answer.Rows)
+	text(c, 2, &r.Answer.Digest)
+	unsigned(c, 3, &r.Answer.Code)
+	text(c, 4, &r.Answer.Text)
+	unsigned(c, 5, &r.Answer.State)
+	c.point(6, &r.Answer.Point)
+	c.flag(8, &r.NotSent)
+	signed(c, 9, &r.RetryAfter)
+	signed(c, 10, &r.Wait)
+	c.point(11, &r.Latest)
+	signed(c, 13, &r.LatestAge)
+	c.laterFields()
+	list(c, 14, &r.Waits, func(c *coder, w *stmt.PriorityWait) {
+		signed(c, 1, &w.Priority)
+		signed(c, 2, &w.Wait)
+	})
+}
+
+func (m *DrawRequest) fields(c *coder) {
+	text(c, 1, &m.Account)
+	signed(c, 2, &m.Mint)
+	signed(c, 3, &m.Need)
+	signed(c, 4, &m.Ahead)
+	signed(c, 5, &m.Patience)
+}
+
+func (m *DrawResponse) fields(c *coder) {
+	c.flag(1, &m.Holds)
+	signed(c, 2, &m.Tokens)
+	signed(c, 3, &m.Delay)
+	signed(c, 4, &m.RetryAfter)
+}
+
+func (m *LookRequest) fields(c *coder) { text(c, 1, &m.Service) }
+
+func (m *LookResponse) fields(c *coder) {
+	c.point(1, &m.Point)
+	signed(c, 3, &m.Age)
+	signed(c, 4, &m.ConfigAge)
 }
--- a/io/relay/outage_message.go
+++ b/io/relay/outage_message.go
@@ -23,10 +23,6 @@
 	return call[OutageResponse](p, now, "Outage", request, timeout)
 }
 
-func (m *OutageRequest) encode(w *writer) { w.text(string(m.Domain)) }
+func (m *OutageRequest) fields(c *coder) { text(c, 1, &m.Domain) }
 
-func (m *OutageRequest) decode(r *reader) { m.Domain = model.Domain(r.text()) }
-
-func (m *OutageResponse) encode(w *writer) { w.bool(m.Suspected) }
-
-func (m *OutageResponse) decode(r *reader) { m.Suspected = r.bool() }
+func (m *OutageResponse) fields(c *coder) { c.flag(1, &m.Suspected) }
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -56,7 +56,12 @@
 	// Abandoned returns a channel whose closing ends the calls in flight that may be repeated
 	// elsewhere, or nil. It may be nil.
 	Abandoned func() <-chan struct{}
-	// Log records when the instance becomes unreachable and when it is reached again.
+	// Build names the version of this program. It may be empty.
+	Build string
+	// Undecoded is called with the method of each call that the instance couldn't decode. It may be nil.
+	Undecoded func(method string)
+	// Log records when the instance becomes unreachable and when it is reached again, and its build if
+	// that is another one.
 	Log *slog.Logger
 }
 
@@ -83,6 +88,12 @@
 	// with unreachableErr.
 	nextDial       time.Time
 	unreachableErr error
+	// spoken is what the instance last stated at the start of a connection, if greeted is set.
+	spoken  hello
+	greeted bool
+	// undecodedLogged says that the log has a line about a call that the instance couldn't decode on the
+	// present connection.
+	undecodedLogged bool
 }
 
 // NewPeer returns a peer without a connection.
@@ -163,6 +174,11 @@
 				return *result, nil
 			}
 			var remote rpc.ServerError
+			if errors.As(call.Error, &remote) && (notDecoded(remote) || unknownMethod(remote)) {
+				p.observe(EventAnswered)
+				p.countUndecoded(method, remote)
+				return none, fmt.Errorf("%w: peer %s: %w", ErrNotSent, p.config.Name, remote)
+			}
 			if errors.As(call.Error, &remote) {
 				p.observe(EventAnswered)
 				return none, fmt.Errorf("peer %s: %w", p.config.Name, call.Error)
@@ -235,7 +251,7 @@
 	p.opening = make(chan struct{})
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	conn, err := p.config.Dial(ctx, p.config.Address)
+	client, err := p.open(ctx)
 	cancel()
 	p.mu.Lock()
 	close(p.opening)
@@ -247,13 +263,17 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			p.unreachableErr = fmt.Errorf("%w: %w", ErrNotSent, ErrConnRefused)
 		}
+		if errors.Is(err, errUnresponsive) {
+			p.unresponsive = true
+			go func() { p.reconnect() }()
+		}
 		return nil, p.unreachableErr
 	}
 	if p.unreachable {
 		p.unreachable = false
 		p.config.Log.LogAttrs(ctx, slog.LevelInfo, "instance is reached again", slog.String("instance", p.config.Name))
 	}
-	p.client = rpc.NewClientWithCodec(clientCodec{newCodec(conn)})
+	p.client = client
 	return p.client, nil
 }
 
--- a/io/relay/primary_message.go
+++ b/io/relay/primary_message.go
@@ -48,50 +48,26 @@
 	Epoch uint64
 }
 
-func (m *EndorseRequest) encode(w *writer) { w.text(string(m.Service)) }
+func (m *EndorseRequest) fields(c *coder) { text(c, 1, &m.Service) }
 
-func (m *EndorseRequest) decode(r *reader) { m.Service = model.ServiceID(r.text()) }
-
-func (m *EndorseResponse) encode(w *writer) {
-	w.bool(m.Endorsed)
-	w.uint(m.Epoch)
-}
-
-func (m *EndorseResponse) decode(r *reader) {
-	m.Endorsed = r.bool()
-	m.Epoch = r.uint()
-}
-
-func (m *ConfirmRequest) encode(w *writer) {
-	w.text(string(m.Server))
-	w.bool(m.Probe)
+func (m *EndorseResponse) fields(c *coder) {
+	c.flag(1, &m.Endorsed)
+	unsigned(c, 2, &m.Epoch)
 }
 
-func (m *ConfirmRequest) decode(r *reader) {
-	m.Server = model.ServerID(r.text())
-	m.Probe = r.bool()
+func (m *ConfirmRequest) fields(c *coder) {
+	text(c, 1, &m.Server)
+	c.flag(2, &m.Probe)
 }
 
-func (m *ConfirmResponse) encode(w *writer) {
-	w.bool(m.Confirmed)
-	w.int(int64(m.Age))
+func (m *ConfirmResponse) fields(c *coder) {
+	c.flag(1, &m.Confirmed)
+	signed(c, 2, &m.Age)
 }
 
-func (m *ConfirmResponse) decode(r *reader) {
-	m.Confirmed = r.bool()
-	m.Age = time.Duration(r.int())
+func (m *WithdrawRequest) fields(c *coder) {
+	text(c, 1, &m.Service)
+	unsigned(c, 2, &m.Epoch)
 }
 
-func (m *WithdrawRequest) encode(w *writer) {
-	w.text(string(m.Service))
-	w.uint(m.Epoch)
-}
-
-func (m *WithdrawRequest) decode(r *reader) {
-	m.Service = model.ServiceID(r.text())
-	m.Epoch = r.uint()
-}
-
-func (*WithdrawResponse) encode(*writer) {}
-
-func (*WithdrawResponse) decode(*reader) {}
+func (*WithdrawResponse) fields(*coder) {}
--- a/io/relay/reconnect.go
+++ b/io/relay/reconnect.go
@@ -58,11 +58,10 @@
 func (p *Peer) dialAndCheck() (*rpc.Client, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	conn, err := p.config.Dial(ctx, p.config.Address)
+	client, err := p.open(ctx)
 	if err != nil {
 		return nil, err
 	}
-	client := rpc.NewClientWithCodec(clientCodec{newCodec(conn)})
 	timer := time.NewTimer(checkTimeout)
 	defer timer.Stop()
 	select {
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"bufio"
 	"context"
+	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/rpc"
@@ -40,7 +43,12 @@
 	// Disconnected is called when a connection ends on which orders arrived. It gets the
 	// orders' Entry, which identifies the instance that sent them and its incarnation.
 	Disconnected func(entry uint64)
-	// Log records when the server stops accepting connections.
+	// Build names the version of this program. It may be empty.
+	Build string
+	// Rejected is called with the reason for each connection or request that can't be decoded. It may be
+	// nil.
+	Rejected func(reason string)
+	// Log records when the server stops accepting connections, and what can't be decoded.
 	Log *slog.Logger
 }
 
@@ -59,12 +67,51 @@
 				c.Log.LogAttrs(context.Background(), slog.LevelInfo, "stopped accepting connections of peers", slog.String("error", err.Error()))
 				return
 			}
-			go func() {
-				codec := newCodec(conn)
-				codec.disconnected = c.Disconnected
-				server.ServeCodec(serverCodec{codec})
-			}()
+			go func() { c.serve(server, conn) }()
 		}
 	}()
 	return nil
 }
+
+// serve answers the calls on one connection until the peer closes it.
+func (c *ServerConfig) serve(server *rpc.Server, conn net.Conn) {
+	in := bufio.NewReader(conn)
+	peer, err := accept(conn, in, c.Build)
+	if err != nil {
+		if !errors.Is(err, io.EOF) {
+			c.count(rejectedHello)
+			c.logRejected(slog.String("peer", conn.RemoteAddr().String()), slog.String("error", err.Error()))
+		}
+		// The connection isn't used, so an error of closing it doesn't matter.
+		_ = conn.Close()
+		return
+	}
+	codec := newCodec(conn, in, peer.form)
+	codec.disconnected = c.Disconnected
+	logged := false
+	codec.undecoded = func(method string, err error) {
+		if c.count(rejectedRequest); !logged {
+			c.logRejected(slog.String("peer", conn.RemoteAddr().String()), slog.String("build", peer.build), slog.String("method", method), slog.String("error", err.Error()))
+			logged = true
+		}
+	}
+	server.ServeCodec(serverCodec{codec})
+}
+
+// The reasons that ServerConfig.Rejected gets.
+const (
+	rejectedHello   = "hello"
+	rejectedRequest = "request"
+)
+
+// count counts something that can't be decoded.
+func (c *ServerConfig) count(reason string) {
+	if c.Rejected != nil {
+		c.Rejected(reason)
+	}
+}
+
+// logRejected logs something that can't be decoded.
+func (c *ServerConfig) logRejected(attrs ...slog.Attr) {
+	c.Log.LogAttrs(context.Background(), slog.LevelWarn, "cannot decode what a peer sent, nothing of it was run", attrs...)
+}
--- a/io/view/entries.go
+++ b/io/view/entries.go
@@ -32,6 +32,8 @@
 	// PermitMs is the time after a confirmation for which the instance may use primaries, in
 	// milliseconds. Instances of older versions don't state it.
 	PermitMs int64 `json:"permit_ms,omitempty"`
+	// Level is the instance's level (package level). Instances of older versions don't state it.
+	Level int `json:"level,omitempty"`
 	// Era is the era of the store that the instance knew. An entry that says less than the store's
 	// era was restored from an older copy.
 	Era uint64 `json:"era,omitempty"`
@@ -78,7 +80,7 @@
 // InstanceValue encodes the registration of an instance. The key holds its ID, and the store
 // its lease.
 func InstanceValue(i plan.Instance, era uint64) ([]byte, error) {
-	return json.Marshal(instanceEntry{Address: i.Address, Domain: string(i.Domain), Weight: i.Weight, BandwidthMbps: i.Bandwidth, LeaseMs: i.LeaseLife.Milliseconds(), PermitMs: i.PermitLife.Milliseconds(), Era: era})
+	return json.Marshal(instanceEntry{Address: i.Address, Domain: string(i.Domain), Weight: i.Weight, BandwidthMbps: i.Bandwidth, LeaseMs: i.LeaseLife.Milliseconds(), PermitMs: i.PermitLife.Milliseconds(), Level: i.Level, Era: era})
 }
 
 // RightValue encodes the value of a right with the given holder.
@@ -123,7 +125,7 @@
 	if b.hasFormer = b.hasFormer || former; former && !b.initial {
 		return
 	}
-	next := plan.Instance{ID: id, Address: entry.Address, Domain: model.Domain(entry.Domain), Weight: entry.Weight, Bandwidth: entry.BandwidthMbps, Lease: uint64(e.Lease), Revision: revision, LeaseLife: time.Duration(entry.LeaseMs) * time.Millisecond, PermitLife: time.Duration(entry.PermitMs) * time.Millisecond}
+	next := plan.Instance{ID: id, Address: entry.Address, Domain: model.Domain(entry.Domain), Weight: entry.Weight, Bandwidth: entry.BandwidthMbps, Lease: uint64(e.Lease), Revision: revision, LeaseLife: time.Duration(entry.LeaseMs) * time.Millisecond, PermitLife: time.Duration(entry.PermitMs) * time.Millisecond, Level: entry.Level}
 	if next == b.next.Instances[id] {
 		return
 	}
