io/proxy: only its gateway probes a cold primary for the monitor

Cause: a monitor without an answer from its primary asks the gateways for a confirmation, and each of them may probe. Five gateways send ten commands every 300 ms; a cold primary has room for twelve a second beside its work.

Ruled out: callers' work (counted by the gateway's ramp) and a restart (2.3 s after the start).

Change: Node.mayProbe. A server of a sealed domain is still probed by nobody. The room that a cold primary keeps for probes is 16 commands: four by the monitor and four by the gateway, two commands each.

--- a/io/proxy/cold.go
+++ b/io/proxy/cold.go
@@ -13,9 +13,9 @@
 	"pomelofork/io/view"
 )
 
-// probeStarts is the number of commands by which the monitor of a primary and those who ask it whether
-// the primary is confirmed may probe it in a second: a BEGIN and a ROLLBACK each time, and a connection.
-const probeStarts = 12
+// probeStarts is the number of commands by which the monitor of a primary and, on its behalf, the primary's
+// gateway may probe it in a second: a BEGIN and a ROLLBACK four times each.
+const probeStarts = 16
 
 // coldGateways is what an instance knows of its role as the gateway of servers that may be cold. The
 // lock of the node guards it. The zero value knows nothing.
--- a/io/proxy/cold_test.go
+++ b/io/proxy/cold_test.go
@@ -45,6 +45,30 @@
 	}
 })
 
+// Probes by all instances that the monitor of a cold primary asked were more than the server may get.
+var _ = Describe("A primary that is probed for its monitor", func() {
+	cold, sealed := clock.Now().Add(time.Hour), clock.Now().Add(-time.Hour)
+	for name, c := range map[string]struct {
+		server  plan.Server
+		gateway bool
+		want    bool
+	}{
+		"by any instance":                    {plan.Server{ID: "p"}, false, true},
+		"by its gateway if it is cold":       {plan.Server{ID: "p", ColdUntil: cold}, true, true},
+		"by no other instance if it is cold": {plan.Server{ID: "p", ColdUntil: cold}, false, false},
+		"by nobody if its domain is sealed":  {plan.Server{ID: "p", EvacuatedSince: sealed}, true, false},
+	} {
+		It("may be probed "+name, func() {
+			first := plan.Instance{ID: "other"}
+			if c.gateway {
+				first.ID = "self"
+			}
+			n := &Node{config: Config{Self: plan.Instance{ID: "self"}, EvacuationBound: time.Minute}, holderOrder: map[model.ServerID][]plan.Instance{"p": {first}}}
+			Expect(n.mayProbe(clock.Now(), c.server)).To(Equal(c.want))
+		})
+	}
+})
+
 var _ = Describe("The claim of an instance to a cold server", func() {
 	server := plan.Server{ID: "s1", Service: "s", ColdUntil: clock.Now().Add(time.Hour)}
 	s := func(n *Node) *view.State {
--- a/io/proxy/primary.go
+++ b/io/proxy/primary.go
@@ -115,7 +115,7 @@
 	if pool := n.pool(id); pool != nil {
 		at = pool.ConfirmedAt()
 	}
-	if !probe || now.Sub(at) < recentConfirmation || n.config.evacuation().Phase(now, server.EvacuatedSince) >= evac.PhaseSealed {
+	if !probe || now.Sub(at) < recentConfirmation || !n.mayProbe(now, server) {
 		return at
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
@@ -132,6 +132,17 @@
 	return sent
 }
 
+// mayProbe reports whether this instance may probe a primary for the one that monitors it. Nothing is sent
+// to a server of a sealed domain, and only its gateway sends to a cold one: the probes of several instances
+// were more than a cold server may get.
+func (n *Node) mayProbe(now time.Time, server plan.Server) bool {
+	if n.config.evacuation().Phase(now, server.EvacuatedSince) >= evac.PhaseSealed {
+		return false
+	}
+	holders := n.holders(server)
+	return !server.Cold(now) || (len(holders) > 0 && holders[0].ID == n.config.Self.ID)
+}
+
 // gateways implements lead.Gateways.
 type gateways struct{ node *Node }
 
