core/keep: a pool keeps the connections of the accounts that use its server most

Change: the connection with the least recent uses per connection of its account is closed. It can be switched off (connection_demand).

--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -76,6 +76,9 @@
 	ReturnPlaces Switch = "return_places"
 	// OpeningWork counts the opening of connections as work of a server.
 	OpeningWork Switch = "opening_work"
+	// ConnectionDemand keeps the connections of the accounts that use a server most, instead of those that
+	// were used last.
+	ConnectionDemand Switch = "connection_demand"
 	// ColdPlacement prefers warm servers to cold ones, and leaves a cold one alone for as long as it
 	// says that it can take no more.
 	ColdPlacement Switch = "cold_placement"
@@ -95,6 +98,7 @@
 		PrimaryRoom, WaitingEstimate, RetryBudget,
 		EvacuationSteps, EvacuationPace,
 		AccountShares, GapWait, ReturnPlaces, OpeningWork,
+		ConnectionDemand,
 		ColdPlacement,
 		DomainLoss, ShortPermits,
 	}
--- a/io/pooler/contended.go
+++ b/io/pooler/contended.go
@@ -170,13 +170,14 @@
 }
 
 // leastUseful returns the idle connection of another account that is closed to make room for one of
-// the given account, or nil if there is none: the one that has been idle the longest, and where
+// the given account, or nil if there is none: the one that is expected to be used last, and where
 // callers compete for the server one of an account without queued requests, if there is one.
-func (p *Pool) leastUseful(account model.AccountID) *serverConn {
+func (p *Pool) leastUseful(now time.Time, account model.AccountID) *serverConn {
 	var waiting map[model.AccountID]int
 	if p.contended {
 		waiting = p.waitingByAccount()
 	}
+	uses := p.usesPerConn(now)
 	var best *serverConn
 	for sc := range p.conns {
 		if !sc.idle() || sc.account == account {
@@ -187,13 +188,31 @@
 			continue
 		}
 		wanted, bestWanted := waiting[sc.account] > 0, waiting[best.account] > 0
-		if (!wanted && bestWanted) || (wanted == bestWanted && sc.idleFrom.Before(best.idleFrom)) {
+		less := uses[sc.account] < uses[best.account] || (uses[sc.account] == uses[best.account] && sc.idleFrom.Before(best.idleFrom))
+		if (!wanted && bestWanted) || (wanted == bestWanted && less) {
 			best = sc
 		}
 	}
 	return best
 }
 
+// usesPerConn returns how often each account with connections has recently used the server, for each of
+// its connections.
+func (p *Pool) usesPerConn(now time.Time) map[model.AccountID]float64 {
+	uses := map[model.AccountID]float64{}
+	if p.disabled.Has(trial.ConnectionDemand) {
+		return uses
+	}
+	conns := map[model.AccountID]int{}
+	for sc := range p.conns {
+		conns[sc.account]++
+	}
+	for account, n := range conns {
+		uses[account] = p.demand.Uses(now, account) / float64(n)
+	}
+	return uses
+}
+
 // releaseIfMoved rejects the queued requests when another instance has become the one that should
 // hold the server's connections. They have not run, and that instance serves them sooner.
 func (p *Pool) releaseIfMoved(holder bool) {
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -117,7 +117,7 @@
 	if len(p.conns) < limit {
 		return true
 	}
-	oldest := p.leastUseful(account)
+	oldest := p.leastUseful(now, account)
 	if oldest == nil {
 		return false
 	}
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pomelofork/core/evac"
+	"pomelofork/core/keep"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/ramp"
@@ -87,6 +88,8 @@
 	observedLimitUntil time.Time
 	queue              *wait.Queue[*request]
 	conns              map[*serverConn]struct{}
+	// demand records how often accounts use the server.
+	demand keep.Demand[model.AccountID]
 	// transactions holds the connections with an open transaction.
 	transactions map[txKey]*serverConn
 	// running counts the statements in flight and the connections being opened.
@@ -245,6 +248,9 @@
 		r.result <- refused(stmt.CodeConnectionLost, silentText, silentAfter)
 		return
 	}
+	if !inTransaction {
+		p.demand.Use(now, r.order.Account)
+	}
 	if after, ok := p.admitCold(now, r); !ok {
 		r.result <- p.refuseCold(after)
 		return
