Reads share one question for a service's newest point, and its monitor probes at once

Cause: after a loss of all instances no entry knows a log point, so that each read proves the primary: BEGIN, the read and ROLLBACK there. The monitor of a primary knew no point for 250 ms, because its first probe waited for the first tick.

Ruled out: openings at the limit of connections (one or two refusals a server) and missing tokens (7 refusals).

Change: a monitor makes its first check at once.

--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -206,6 +206,26 @@
 	}
 }
 
+// newestPoint is the answer to the question for the newest point of a service.
+type newestPoint struct {
+	at    time.Time
+	point model.Point
+	found bool
+}
+
+// askNewestPoint asks the fleet for the newest point of a service. Reads that need it at the same time share
+// one question.
+func (e *Entry) askNewestPoint(now time.Time, service model.ServiceID) newestPoint {
+	answer, _, _ := e.points.Do(string(service), func() (any, error) {
+		at, point, found := e.config.Fleet.NewestPoint(now, service)
+		if found {
+			e.Observe(service, at, point)
+		}
+		return newestPoint{at, point, found}, nil
+	})
+	return answer.(newestPoint)
+}
+
 // requiredPoint returns the point that a read's server must have reached. It returns
 // false if no known point is recent enough for the route.
 func (a *attempts) requiredPoint(now time.Time) (model.Point, bool) {
@@ -215,12 +235,11 @@
 	point, ok := e.history(a.route.Service).OldestCovering(since)
 	e.mu.Unlock()
 	if !ok {
-		at, latest, found := e.config.Fleet.NewestPoint(now, a.route.Service)
-		if !found || at.Before(since) {
+		newest := e.askNewestPoint(now, a.route.Service)
+		if !newest.found || newest.at.Before(since) {
 			return model.Point{}, false
 		}
-		e.Observe(a.route.Service, at, latest)
-		point = latest
+		point = newest.point
 	}
 	if own := a.session.ownPoint; a.route.Freshness == plan.FreshSession && a.session.ownService == a.route.Service && point.Less(own) {
 		point = own
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"pomelofork/core/evac"
 	"pomelofork/core/fresh"
 	"pomelofork/core/home"
@@ -65,6 +67,8 @@
 	lastUnit atomic.Uint64
 	// placed numbers the choices of a server while a failure domain is being evacuated.
 	placed atomic.Uint64
+	// points are the questions for newest points that reads wait for, by service.
+	points singleflight.Group
 
 	mu            sync.Mutex
 	sessions      map[*session]struct{}
--- a/io/entry/fake_test.go
+++ b/io/entry/fake_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -26,7 +27,11 @@
 	grant       quota.Grant
 	held        bool
 	newestPoint model.Point
-	orders      []stmt.Order
+	// known delays the answers to questions for the newest point until it is closed, unless it is nil.
+	known chan struct{}
+	// questions counts them.
+	questions atomic.Int64
+	orders    []stmt.Order
 }
 
 func (f *fakeFleet) Run(_ time.Time, server plan.Server, order *stmt.Order) stmt.Result {
@@ -50,6 +55,10 @@
 }
 
 func (f *fakeFleet) NewestPoint(now time.Time, _ model.ServiceID) (time.Time, model.Point, bool) {
+	f.questions.Add(1)
+	if f.known != nil {
+		<-f.known
+	}
 	return now, f.newestPoint, !f.newestPoint.IsZero()
 }
 
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -129,34 +129,40 @@
 func New(ctx context.Context, c Config) *Monitor {
 	m := &Monitor{config: c}
 	go func() {
+		defer m.closeConn()
 		ticker := time.NewTicker(probeInterval)
 		defer ticker.Stop()
 		for {
+			// The first check is made at once: after a loss of all instances, nobody knows a point of the
+			// service until then, and all of its reads go to the primary.
+			m.run(ctx, clock.Now())
 			select {
 			case <-ctx.Done():
-				m.closeConn()
 				return
 			case <-ticker.C:
 			}
-			now := clock.Now()
-			if !c.Holds(now) {
-				m.closeConn()
-				m.machine = nil
-				continue
-			}
-			if m.machine == nil {
-				vacancy := c.View.State().Vacancies[c.Service]
-				if c.Disabled.Has(trial.VacancyTakeover) {
-					vacancy = view.Vacancy{}
-				}
-				m.machine = promo.New(now, vacancy.Since, vacancy.Former)
-			}
-			m.check(ctx, now)
 		}
 	}()
 	return m
 }
 
+// run makes one check if this instance holds the right to.
+func (m *Monitor) run(ctx context.Context, now time.Time) {
+	if !m.config.Holds(now) {
+		m.closeConn()
+		m.machine = nil
+		return
+	}
+	if m.machine == nil {
+		vacancy := m.config.View.State().Vacancies[m.config.Service]
+		if m.config.Disabled.Has(trial.VacancyTakeover) {
+			vacancy = view.Vacancy{}
+		}
+		m.machine = promo.New(now, vacancy.Since, vacancy.Former)
+	}
+	m.check(ctx, now)
+}
+
 // servers returns the known servers of the service.
 func (m *Monitor) servers() []plan.Server {
 	return m.config.View.State().Services[m.config.Service]
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -138,10 +138,10 @@
 
 var _ = Describe("Monitoring primaries", func() {
 	It("covers only the services for which the instance holds the right", func() {
-		n := &Node{monitors: map[model.ServiceID]context.CancelFunc{}, config: Config{Log: slog.New(slog.DiscardHandler)}}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		n.view = view.New(ctx, view.Config{Sources: func(*view.State) []view.Source { return []view.Source{view.StoreSource{Table: kvsim.New().Client()}} }, Changed: func(view.State) {}, Log: n.config.Log})
+		n := newNodeFor(kvsim.New(), 0)
+		n.monitors = map[model.ServiceID]context.CancelFunc{}
 		n.updateMonitors(ctx, []string{"rate-1", monitorRight("a"), monitorRight("b")})
 		Expect(n.monitors).To(HaveLen(2))
 		n.updateMonitors(ctx, []string{monitorRight("b")})
--- a/io/relay/form_test.go
+++ b/io/relay/form_test.go
@@ -60,9 +60,18 @@
 	return out
 }
 
-// withoutLaterFields returns a sample without the fields that build 9b94287 didn't have.
-func withoutLaterFields(name string) message {
+// asOfOrdered returns a sample without the fields that only the tagged form has.
+func asOfOrdered(name string) message {
 	m := samples()[name]
+	if m, ok := m.(*LookRequest); ok {
+		m.Wait = 0
+	}
+	return m
+}
+
+// asOf9b94287 returns a sample without the fields that build 9b94287 didn't have.
+func asOf9b94287(name string) message {
+	m := asOfOrdered(name)
 	switch m := m.(type) {
 	case *RunRequest:
 		m.Order.Homes = nil
@@ -82,8 +91,8 @@
 		// sent says that this build sends the same bytes.
 		sent bool
 	}{
-		"ordered 9b94287": {formOrdered, withoutLaterFields, false},
-		"ordered db51426": {formOrdered, func(name string) message { return samples()[name] }, true},
+		"ordered 9b94287": {formOrdered, asOf9b94287, false},
+		"ordered db51426": {formOrdered, asOfOrdered, true},
 		"tagged":          {formTagged, func(name string) message { return samples()[name] }, true},
 	} {
 		messages := recorded(t)[source]
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -60,6 +60,9 @@
 type LookRequest struct {
 	// Service is the service, or empty for the configuration age only.
 	Service model.ServiceID
+	// Wait is the longest time for which the peer waits for a point if it knows none. Builds that don't
+	// know it answer at once.
+	Wait time.Duration
 }
 
 // LookResponse is the result of Look.
@@ -189,7 +192,12 @@
 	signed(c, 4, &m.RetryAfter)
 }
 
-func (m *LookRequest) fields(c *coder) { text(c, 1, &m.Service) }
+func (m *LookRequest) fields(c *coder) {
+	text(c, 1, &m.Service)
+	if c.form >= formTagged {
+		signed(c, 2, &m.Wait)
+	}
+}
 
 func (m *LookResponse) fields(c *coder) {
 	c.point(1, &m.Point)
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -132,6 +132,11 @@
 	return call[LookResponse](p, now, "Look", &LookRequest{Service: service}, timeout)
 }
 
+// AwaitPoint asks the peer for a service's newest point. A peer that knows none waits for one.
+func (p *Peer) AwaitPoint(now time.Time, service model.ServiceID, wait, timeout time.Duration) (LookResponse, error) {
+	return call[LookResponse](p, now, "Look", &LookRequest{Service: service, Wait: wait}, wait+timeout)
+}
+
 // Endorse asks the peer, as the monitor of a service's primary, whether its appointment is in force.
 func (p *Peer) Endorse(now time.Time, request *EndorseRequest, timeout time.Duration) (EndorseResponse, error) {
 	return call[EndorseResponse](p, now, "Endorse", request, timeout)
--- a/io/relay/sample_test.go
+++ b/io/relay/sample_test.go
@@ -25,7 +25,7 @@
 		}},
 		"draw request":    &DrawRequest{Account: "a", Mint: 1, Need: 2, Ahead: 3, Patience: time.Second},
 		"draw response":   &DrawResponse{Holds: true, Tokens: 5, Delay: time.Second, RetryAfter: time.Minute},
-		"look request":    &LookRequest{Service: "s"},
+		"look request":    &LookRequest{Service: "s", Wait: time.Second},
 		"look response":   &LookResponse{ConfigAge: -1, Point: model.NewPoint(1, 2), Age: time.Minute},
 		"follow request":  &FollowRequest{After: 1 << 50, All: true, Wait: time.Second, CheckOnly: true},
 		"follow response": &FollowResponse{Known: true, All: true, Revision: 5, Age: time.Second, Entries: []store.Entry{{Key: "k", Value: []byte{0, 1}, Revision: 9, Lease: 4, Removed: true}, {Key: "l", Value: []byte{2}, Revision: 1}}},
