core/place: reads of an account use one replica where connections are scarce

With 74 accounts and 22 connections a server, each such read costs an opening.

Change: place.MarkUsual, only where more accounts are configured than a gateway opens connections to a server (keep.Usable, moved from io/pooler); the cost is that of an opening times the share of accounts without a connection. Elsewhere nothing changes. It can be switched off (usual_replica).

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -17,6 +17,9 @@
 	// crossDomainCost is the cost of sending a read to another failure domain: some round
 	// trips of about two milliseconds each, and traffic that is charged for.
 	crossDomainCost = 12 * time.Millisecond
+	// scarceDomainCost is the same where connections are scarce: the round trips only. A read that stays in
+	// its domain would often open a connection there, which costs more.
+	scarceDomainCost = 4 * time.Millisecond
 	// primaryCost is the cost of a read at a primary to the writes that only it can run:
 	// about the time of one statement in a slot.
 	primaryCost = 10 * time.Millisecond
@@ -65,6 +68,10 @@
 	// InFlight is the number of statements of this instance that run or wait at the
 	// server.
 	InFlight int
+	// Scarce says that more accounts use the server than it accepts connections, and Opening is what opening
+	// one for the account of the read is expected to cost, or zero if the account has one.
+	Scarce  bool
+	Opening time.Duration
 	// Cold says that the server has just started and takes few statements. ColdInterval is the time
 	// between two that it can take, or zero if that isn't known.
 	Cold         bool
@@ -101,7 +108,7 @@
 			}
 			continue
 		}
-		if cost := costOf(now, required, c) + coldCostOf(c); best < 0 || cost < bestCost {
+		if cost := costOf(now, required, c) + coldCostOf(c) + c.Opening; best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
@@ -139,7 +146,11 @@
 	if now.Sub(c.WaitAt) < waitMaxAge {
 		cost = max(cost, c.Wait)
 	}
-	if !c.SameDomain {
+	switch {
+	case c.SameDomain:
+	case c.Scarce:
+		cost += scarceDomainCost
+	default:
 		cost += crossDomainCost
 	}
 	if c.Server.Primary {
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -79,6 +79,9 @@
 	// ConnectionDemand keeps the connections of the accounts that use a server most, instead of those that
 	// were used last.
 	ConnectionDemand Switch = "connection_demand"
+	// UsualReplica prefers the replica that an account's reads go to usually, where more accounts use a
+	// server than it accepts connections.
+	UsualReplica Switch = "usual_replica"
 	// ColdPlacement prefers warm servers to cold ones, and leaves a cold one alone for as long as it
 	// says that it can take no more.
 	ColdPlacement Switch = "cold_placement"
@@ -98,7 +101,7 @@
 		PrimaryRoom, WaitingEstimate, RetryBudget,
 		EvacuationSteps, EvacuationPace,
 		AccountShares, GapWait, ReturnPlaces, OpeningWork,
-		ConnectionDemand,
+		ConnectionDemand, UsualReplica,
 		ColdPlacement,
 		DomainLoss, ShortPermits,
 	}
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"pomelofork/core/keep"
 	"pomelofork/core/model"
 	"pomelofork/core/pick"
 	"pomelofork/core/place"
@@ -174,6 +175,9 @@
 			Cold:       e.config.passesOverCold() && server.Cold(now), ColdInterval: e.coldInterval(server.Service),
 		})
 	}
+	if !required.Primary && !e.config.Disabled.Has(trial.UsualReplica) {
+		place.MarkUsual(a.order.Account, e.openingCost(a.route.Service), candidates)
+	}
 	a.look(now, required, candidates)
 	e.mu.Unlock()
 	if a.passedOver = passedOver; len(candidates) > 0 {
@@ -206,6 +210,15 @@
 	}
 }
 
+// openingCost returns the expected cost of a read at a server that its account doesn't usually read from.
+func (e *Entry) openingCost(service model.ServiceID) time.Duration {
+	current := e.config.View.State().Plan
+	if current == nil {
+		return 0
+	}
+	return place.OpeningCost(current.Accounts(), keep.Usable(current.Connections(service)))
+}
+
 // newestPoint is the answer to the question for the newest point of a service.
 type newestPoint struct {
 	at    time.Time
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -22,17 +22,6 @@
 	// extraStatements is the number of statements sent beyond the server's slots, so that
 	// a slot that becomes free isn't idle for a network round trip.
 	extraStatements = 1
-	// minFreeConns is the minimum number of the server's connections that the pool leaves
-	// to other instances: to the one that monitors the service's primary, and to one that
-	// takes over the connections to the server.
-	minFreeConns = 2
-	// freeDivisor gives the part of the server's connections that the pool leaves to other
-	// instances: one in freeDivisor. After an instance loses power, the server keeps that
-	// instance's connections open for some seconds, and the instance that takes over can
-	// only use the connections that were left free.
-	freeDivisor = 3
-	// defaultConns is the server's limit of connections if the configuration sets none.
-	defaultConns = 16
 	// nonTransactionDivisor gives the part of the pool's connections that transactions may
 	// not use: one in nonTransactionDivisor.
 	nonTransactionDivisor = 4
@@ -124,10 +113,6 @@
 
 // NewPool returns a pool without connections. It opens them when statements need them.
 func NewPool(c Config) *Pool {
-	limit := c.Connections
-	if limit == 0 {
-		limit = defaultConns
-	}
 	if c.ColdRefused == nil {
 		c.ColdRefused = func() {}
 	}
@@ -143,7 +128,7 @@
 	return &Pool{
 		server: c.Server, dialer: c.Dialer, observe: c.Observe, latest: c.Latest, allows: c.Allows, evacuation: c.Evacuation, coldRefused: c.ColdRefused, log: c.Log, disabled: c.Disabled,
 		contended: c.Contended, weight: c.Weight, count: c.Count,
-		limit: max(limit-max(minFreeConns, limit/freeDivisor), 1), queue: wait.NewWithPolicy[*request](c.Server.Slots, wait.Policy{
+		limit: keep.Usable(c.Connections), queue: wait.NewWithPolicy[*request](c.Server.Slots, wait.Policy{
 			ArrivalOrder: c.Disabled.Has(trial.TargetOrder), AcceptAll: c.Disabled.Has(trial.EarlyRejection),
 			Contended: c.Contended, EqualAccounts: c.Disabled.Has(trial.AccountShares), TargetWait: c.Disabled.Has(trial.GapWait),
 			EqualReturn: c.Disabled.Has(trial.ReturnPlaces),
