--- a/core/keep/demand.go
+++ b/core/keep/demand.go
@@ -13,7 +13,7 @@
 	// minUses is the number of recent uses below which they are forgotten.
 	minUses = 0.01
 	// pruneInterval is the time between two searches for uses to forget.
-	pruneInterval = 4 * span
+	pruneInterval = time.Minute
 )
 
 // Demand records how often the holders of connections, which are identified by a key, use a server. The
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -230,7 +230,7 @@
 	if !ok || !n.peer(inst).Reachable(now) {
 		return time.Time{}, model.Point{}, false
 	}
-	response, err := n.peer(inst).AwaitPoint(now, service, maxPointWait, lookTimeout)
+	response, err := n.peer(inst).AwaitPoint(now, service, maxPointWait, lookTimeout-maxPointWait)
 	if err != nil {
 		n.endLeaseIfRefused(inst, err)
 		return time.Time{}, model.Point{}, false
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -132,7 +132,8 @@
 	return call[LookResponse](p, now, "Look", &LookRequest{Service: service}, timeout)
 }
 
-// AwaitPoint asks the peer for a service's newest point. A peer that knows none waits for one.
+// AwaitPoint asks the peer for a service's newest point. A peer that knows none waits for one, and its
+// answer may take the timeout beyond that.
 func (p *Peer) AwaitPoint(now time.Time, service model.ServiceID, wait, timeout time.Duration) (LookResponse, error) {
 	return call[LookResponse](p, now, "Look", &LookRequest{Service: service, Wait: wait}, wait+timeout)
 }
