Revert the packed content for followers

Cause: it was meant for the bytes at 300 instances. What the busiest instance sends at 300 looks like the configuration, which grows with the machines (a watcher reads it whole from the store for each change and sends it to its followers); not shown yet.

--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -72,7 +72,6 @@
 	// run them.
 	transactions map[uint64]plan.Instance
 	encoded      *encodedValues
-	content      contentCache
 	// cold is what this instance knows of its role as the gateway of cold servers.
 	cold coldGateways
 	// homesLogged is the version of the configuration whose homes were last checked.
--- a/io/proxy/source.go
+++ b/io/proxy/source.go
@@ -155,11 +155,6 @@
 	defer cancel()
 	if args.CheckOnly {
 		h.node.confirmForFollower()
-	} else if args.All {
-		if answer, ok := h.node.content.recent(clock.Now(), h.node.view.Era()); ok {
-			*result = answer
-			return nil
-		}
 	}
 	update, err := h.node.view.Serve(ctx, view.Query{After: args.After, All: args.All, Wait: args.Wait})
 	if err != nil {
@@ -172,11 +167,6 @@
 		// answer to each check would fill the link of this instance.
 		return nil
 	}
-	encoded := h.node.encoded.encode(update.Entries)
-	if update.All {
-		*result = h.node.content.pack(clock.Now(), update, encoded, h.node.config.Log)
-		return nil
-	}
-	result.Entries = encoded
+	result.All, result.Entries = update.All, h.node.encoded.encode(update.Entries)
 	return nil
 }
--- a/io/relay/form_test.go
+++ b/io/relay/form_test.go
@@ -22,7 +22,6 @@
 
 	"pomelofork/core/stmt"
 	"pomelofork/io/clock"
-	"pomelofork/io/store"
 )
 
 // encodeIn returns a message in a form.
@@ -319,31 +318,3 @@
 		})
 	}
 }
-
-// The whole content is sent packed to builds that know that, and as it is to others.
-func TestPackedEntries(t *testing.T) {
-	entries := make([]store.Entry, 300)
-	for i := range entries {
-		entries[i] = store.Entry{Key: fmt.Sprint("own/instance/front-", i), Value: fmt.Appendf(nil, `{"address":"10.1.0.%d:7560","domain":"d","weight":0.4,"lease_ms":9000}`, i), Revision: uint64(i)}
-	}
-	packed, err := PackEntries(entries)
-	if err != nil {
-		t.Fatal(err)
-	}
-	sent := &FollowResponse{Known: true, All: true, Entries: entries, Packed: packed}
-	want := &FollowResponse{Known: true, All: true, Entries: entries}
-	for name, f := range map[string]form{"ordered": formOrdered, "tagged": formTagged} {
-		got, size := &FollowResponse{}, len(encodeIn(f, sent))
-		if err := decodeFrom(f, got, encodeIn(f, sent)); err != nil || !reflect.DeepEqual(got, want) {
-			t.Errorf("%s: decoded %d entries (error %v)", name, len(got.Entries), err)
-		}
-		if plain := len(encodeIn(formOrdered, want)); f == formTagged && size > plain/4 {
-			t.Errorf("%d bytes packed, %d plain", size, plain)
-		}
-	}
-	for name, bad := range map[string][]byte{"no gzip": []byte("packed"), "cut short": packed[:len(packed)-9]} {
-		if err := decodeFrom(formTagged, &FollowResponse{}, encodeIn(formTagged, &FollowResponse{Known: true, Packed: bad})); err == nil {
-			t.Errorf("%s: no error", name)
-		}
-	}
-}
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -103,9 +103,6 @@
 	Age time.Duration
 	// Entries are the changes after the requested revision, or the whole content.
 	Entries []store.Entry
-	// Packed holds the same entries compressed, by PackEntries. If it is set, it is sent instead of Entries
-	// to peers that speak the tagged form, and Entries is set from it.
-	Packed []byte
 }
 
 func (m *FollowRequest) fields(c *coder) {
@@ -121,15 +118,13 @@
 	c.flag(2, &m.All)
 	unsigned(c, 3, &m.Revision)
 	signed(c, 4, &m.Age)
-	if c.form == formOrdered || len(m.Packed) == 0 || c.decoding {
-		entryList(c, 5, &m.Entries)
-	}
-	if c.form >= formTagged {
-		c.bytes(6, &m.Packed)
-		if c.decoding && len(m.Packed) > 0 {
-			m.unpack(c)
-		}
-	}
+	list(c, 5, &m.Entries, func(c *coder, e *store.Entry) {
+		text(c, 1, &e.Key)
+		c.bytes(2, &e.Value)
+		unsigned(c, 3, &e.Revision)
+		unsigned(c, 4, &e.Lease)
+		c.flag(5, &e.Removed)
+	})
 }
 
 func (m *RunRequest) fields(c *coder) {
--- a/io/relay/sample_test.go
+++ b/io/relay/sample_test.go
@@ -29,7 +29,6 @@
 		"look response":   &LookResponse{ConfigAge: -1, Point: model.NewPoint(1, 2), Age: time.Minute},
 		"follow request":  &FollowRequest{After: 1 << 50, All: true, Wait: time.Second, CheckOnly: true},
 		"follow response": &FollowResponse{Known: true, All: true, Revision: 5, Age: time.Second, Entries: []store.Entry{{Key: "k", Value: []byte{0, 1}, Revision: 9, Lease: 4, Removed: true}, {Key: "l", Value: []byte{2}, Revision: 1}}},
-
 		"confirm request": &ConfirmRequest{Server: "s", Probe: true}, "confirm response": &ConfirmResponse{Confirmed: true, Age: time.Second},
 		"withdraw request": &WithdrawRequest{Service: "s", Epoch: 1 << 41}, "withdraw response": &WithdrawResponse{},
 		"endorse request": &EndorseRequest{Service: "s"}, "endorse response": &EndorseResponse{Endorsed: true, Epoch: 7},
