Reads keep to one replica only where openings take much of the servers' time

Change: a gateway measures the part of its server's slot time that openings take (keep.Share) and reports it with each result; an entry takes connections as scarce from 15 % on, until they take less than 8 % (keep.Scarcity), with a log line. Builds that report nothing have plentiful connections. There, a replica whose point wasn't seen lately costs 2 ms in place of 12, unless it has lagged.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -20,6 +20,10 @@
 	// scarceDomainCost is the same where connections are scarce: the round trips only. A read that stays in
 	// its domain would often open a connection there, which costs more.
 	scarceDomainCost = 4 * time.Millisecond
+	// unseenPointCost is the cost of a read at a replica that isn't known to hold the point, where
+	// connections are scarce and the replica hasn't lagged lately: the small risk of another attempt. An
+	// entry sees the point of a replica only with its own reads there.
+	unseenPointCost = 2 * time.Millisecond
 	// primaryCost is the cost of a read at a primary to the writes that only it can run:
 	// about the time of one statement in a slot.
 	primaryCost = 10 * time.Millisecond
@@ -68,6 +72,8 @@
 	// InFlight is the number of statements of this instance that run or wait at the
 	// server.
 	InFlight int
+	// Lagging says that the server lacked the point of a read a moment ago.
+	Lagging bool
 	// Scarce says that more accounts use the server than it accepts connections, and Opening is what opening
 	// one for the account of the read is expected to cost, or zero if the account has one.
 	Scarce  bool
@@ -156,7 +162,11 @@
 	if c.Server.Primary {
 		cost += primaryCost
 	}
-	if c.Point.Less(required.After) {
+	switch {
+	case !c.Point.Less(required.After):
+	case c.Scarce && !c.Lagging:
+		cost += unseenPointCost
+	default:
 		cost += crossDomainCost
 	}
 	if age := now.Sub(c.LatencyAt); age < latencyFadeTime {
--- a/core/stmt/order.go
+++ b/core/stmt/order.go
@@ -87,6 +87,9 @@
 	Wait time.Duration
 	// Waits are the same for each priority, as far as the gateway knows, lowest number first.
 	Waits []PriorityWait
+	// OpeningShare is the recent part of the server's slot time that the opening of connections took, from 0
+	// to 1.
+	OpeningShare float64
 	// Latest is a point in the log of the server's service that covers every commit
 	// acknowledged longer ago than LatestAge. Zero means that none is known.
 	Latest model.Point
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"time"
 
-	"pomelofork/core/keep"
 	"pomelofork/core/model"
 	"pomelofork/core/pick"
 	"pomelofork/core/place"
@@ -171,12 +170,12 @@
 		candidates = append(candidates, place.Candidate{
 			Server: server, Point: stats.point, PointAt: stats.pointAt, Wait: stats.wait, WaitAt: stats.waitAt, InFlight: stats.inFlight,
 			Latency: stats.latency, LatencyAt: stats.latencyAt, FailureRate: stats.failureRate,
-			SameDomain: server.Domain == e.config.Domain,
-			Cold:       e.config.passesOverCold() && server.Cold(now), ColdInterval: e.coldInterval(server.Service),
+			SameDomain: server.Domain == e.config.Domain, Lagging: now.Before(stats.laggingUntil),
+			Cold: e.config.passesOverCold() && server.Cold(now), ColdInterval: e.coldInterval(server.Service),
 		})
 	}
 	if !required.Primary && !e.config.Disabled.Has(trial.UsualReplica) {
-		place.MarkUsual(a.order.Account, e.openingCost(a.route.Service), candidates)
+		place.MarkUsual(a.order.Account, e.openingCost(a.route.Service, candidates), candidates)
 	}
 	a.look(now, required, candidates)
 	e.mu.Unlock()
@@ -210,15 +209,6 @@
 	}
 }
 
-// openingCost returns the expected cost of a read at a server that its account doesn't usually read from.
-func (e *Entry) openingCost(service model.ServiceID) time.Duration {
-	current := e.config.View.State().Plan
-	if current == nil {
-		return 0
-	}
-	return place.OpeningCost(current.Accounts(), keep.Usable(current.Connections(service)))
-}
-
 // newestPoint is the answer to the question for the newest point of a service.
 type newestPoint struct {
 	at    time.Time
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -15,6 +15,7 @@
 	"pomelofork/core/evac"
 	"pomelofork/core/fresh"
 	"pomelofork/core/home"
+	"pomelofork/core/keep"
 	"pomelofork/core/model"
 	"pomelofork/core/pick"
 	"pomelofork/core/trial"
@@ -76,6 +77,7 @@
 	histories     map[model.ServiceID]*fresh.History
 	servers       map[model.ServerID]*serverStats
 	gaps          map[model.ServiceID]*primaryGap
+	scarcities    map[model.ServiceID]*keep.Scarcity
 	// vacancies are those of the last state. stateChanged is closed and replaced with each state.
 	vacancies    map[model.ServiceID]view.Vacancy
 	stateChanged chan struct{}
@@ -94,6 +96,12 @@
 	// wait is the time that a statement last waited there for a slot, as of waitAt.
 	wait   time.Duration
 	waitAt time.Time
+	// laggingUntil is the time until which the server counts as lagging.
+	laggingUntil time.Time
+	// openingShare is what its gateway last reported of the slot time that openings take, if
+	// openingReported is set.
+	openingShare    float64
+	openingReported bool
 	// inFlight is the number of orders that this entry sent there and that have no result
 	// yet.
 	inFlight int
@@ -114,7 +122,7 @@
 	return &Entry{
 		config: c, sessions: map[*session]struct{}{}, accountTokens: map[model.AccountID]*accountTokens{},
 		histories: map[model.ServiceID]*fresh.History{}, servers: map[model.ServerID]*serverStats{},
-		gaps: map[model.ServiceID]*primaryGap{}, stateChanged: make(chan struct{}),
+		gaps: map[model.ServiceID]*primaryGap{}, scarcities: map[model.ServiceID]*keep.Scarcity{}, stateChanged: make(chan struct{}),
 		picker: newPicker(c),
 	}
 }
--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -39,6 +39,8 @@
 	// an answer. If that server is running, a connection to it is opened again within this
 	// time.
 	suspectDuration = time.Second
+	// laggingMemory is the time for which a server that lacked the point of a read counts as lagging.
+	laggingMemory = 2 * time.Second
 )
 
 // admission is what an operation was admitted with.
--- a/io/entry/server_stats.go
+++ b/io/entry/server_stats.go
@@ -32,6 +32,9 @@
 	stats := e.stats(server.ID)
 	stats.inFlight--
 	stats.wait, stats.waitAt = result.Wait, done
+	if !result.NotSent {
+		stats.openingShare, stats.openingReported = result.OpeningShare, true
+	}
 	e.learn(done, sent, server, &result)
 	if e.config.passesOverCold() && refusedCold(now, server, result) {
 		stats.passedOverUntil = done.Add(result.RetryAfter)
@@ -54,6 +57,9 @@
 	} else if result.Answer.Code == stmt.CodeLagging {
 		stats.pointAt = now
 	}
+	if result.Answer.Code == stmt.CodeLagging {
+		stats.laggingUntil = done.Add(laggingMemory)
+	}
 	if !result.Latest.IsZero() {
 		e.history(server.Service).Add(now.Add(-result.LatestAge), result.Latest)
 	}
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -38,6 +38,7 @@
 		return false
 	}
 	sc.conn = conn
+	p.share.Opened(now, now.Sub(sc.openingSince))
 	p.ramp.Opened(now, !p.reached, !p.downSince.IsZero() || (p.reached && p.alone(sc)))
 	p.reached, p.downSince = true, time.Time{}
 	sc.idleFrom = now
@@ -148,6 +149,7 @@
 	p.running--
 	p.updateEvacuated(now)
 	p.queue.Ended(e.request.item, now.Sub(e.startedAt))
+	p.share.Ran(now, now.Sub(e.startedAt))
 	p.release(e)
 	order := e.request.order
 	result := stmt.Result{Answer: e.answer}
@@ -190,7 +192,7 @@
 // respond sends a request's result, with the estimated wait at the server and the newest
 // known point of its service.
 func (p *Pool) respond(now time.Time, r *request, result stmt.Result) {
-	result.Wait, result.Waits = p.queue.EstimateWait(p.running), p.reportedWaits(now)
+	result.Wait, result.Waits, result.OpeningShare = p.queue.EstimateWait(p.running), p.reportedWaits(now), p.share.Value()
 	if at, point, ok := p.latest(p.server.Service); ok {
 		result.Latest, result.LatestAge = point, now.Sub(at)
 	}
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -77,8 +77,9 @@
 	observedLimitUntil time.Time
 	queue              *wait.Queue[*request]
 	conns              map[*serverConn]struct{}
-	// demand records how often accounts use the server.
+	// demand records how often accounts use the server, and share what openings take of it.
 	demand keep.Demand[model.AccountID]
+	share  keep.Share
 	// transactions holds the connections with an open transaction.
 	transactions map[txKey]*serverConn
 	// running counts the statements in flight and the connections being opened.
--- a/io/relay/form_test.go
+++ b/io/relay/form_test.go
@@ -63,8 +63,11 @@
 // asOfOrdered returns a sample without the fields that only the tagged form has.
 func asOfOrdered(name string) message {
 	m := samples()[name]
-	if m, ok := m.(*LookRequest); ok {
+	switch m := m.(type) {
+	case *LookRequest:
 		m.Wait = 0
+	case *RunResponse:
+		m.Result.OpeningShare = 0
 	}
 	return m
 }
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"time"
 
 	"pomelofork/core/model"
@@ -175,6 +176,13 @@
 		signed(c, 1, &w.Priority)
 		signed(c, 2, &w.Wait)
 	})
+	if c.form >= formTagged {
+		// In thousandths. Without it, connections count as plentiful.
+		share := c.varint(15, uint64(math.Round(1000*min(max(r.OpeningShare, 0), 1))))
+		if c.decoding {
+			r.OpeningShare = min(float64(share)/1000, 1)
+		}
+	}
 }
 
 func (m *DrawRequest) fields(c *coder) {
--- a/io/relay/sample_test.go
+++ b/io/relay/sample_test.go
@@ -21,7 +21,7 @@
 		"run response": &RunResponse{Result: stmt.Result{
 			Answer: stmt.Answer{Rows: []string{"a b", ""}, Digest: "d", Code: stmt.CodeFailed, Text: "t", State: stmt.StateFailed, Point: model.NewPoint(3, 4)},
 			Wait:   time.Second, RetryAfter: 2 * time.Second, Latest: model.NewPoint(5, 6), LatestAge: -time.Millisecond, NotSent: true,
-			Waits: []stmt.PriorityWait{{Priority: 0, Wait: time.Millisecond}, {Priority: 2, Wait: time.Second}},
+			Waits: []stmt.PriorityWait{{Priority: 0, Wait: time.Millisecond}, {Priority: 2, Wait: time.Second}}, OpeningShare: 0.25,
 		}},
 		"draw request":    &DrawRequest{Account: "a", Mint: 1, Need: 2, Ahead: 3, Patience: time.Second},
 		"draw response":   &DrawResponse{Holds: true, Tokens: 5, Delay: time.Second, RetryAfter: time.Minute},
