io/view: registrations of older and later builds as test data

Cause: an upgrade puts entries of two builds side by side, and no test held what the older one writes.

--- a/io/view/view_test.go
+++ b/io/view/view_test.go
@@ -173,6 +173,23 @@
 		Eventually(func() int { return len(v.State().Instances) + len(v.State().Rights) }).WithTimeout(waitTimeout).Should(BeZero())
 	})
 
+	// Fleets consist of two builds while they are upgraded. The texts are those that the builds write.
+	for name, c := range map[string]struct {
+		entry string
+		want  plan.Instance
+	}{
+		"9b94287": {`{"address":"h:1","domain":"d","weight":2,"lease_ms":9000}`, plan.Instance{LeaseLife: 9 * time.Second}},
+		"db51426": {`{"address":"h:1","domain":"d","weight":2,"bandwidth_mbps":10,"lease_ms":9000,"permit_ms":1000}`,
+			plan.Instance{Bandwidth: 10, LeaseLife: 9 * time.Second, PermitLife: time.Second}},
+		"a later one": {`{"address":"h:1","domain":"d","weight":2,"level":7,"later":{"any":[1]}}`, plan.Instance{Level: 7}},
+	} {
+		It("reads the registration that an instance of another build writes: "+name, func() {
+			c.want.ID, c.want.Address, c.want.Domain, c.want.Weight = "i", "h:1", "d", 2
+			c.want.Revision = t.Set(v.InstanceKey("i"), []byte(c.entry))
+			Eventually(func() plan.Instance { return v.State().Instances["i"] }).WithTimeout(waitTimeout).Should(Equal(c.want))
+		})
+	}
+
 	It("doesn't claim to be newer than its last confirmation", func() {
 		Eventually(func() time.Time {
 			at, _ := v.FreshAsOf()
