--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -175,22 +175,11 @@
 		case <-abandoned:
 			return none, fmt.Errorf("%w: %w", ErrNoAnswer, errAbandoned)
 		case call := <-done:
-			if call.Error == nil {
-				p.observe(EventAnswered)
-				return *result, nil
-			}
-			var remote rpc.ServerError
-			if errors.As(call.Error, &remote) && (notDecoded(remote) || unknownMethod(remote)) {
-				p.observe(EventAnswered)
-				p.countUndecoded(method, remote)
-				return none, fmt.Errorf("%w: peer %s: %w", ErrNotSent, p.config.Name, remote)
-			}
-			if errors.As(call.Error, &remote) {
-				p.observe(EventAnswered)
-				return none, fmt.Errorf("peer %s: %w", p.config.Name, call.Error)
+			if call.Error != nil {
+				return none, p.callError(client, method, call.Error)
 			}
-			p.disconnect(client)
-			return none, fmt.Errorf("%w: %w", ErrNoAnswer, call.Error)
+			p.observe(EventAnswered)
+			return *result, nil
 		case <-checkTimer.C:
 			p.observe(EventOverdue)
 			p.check(client)
@@ -200,6 +189,22 @@
 	}
 }
 
+// callError returns the error of a call that net/rpc ended with one: what the peer answered, or that there
+// was no answer, in which case the connection is closed.
+func (p *Peer) callError(client *rpc.Client, method string, err error) error {
+	var remote rpc.ServerError
+	if !errors.As(err, &remote) {
+		p.disconnect(client)
+		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
+	p.observe(EventAnswered)
+	if notDecoded(remote) || unknownMethod(remote) {
+		p.countUndecoded(method, remote)
+		return fmt.Errorf("%w: peer %s: %w", ErrNotSent, p.config.Name, remote)
+	}
+	return fmt.Errorf("peer %s: %w", p.config.Name, err)
+}
+
 // check closes the connection if the peer doesn't answer a check on it in time, and then
 // tries to reach the peer again. A call that takes long doesn't show by itself whether its
 // statement is queued at the peer or the connection will never deliver an answer.
