--- a/core/keep/demand.go
+++ b/core/keep/demand.go
@@ -31,7 +31,12 @@
 
 // value returns the number of uses, faded until now.
 func (u uses) value(now time.Time) float64 {
-	return u.count * math.Exp(-max(now.Sub(u.at), 0).Seconds()/span.Seconds())
+	return u.count * fading(now, u.at)
+}
+
+// fading returns the part that is left now of what was counted at a time.
+func fading(now, at time.Time) float64 {
+	return math.Exp(-max(now.Sub(at), 0).Seconds() / span.Seconds())
 }
 
 // Use records a use.
--- a/core/keep/share.go
+++ b/core/keep/share.go
@@ -1,9 +1,6 @@
 package keep
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // minSlotTime is the recent slot time from which a share of it counts. The first connections after a start
 // would otherwise look like a shortage.
@@ -18,7 +15,7 @@
 
 // fade reduces what was measured before.
 func (s *Share) fade(now time.Time) {
-	factor := math.Exp(-max(now.Sub(s.at), 0).Seconds() / span.Seconds())
+	factor := fading(now, s.at)
 	s.opening, s.other, s.at = time.Duration(factor*float64(s.opening)), time.Duration(factor*float64(s.other)), now
 }
 
--- a/io/proxy/draw.go
+++ b/io/proxy/draw.go
@@ -98,7 +98,7 @@
 // ask draws from one issuer and records when that issuer should be asked again. It
 // returns false if nobody answered as the issuer.
 func (d *tokenDraw) ask(now time.Time, issuer, prefetch int, maxWait time.Duration) (quota.Grant, bool) {
-	grant, pause, ok := d.node.drawFromHolder(now, &relay.DrawRequest{Account: d.account, Mint: issuer, Need: 1, Ahead: prefetch, Patience: max(maxWait, 0)})
+	grant, pause, ok := d.node.drawFromHolder(now, &relay.DrawRequest{Account: d.account, Mint: issuer, Need: 1, Ahead: prefetch, MaxWait: max(maxWait, 0)})
 	d.node.mu.Lock()
 	defer d.node.mu.Unlock()
 	switch {
@@ -132,7 +132,7 @@
 		n.peerUnresponsive.Store(true)
 		return quota.Grant{}, unresponsivePause, false
 	}
-	response, err := n.peer(inst).Draw(now, request, request.Patience+drawSlack)
+	response, err := n.peer(inst).Draw(now, request, request.MaxWait+drawSlack)
 	if err != nil {
 		n.endLeaseIfRefused(inst, err)
 		n.peerUnresponsive.Store(true)
@@ -156,7 +156,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.issuerBucket(now, limits, request.Mint, since).Draw(now, request.Need, request.Ahead, request.Patience), true
+	return n.issuerBucket(now, limits, request.Mint, since).Draw(now, request.Need, request.Ahead, request.MaxWait), true
 }
 
 // issuerCount returns the number of an account's issuers.
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -40,8 +40,8 @@
 	Need int
 	// Ahead is the number of further tokens to prefetch for later operations.
 	Ahead int
-	// Patience is the longest time for which the operations can wait for the tokens.
-	Patience time.Duration
+	// MaxWait is the longest time for which the operations can wait for the tokens.
+	MaxWait time.Duration
 }
 
 // DrawResponse is the result of Draw.
@@ -190,7 +190,7 @@
 	signed(c, 2, &m.Mint)
 	signed(c, 3, &m.Need)
 	signed(c, 4, &m.Ahead)
-	signed(c, 5, &m.Patience)
+	signed(c, 5, &m.MaxWait)
 }
 
 func (m *DrawResponse) fields(c *coder) {
