--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -52,6 +52,8 @@
 	fence    uint64
 	// promoted is called with the backend that takes over, before it does.
 	promoted func(b *backend)
+	// ranRead is called with the id of each read that runs.
+	ranRead func(id string)
 }
 
 // backend is one backend of a service. The lock of the service guards its state.
@@ -489,11 +491,14 @@
 			}
 		}
 	}
-	down := b.down
+	down, ranRead := b.down, v.ranRead
 	v.mu.Unlock()
 	if down {
 		return false
 	}
+	if ranRead != nil {
+		ranRead(id)
+	}
 	v.record.add("%s: runs read %s of %s with its log at %s", b.id, id, key, at)
 	fmt.Fprintf(s.out, "ROW %s\r\nCOMPLETE d.%s.%s\r\n", row, id, at)
 	s.ready()
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -50,7 +50,7 @@
 }
 
 // add writes the settings of another instance, which may reach the store at an address of its own.
-func (f *fleet) add(zone, storeAddress string, fencing bool) (*instance, error) {
+func (f *fleet) add(zone, storeAddress string, fencing, bootstrap bool) (*instance, error) {
 	n := len(f.instances) + 1
 	ports, err := freePorts(4)
 	if err != nil {
@@ -66,7 +66,7 @@
 region = "r"
 internal_port_range = [%d, %d]
 seeds = []
-bootstrap = true
+bootstrap = %t
 loss_counts = false
 discovery = "platform"
 entry = "vip"
@@ -124,7 +124,7 @@
 rate_per_s = 50.0
 duties = ["promotion"]
 duty_per_s = 50.0
-`, i.name, i.ip, zone, i.peer, i.peer, i.ip, i.front, i.ip, i.ready, i.ip, i.ctrl, fencing, storeAddress, f.cloudAddr)
+`, i.name, i.ip, zone, i.peer, i.peer, bootstrap, i.ip, i.front, i.ip, i.ready, i.ip, i.ctrl, fencing, storeAddress, f.cloudAddr)
 	i.settings = filepath.Join(f.dir, i.name+".toml")
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		return nil, err
@@ -159,19 +159,22 @@
 	}
 }
 
+// isReady reports whether an instance answers the platform's readiness check with 200.
+func (i *instance) isReady() bool {
+	client := &http.Client{Timeout: 300 * time.Millisecond}
+	response, err := client.Get(fmt.Sprintf("http://%s:%d/readiness", i.ip, i.ready))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == 200
+}
+
 // awaitReady waits until all instances are ready.
 func (f *fleet) awaitReady(limit time.Duration) bool {
-	client := &http.Client{Timeout: 300 * time.Millisecond}
 	deadline := time.Now().Add(limit)
 	for _, i := range f.instances {
-		for {
-			response, err := client.Get(fmt.Sprintf("http://%s:%d/readiness", i.ip, i.ready))
-			if err == nil {
-				_ = response.Body.Close()
-				if response.StatusCode == 200 {
-					break
-				}
-			}
+		for !i.isReady() {
 			if time.Now().After(deadline) {
 				return false
 			}
@@ -194,7 +197,7 @@
 }
 
 // configuration returns the operator's configuration, with a database for each type of route.
-func configuration(version int, service string, sync int) []byte {
+func configuration(version int, service string, sync int, keys ...string) []byte {
 	route := func(name, host, kind string) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "path_prefix": "/", "type": kind, "timeout_ms": 1000, "target_latency_ms": 200, "priority": 1,
@@ -206,7 +209,7 @@
 		"routes":   []any{route("r-p", "dbp", "primary"), route("r-b", "dbb", "bounded"), route("r-s", "dbs", "session")},
 		"services": []any{map[string]any{"name": service, "health_path": "/health", "max_connections": maxConnections, "protocol": "h1", "tls": false, "sync_replicas": sync}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tx_idle_ms": 3000},
-		"tenants":  []any{map[string]any{"name": "ten1", "api_keys": []string{"key1"}, "priority": 1, "rate_per_s": 400, "burst": 400}},
+		"tenants":  []any{map[string]any{"name": "ten1", "api_keys": append([]string{"key1"}, keys...), "priority": 1, "rate_per_s": 400, "burst": 400}},
 	})
 	return text
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*setting) (bool, error){
 	"draining-replica": drainingReplica,
 	"lapsed-replica":   lapsedReplica,
+	"restored-store":   restoredStore,
 }
 
 func main() {
@@ -87,7 +88,7 @@
 	if s.service, err = newService("svc", sync, s.store, s.record, lags, zones); err != nil {
 		return err
 	}
-	s.store.set("op/config", configuration(7, "svc", sync))
+	s.store.set("op/config", configuration(7, "svc", sync, "key2"))
 	if s.fleet.storeAddress, err = serveHTTP(s.store.handler()); err != nil {
 		return err
 	}
@@ -95,7 +96,7 @@
 		return err
 	}
 	for _, zone := range zones {
-		i, err := s.fleet.add(zone, s.fleet.storeAddress, fencing)
+		i, err := s.fleet.add(zone, s.fleet.storeAddress, fencing, true)
 		if err != nil {
 			return err
 		}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -29,6 +30,57 @@
 	changed  chan struct{}
 	leases   map[uint64]*storeLease
 	last     uint64
+	// era counts the restores. forgotten is the revision up to which there is no history.
+	era       uint64
+	forgotten uint64
+	// away makes all calls fail.
+	away bool
+}
+
+// storeCopy is a copy of the content of the store.
+type storeCopy struct {
+	revision, last uint64
+	items          map[string]item
+	// left are the leases with the time that they have left.
+	left map[uint64]storeLease
+	at   time.Time
+}
+
+// copyContent returns a copy of the present content.
+func (s *store) copyContent() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := storeCopy{revision: s.revision, last: s.last, items: maps.Clone(s.items), left: map[uint64]storeLease{}, at: time.Now()}
+	for id, l := range s.leases {
+		c.left[id] = *l
+	}
+	return c
+}
+
+// setAway makes the store fail all calls, or answer again.
+func (s *store) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore replaces the content by that of a copy. Its leases go on with the time that they had left. Revisions
+// and leases that were given out since are given out again.
+func (s *store) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.last, s.items, s.events = c.revision, c.last, maps.Clone(c.items), nil
+	s.forgotten = c.revision
+	s.era++
+	s.leases = map[uint64]*storeLease{}
+	for id, l := range c.left {
+		s.leases[id] = &storeLease{l.ttl, time.Now().Add(l.until.Sub(c.at))}
+	}
+	s.away = false
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 type storeLease struct {
@@ -37,7 +89,7 @@
 }
 
 func newStore() *store {
-	s := &store{revision: 1, items: map[string]item{}, changed: make(chan struct{}), leases: map[uint64]*storeLease{}, last: 1000}
+	s := &store{revision: 1, items: map[string]item{}, changed: make(chan struct{}), leases: map[uint64]*storeLease{}, last: 1000, era: 1}
 	go func() {
 		for range time.Tick(10 * time.Millisecond) {
 			s.expire(time.Now())
@@ -176,7 +228,19 @@
 	}
 	mux.HandleFunc("POST /kv-keep/{id}", lease(func(uint64) {}))
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", lease(s.endLease))
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		era, away := s.era, s.away
+		s.mu.Unlock()
+		if away {
+			w.WriteHeader(503)
+			return
+		}
+		if era > 0 {
+			w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request) {
@@ -185,8 +249,21 @@
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for timedOut := false; ; {
 		s.mu.Lock()
+		if s.away || s.era != era {
+			// A watch that is waiting is cut.
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after < s.forgotten || after > s.revision {
+			s.mu.Unlock()
+			reply(w, 410, map[string]any{})
+			return
+		}
 		events := []item{}
 		for _, e := range s.events {
 			if e.Revision > after && strings.HasPrefix(e.Key, q.Get("path_prefix")) {
