--- a/review/5/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # the disruption. Needs review/build.sh and the deploy file's build.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/review-standin ] && [ -x ../../target/pomelofork ] || exit 2
-exec ../../target/review-standin -case restored-store -program ../../target/pomelofork -record record.txt
+exec ../../target/review-standin -case lost-machines -program ../../target/pomelofork -record record.txt
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -20,6 +20,8 @@
 	settings                 string
 	cmd                      *exec.Cmd
 	log                      *os.File
+	// descriptors is max_fds of the settings, or zero if the process keeps the limit of this one.
+	descriptors int
 }
 
 // fleet holds the processes of the program under test.
@@ -141,6 +143,9 @@
 	}
 	i.log = log
 	i.cmd = exec.Command(f.program, "platform")
+	if i.descriptors > 0 {
+		i.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec \"$0\" platform", i.descriptors), f.program)
+	}
 	i.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.dir, "POMELOFORK_CONFIG=" + i.settings}
 	i.cmd.Stdout, i.cmd.Stderr = log, log
 	return i.cmd.Start()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,8 @@
 	store   *store
 	service *service
 	trouble bool
+	// descriptors is max_fds of the settings, or zero if it isn't enforced.
+	descriptors int
 }
 
 // cases are the cases by name. Each returns whether the rule held, or an error if it couldn't run.
@@ -25,6 +27,7 @@
 	"draining-replica": drainingReplica,
 	"lapsed-replica":   lapsedReplica,
 	"restored-store":   restoredStore,
+	"lost-machines":    lostMachines,
 }
 
 func main() {
@@ -100,6 +103,7 @@
 		if err != nil {
 			return err
 		}
+		i.descriptors = s.descriptors
 		if err := s.fleet.start(i); err != nil {
 			return err
 		}
