--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -158,7 +158,7 @@
 	for _, i := range f.instances {
 		if i.cmd != nil {
 			_ = i.cmd.Process.Kill()
-			_ = i.cmd.Wait()
+			_, _ = i.cmd.Process.Wait()
 			_ = i.log.Close()
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -61,6 +63,13 @@
 	}
 	s := &setting{record: r, store: newStore(), fleet: &fleet{program: program, dir: dir}, trouble: os.Getenv("TROUBLE") != "0"}
 	defer s.fleet.stop()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		s.fleet.stop()
+		os.Exit(2)
+	}()
 	held, err := play(s)
 	switch {
 	case err != nil:
