A promotion keeps the commits that only a draining replica has

Cause: promo.MostAdvanced preferred a server that stays to one that drains whatever their logs hold, and promo.Covers counted the answer of each replica as if its log were promoted. The record of the case shows that the draining replica had answered, with the longer log, when the other one was promoted.

Services without synchronous replicas are served as before.

--- a/core/promo/evacuation.go
+++ b/core/promo/evacuation.go
@@ -22,27 +22,6 @@
 	return evacuated
 }
 
-// Covers reports whether a promotion of best, as returned by MostAdvanced, is certain to keep every
-// acknowledged commit. total is the number of all replicas. The logs of servers in evacuated failure
-// domains count only as far as best has them, since these servers aren't promoted.
-func Covers(best ReplicaLog, replicas []ReplicaLog, total, syncReplicas int) bool {
-	candidates, ahead := 0, false
-	for _, r := range replicas {
-		if !r.Server.Evacuated() {
-			candidates++
-		} else if best.Point.Less(r.Point) {
-			ahead = true
-		}
-	}
-	if candidates == 0 {
-		return false
-	}
-	if !ahead {
-		candidates = len(replicas)
-	}
-	return CoverAllCommits(candidates, total, syncReplicas)
-}
-
 // SplitFormer returns the replicas without the former primary, and the end of its log, which is the
 // zero point if it isn't among them.
 func SplitFormer(replicas []ReplicaLog, former model.ServerID) ([]ReplicaLog, model.Point) {
--- a/core/promo/promo.go
+++ b/core/promo/promo.go
@@ -269,23 +269,24 @@
 // would answer as the primary before a promotion takes effect.
 func (r ReplicaLog) outdated(newest model.Term) bool { return r.Primary && r.Term < newest }
 
-// MostAdvanced returns the replica to promote: the one that has received most of the
-// log, among those that are not draining if there are any. It passes over servers that
+// MostAdvanced returns the replica that is preferred for a promotion: the one that has received most
+// of the log, among those that are not draining if there are any. It passes over servers that
 // don't know yet that they were replaced as primary, and those in evacuated failure domains.
 // It returns false if there is no other.
-func MostAdvanced(replicas []ReplicaLog) (ReplicaLog, bool) {
-	var best ReplicaLog
+func MostAdvanced(replicas []ReplicaLog) (ReplicaLog, bool) { return mostAdvanced(replicas, true) }
+
+// mostAdvanced is MostAdvanced, which prefers servers that aren't draining only if avoidDraining is true.
+func mostAdvanced(replicas []ReplicaLog, avoidDraining bool) (best ReplicaLog, found bool) {
 	var newest model.Term
 	for _, r := range replicas {
 		newest = max(newest, r.Term)
 	}
-	found := false
 	for _, r := range replicas {
+		stays := avoidDraining && best.Server.Draining && !r.Server.Draining
+		leaves := avoidDraining && !best.Server.Draining && r.Server.Draining
 		switch {
 		case r.outdated(newest), r.Server.Evacuated():
-		case !found,
-			best.Server.Draining && !r.Server.Draining,
-			best.Server.Draining == r.Server.Draining && best.Point.Less(r.Point):
+		case !found, stays, !leaves && best.Point.Less(r.Point):
 			best, found = r, true
 		}
 	}
--- a/core/promo/promo_test.go
+++ b/core/promo/promo_test.go
@@ -266,6 +266,29 @@
 		})
 	}
 
+	// Guards against a promotion that rolls back commits which only a draining replica has received.
+	for name, c := range map[string]struct {
+		replicas            []promo.ReplicaLog
+		total, syncReplicas int
+		want                string
+		covered             bool
+	}{
+		"the one that stays, with the whole log":                         {[]promo.ReplicaLog{received("a", 9, true), received("b", 9, false)}, 2, 1, "b", true},
+		"the draining one that alone has it":                             {[]promo.ReplicaLog{received("a", 9, true), received("b", 3, false)}, 2, 1, "a", true},
+		"one that stays, without synchronous replicas":                   {[]promo.ReplicaLog{received("a", 9, true), received("b", 3, false)}, 2, 0, "b", true},
+		"one that stays, if both have received each acknowledged commit": {[]promo.ReplicaLog{received("a", 9, true), received("b", 3, false)}, 2, 2, "b", true},
+		"none for certain if one didn't answer":                          {[]promo.ReplicaLog{received("a", 9, true)}, 2, 1, "a", false},
+		"the draining one, with one of three missing and two copies":     {[]promo.ReplicaLog{received("a", 9, true), received("b", 3, false)}, 3, 2, "a", true},
+		"none for certain if two of four are missing":                    {[]promo.ReplicaLog{received("a", 9, true), received("b", 3, false)}, 4, 2, "b", false},
+	} {
+		It("chooses "+name, func() {
+			best, covered, found := promo.Choose(c.replicas, c.total, c.syncReplicas)
+			Expect(found).To(BeTrue())
+			Expect(covered).To(Equal(c.covered))
+			Expect(best.Server.ID).To(Equal(model.ServerID(c.want)))
+		})
+	}
+
 	It("returns false for no replicas", func() {
 		_, ok := promo.MostAdvanced(nil)
 		Expect(ok).To(BeFalse())
--- a/io/lead/monitor_test.go
+++ b/io/lead/monitor_test.go
@@ -137,6 +137,18 @@
 		Expect(s.group.Log()).To(HaveLen(1))
 	})
 
+	// Guards against the loss of commits that only a draining replica had received and acknowledged.
+	It("promotes a draining replica that alone has the acknowledged commits", func() {
+		s := startReplicated(0, 1)
+		Eventually(s.confirmed).WithTimeout(waitTimeout).Should(BeTrue())
+		s.set(func(s *testCluster) { s.draining = "r1" })
+		s.group.Server("r2").CutReplication()
+		s.write()
+		s.group.Server("p").SetDown(true)
+		Eventually(s.primary).WithTimeout(waitTimeout).ShouldNot(Equal(model.ServerID("p")))
+		Expect(s.group.Log()).To(HaveLen(1))
+	})
+
 	It("doesn't replace a primary that only accepts no more connections", func() {
 		s := start(1)
 		_, err := group.Dialer{s.group}.Dial(context.Background(), s.group.Server("p").Registration(), "a")
--- a/io/lead/promote.go
+++ b/io/lead/promote.go
@@ -84,16 +84,15 @@
 			}
 		}
 		late := clock.Now().After(until)
-		var found bool
-		if best, found = promo.MostAdvanced(replicas); !found && len(replicas) > 0 {
-			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "all servers that answered are primaries of earlier terms or evacuated", slog.String("service", string(m.config.Service)))
-			return
-		}
 		others := len(servers) - countByID(servers, decision.Primary)
 		if evacuated {
 			others = len(servers) - 1
 		}
-		covered := promo.Covers(best, replicas, others, syncReplicas)
+		var covered, found bool
+		if best, covered, found = promo.Choose(replicas, others, syncReplicas); !found && len(replicas) > 0 {
+			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "all servers that answered are primaries of earlier terms or evacuated", slog.String("service", string(m.config.Service)))
+			return
+		}
 		if !covered && (late || !evacuated || !handOver) {
 			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "too few replicas answered for a promotion", slog.String("service", string(m.config.Service)),
 				slog.Int("answers", len(replicas)), slog.Int("replicas", others), slog.Int("copies", syncReplicas))
