The store keeps which servers may hold acknowledged commits

Cause: promoteBest took the number of replicas from the entries that the store had at that moment. The entry of the replica that had the commits had expired, so the answer of the other one counted as that of all.

The monitor now keeps the copies of a service's log in the store, one for each run of a server, where the service has sync_replicas. A copy stays when the entry goes, so an instance that has just started knows of it too. A promotion needs all copies but sync_replicas, else it waits, names the missing servers in a log line, and goes on when one of them, or the primary, is back. A copy is removed once its process has ended and enough replicas have what the primary held afterwards. A service that has no record yet, or an older build in the fleet (level 2), makes a monitor watch the entries for 3 s first.

--- a/core/level/level.go
+++ b/core/level/level.go
@@ -18,9 +18,11 @@
 	Unstated = 0
 	// Stated is the level of builds that register their level and speak the tagged form of messages.
 	Stated = 1
+	// Copies is the level of builds whose monitors record the servers that may hold acknowledged commits.
+	Copies = 2
 
 	// Newest is the level of this build.
-	Newest = Stated
+	Newest = Copies
 )
 
 // Of returns the level of a fleet: the lowest of all registered instances, and those that register it if
--- a/emul/group/server.go
+++ b/emul/group/server.go
@@ -84,6 +84,29 @@
 	s.replicationCut = true
 }
 
+// Follow ends CutReplication. The server receives what it lacks of the primary's log.
+func (s *Server) Follow() {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.replicationCut = false
+	s.followNewest()
+}
+
+// Restart ends the server's process and starts another one. A replica starts with an empty log and
+// receives only what is committed from then on; a primary has its log.
+func (s *Server) Restart() {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	for session := range s.sessions {
+		session.endLocked()
+	}
+	s.down = false
+	s.registration.Report.StartedAt = time.UnixMilli(max(s.registration.Report.StartedAt.UnixMilli(), 0) + 1)
+	if !s.primary {
+		s.commits = nil
+	}
+}
+
 // Paused reports whether the server has been told by OpPause to receive no log entries.
 func (s *Server) Paused() bool {
 	s.group.mu.Lock()
--- a/io/lead/cluster_test.go
+++ b/io/lead/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -11,8 +12,10 @@
 	. "github.com/onsi/ginkgo/v2"
 
 	"pomelofork/core/evac"
+	"pomelofork/core/level"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
+	"pomelofork/core/promo"
 	"pomelofork/core/stmt"
 	"pomelofork/emul/group"
 	"pomelofork/io/lead"
@@ -63,6 +66,13 @@
 	bound     time.Duration
 	// promoting is called with each promotion, unless it is nil.
 	promoting func(*testCluster)
+	// gone are the servers without an entry in the store, and copies is the record of the copies of the log,
+	// or empty. olderBuild is true if an instance of an older build takes part.
+	gone       []model.ServerID
+	copies     []byte
+	olderBuild bool
+	// appoints says that the view learns of appointments.
+	appoints bool
 	// told counts the withdrawals that the gateway was told of.
 	told int
 }
@@ -133,6 +143,15 @@
 	return s.fence, nil
 }
 
+// keepCopies records the copies of the log.
+func (s *testCluster) keepCopies(_ context.Context, copies promo.CopySet) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value, err := view.CopiesValue(copies, 0)
+	s.copies = value
+	return err
+}
+
 // set changes the cluster.
 func (s *testCluster) set(change func(*testCluster)) {
 	s.mu.Lock()
@@ -149,6 +168,9 @@
 	defer s.mu.Unlock()
 	entries := []store.Entry{{Key: "plan"}}
 	for _, id := range []model.ServerID{"p", "r1", "r2"} {
+		if slices.Contains(s.gone, id) {
+			continue
+		}
 		text := "replica"
 		if s.group.Server(id).Registration().Primary {
 			text = "primary"
@@ -158,6 +180,21 @@
 		}
 		entries = append(entries, store.Entry{Key: string(id), Value: []byte(text), Revision: q.After + 1})
 	}
+	instance, err := view.InstanceValue(plan.Instance{Level: map[bool]int{true: level.Stated, false: level.Newest}[s.olderBuild]}, 0)
+	if err != nil {
+		return view.Update{}, err
+	}
+	entries = append(entries, store.Entry{Key: "own/instance/i", Value: instance, Revision: q.After + 1})
+	if s.appoints && s.fence > 0 {
+		value, err := view.AppointmentValue(s.appointed, 0)
+		if err != nil {
+			return view.Update{}, err
+		}
+		entries = append(entries, store.Entry{Key: "own/primary/s", Value: value, Revision: s.fence})
+	}
+	if len(s.copies) > 0 {
+		entries = append(entries, store.Entry{Key: "own/copies/s", Value: s.copies, Revision: q.After + 1})
+	}
 	for _, domain := range s.evacuated {
 		entries = append(entries, store.Entry{Key: s.EvacuationKey(domain), Revision: q.After + 1})
 	}
@@ -253,7 +290,8 @@
 	lead.New(ctx, lead.Config{
 		Service: "s", View: v, Dialer: s, Status: groupStatus{}, Promoter: s, Evacuation: evac.Policy{Bound: s.bound}, Log: log,
 		Holds:   func(time.Time) bool { return true },
-		Appoint: s.appoint, Gateways: s,
+		Current: func(time.Time) bool { return true },
+		Appoint: s.appoint, KeepCopies: s.keepCopies, Gateways: s,
 		Allows: func(time.Time, uint64) bool { return true },
 		Observe: func(model.ServiceID, time.Time, model.Point) {
 			s.mu.Lock()
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -80,6 +80,12 @@
 	Promoter Promoter
 	// Holds reports whether this instance holds the right to monitor the service.
 	Holds func(now time.Time) bool
+	// Current reports whether this instance holds the right and View contains all that former holders
+	// have written under it.
+	Current func(now time.Time) bool
+	// KeepCopies writes the servers that may hold acknowledged commits to the store, if this instance
+	// still holds the right.
+	KeepCopies func(ctx context.Context, copies promo.CopySet) error
 	// Appoint writes to the store which server is to be used as the service's primary, or none
 	// if the ID is empty. It returns the epoch of the appointment, which is higher than all
 	// before. As a fencing token it keeps a promotion that is carried out late from undoing a
@@ -107,8 +113,9 @@
 // Monitor monitors the primary of one service while its instance holds the right to.
 type Monitor struct {
 	config Config
-	// machine is nil while this instance doesn't hold the right.
+	// machine is nil while this instance doesn't hold the right, which it does since the time since.
 	machine *promo.Machine
+	since   time.Time
 	// conn is the connection for probes, to connServer. It is nil while there is none.
 	conn       pooler.Conn
 	connServer model.ServerID
@@ -116,13 +123,20 @@
 	term model.Term
 	// lastPrimary is the server that was last known to be the primary.
 	lastPrimary plan.Server
-	// reported is the last point that the primary reported, and steppedDown the end of the log of the
-	// last primary that stepped down.
+	// reported is the last point that the primary reported, reportedAt when it was asked for that, and
+	// steppedDown the end of the log of the last primary that stepped down.
 	reported, steppedDown logEnd
+	reportedAt            time.Time
 	turn                  turn
 	// laggingUntil is the time until which no promotion is tried again after one was refused because
 	// the replicas lacked a part of the log.
 	laggingUntil time.Time
+	// waitUntil is the time until which no promotion is tried again after one could not be shown to keep
+	// every acknowledged commit.
+	waitUntil time.Time
+	// copiesRetryAt is the time until which the copies of the log are not recorded again.
+	copiesRetryAt time.Time
+	absent        absent
 }
 
 // New returns a Monitor and runs it until the context ends.
@@ -158,7 +172,7 @@
 		if m.config.Disabled.Has(trial.VacancyTakeover) {
 			vacancy = view.Vacancy{}
 		}
-		m.machine = promo.New(now, vacancy.Since, vacancy.Former)
+		m.machine, m.since = promo.New(now, vacancy.Since, vacancy.Former), now
 	}
 	m.check(ctx, now)
 }
@@ -174,6 +188,7 @@
 	if len(servers) == 0 {
 		return
 	}
+	ended := m.endedCopies(ctx, now)
 	if primary, ok := m.machine.Primary(now, servers); ok {
 		m.lastPrimary = primary
 		handOverAt := m.takeTurn(now, primary)
@@ -184,14 +199,18 @@
 			m.confirm(ctx, now, primary)
 		}
 	}
+	m.updateCopies(ctx, now, servers, ended)
 	m.machine.DomainLost(m.lastPrimary.ID, m.domainLost())
 	decision := m.machine.Decide(clock.Now(), servers)
 	former, evacuated := evacuatedFormer(decision, servers)
-	if decision.Action == promo.ActionNone || (evacuated && now.Before(m.laggingUntil)) {
+	if decision.Action == promo.ActionNone || (evacuated && now.Before(m.laggingUntil)) || now.Before(m.waitUntil) {
 		return
 	}
 	m.config.Log.LogAttrs(ctx, slog.LevelWarn, "service needs another primary", slog.String("service", string(m.config.Service)),
 		slog.String("primary", string(decision.Primary)), slog.String("reason", decision.Reason), slog.Duration("for", now.Sub(decision.Since)))
+	if m.mustSettle(ctx, now) {
+		return
+	}
 	var minPoint model.Point
 	if decision.Action == promo.ActionHandOver && !m.sealed(clock.Now(), former) {
 		if minPoint = m.stepDown(ctx, decision.Primary); evacuated && !minPoint.IsZero() {
@@ -264,7 +283,7 @@
 		m.machine.PrimaryConfirmed(sent, primary.ID)
 		if !begin.Point.IsZero() {
 			m.term = begin.Point.Term()
-			m.reported = logEnd{primary.ID, begin.Point}
+			m.reported, m.reportedAt = logEnd{primary.ID, begin.Point}, sent
 			m.config.Observe(m.config.Service, sent, begin.Point)
 		}
 	}
--- a/io/lead/promote.go
+++ b/io/lead/promote.go
@@ -36,17 +36,14 @@
 }
 
 // promoteBest promotes the replica that has received most of the log, as soon as one has received
-// everything up to minPoint or catchUpTimeout has passed. It promotes none if too few replicas
-// answer to be certain that their logs hold every acknowledged commit.
+// everything up to minPoint or catchUpTimeout has passed. It promotes none unless the logs of those that
+// answer are certain to hold every acknowledged commit.
 //
 // If the former primary is in an evacuated failure domain, the replicas get until that is closed to
 // receive the rest of its log. None is promoted without it, unless the service replicates synchronously.
 func (m *Monitor) promoteBest(ctx context.Context, decision promo.Decision, servers []plan.Server, minPoint model.Point) {
 	var best promo.ReplicaLog
-	syncReplicas := 0
-	if p := m.config.View.State().Plan; p != nil {
-		syncReplicas = p.SyncReplicas(m.config.Service)
-	}
+	syncReplicas := m.syncReplicas()
 	command := stmt.Command{Op: stmt.OpStatus}
 	if syncReplicas > 0 && decision.Action == promo.ActionReplace {
 		// The primary may still be running, although this instance doesn't reach it. From their
@@ -84,18 +81,17 @@
 			}
 		}
 		late := clock.Now().After(until)
-		others := len(servers) - countByID(servers, decision.Primary)
-		if evacuated {
-			others = len(servers) - 1
-		}
+		copies := m.copies(syncReplicas)
 		var covered, found bool
-		if best, covered, found = promo.Choose(replicas, others, syncReplicas); !found && len(replicas) > 0 {
+		if best, covered, found = promo.Choose(replicas, copies.Replicas(replicas), copies.SyncReplicas()); !found && len(replicas) > 0 {
 			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "all servers that answered are primaries of earlier terms or evacuated", slog.String("service", string(m.config.Service)))
 			return
 		}
 		if !covered && (late || !evacuated || !handOver) {
-			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "too few replicas answered for a promotion", slog.String("service", string(m.config.Service)),
-				slog.Int("answers", len(replicas)), slog.Int("replicas", others), slog.Int("copies", syncReplicas))
+			m.waitUntil = clock.Now().Add(retryPause)
+			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "promotion waits: a server that didn't answer may have acknowledged commits", slog.String("service", string(m.config.Service)),
+				slog.Int("answers", len(replicas)), slog.Any("missing", copies.Missing(replicas)), slog.Int("copies", len(copies.All())), slog.Int("sync_replicas", copies.SyncReplicas()),
+				slog.String("server", string(best.Server.ID)), slog.String("point", best.Point.String()))
 			return
 		}
 		if covered && (late || !best.Point.Less(floor)) {
@@ -141,17 +137,6 @@
 	m.config.Log.LogAttrs(ctx, slog.LevelInfo, "promotion accepted", attrs...)
 }
 
-// countByID returns the number of servers with the ID, which is zero or one.
-func countByID(servers []plan.Server, id model.ServerID) int {
-	n := 0
-	for _, s := range servers {
-		if s.ID == id {
-			n++
-		}
-	}
-	return n
-}
-
 // queryReplicas sends a command to every server but one, and returns the ends of the
 // logs of those that answer.
 func (m *Monitor) queryReplicas(ctx context.Context, except model.ServerID, servers []plan.Server, command stmt.Command) []promo.ReplicaLog {
--- a/io/proxy/monitors.go
+++ b/io/proxy/monitors.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/promo"
 	"pomelofork/io/clock"
 	"pomelofork/io/lead"
 	"pomelofork/io/store"
@@ -50,6 +51,19 @@
 			_, _, ok := n.rights.Holds(now, name)
 			return ok
 		},
+		Current: func(now time.Time) bool {
+			_, fence, ok := n.rights.Holds(now, name)
+			return ok && n.view.Revision() >= fence
+		},
+		KeepCopies: func(ctx context.Context, copies promo.CopySet) error {
+			era := n.view.Era()
+			value, err := view.CopiesValue(copies, era)
+			if err != nil {
+				return err
+			}
+			_, err = n.rights.NewFence(ctx, era, name, store.Put{Key: n.view.CopiesKey(service), Value: value})
+			return err
+		},
 		Appoint: func(ctx context.Context, server model.ServerID) (uint64, error) {
 			era := n.view.Era()
 			value, err := view.AppointmentValue(server, era)
@@ -72,21 +86,28 @@
 }
 
 // dependentEntries returns the entries that this instance has to write again with a right, in a new
-// era of the store: the monitor of a service's primary writes its appointment.
+// era of the store: the monitor of a service's primary writes its appointment and the copies of its log.
 func (n *Node) dependentEntries(right string, era uint64) []store.Put {
 	name, ok := strings.CutPrefix(right, monitorRightPrefix)
 	if !ok {
 		return nil
 	}
-	service := model.ServiceID(name)
-	appointment, ok := n.view.State().Appointments[service]
-	if !ok {
-		return nil
+	service, state := model.ServiceID(name), n.view.State()
+	var puts []store.Put
+	add := func(key string, value []byte, err error) {
+		if err != nil {
+			n.config.Log.LogAttrs(context.Background(), slog.LevelError, "cannot encode an entry to write it again", slog.String("key", key), slog.String("error", err.Error()))
+			return
+		}
+		puts = append(puts, store.Put{Key: key, Value: value})
 	}
-	value, err := view.FormerAppointmentValue(appointment, era)
-	if err != nil {
-		n.config.Log.LogAttrs(context.Background(), slog.LevelError, "cannot encode the appointment of a primary", slog.String("service", name), slog.String("error", err.Error()))
-		return nil
+	if appointment, ok := state.Appointments[service]; ok {
+		value, err := view.FormerAppointmentValue(appointment, era)
+		add(n.view.AppointmentKey(service), value, err)
+	}
+	if copies, ok := state.Copies[service]; ok {
+		value, err := view.CopiesValue(copies, era)
+		add(n.view.CopiesKey(service), value, err)
 	}
-	return []store.Put{{Key: n.view.AppointmentKey(service), Value: value}}
+	return puts
 }
--- a/io/right/restore.go
+++ b/io/right/restore.go
@@ -12,8 +12,8 @@
 )
 
 // maxRestoredRights is the largest number of rights that are written again in one transaction, each
-// with a condition, a put and a dependent entry.
-const maxRestoredRights = 10
+// with a condition, a put and two dependent entries.
+const maxRestoredRights = 8
 
 // registerAgain writes the held rights and the registration of this instance again, after the store
 // was restored from an older copy. While its former lease is certainly valid no other instance may
--- a/io/view/entries.go
+++ b/io/view/entries.go
@@ -18,6 +18,8 @@
 	rightPart    = "right/"
 	// appointmentPart is followed by the name of a service.
 	appointmentPart = "primary/"
+	// copiesPart is followed by the name of a service.
+	copiesPart = "copies/"
 )
 
 // instanceEntry is the value of an instance's registration in the store.
@@ -103,6 +105,10 @@
 		v.applyRight(ctx, b, name, e)
 		return true
 	}
+	if name, ok := strings.CutPrefix(rest, copiesPart); ok && !e.Removed {
+		v.applyCopies(ctx, b, model.ServiceID(name), e)
+		return true
+	}
 	if name, ok := strings.CutPrefix(rest, appointmentPart); ok && !e.Removed {
 		v.applyAppointment(ctx, b, model.ServiceID(name), e)
 	}
--- a/io/view/restore_test.go
+++ b/io/view/restore_test.go
@@ -8,6 +8,7 @@
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
+	"pomelofork/core/promo"
 	"pomelofork/emul/kvsim"
 	"pomelofork/io/store"
 	"pomelofork/io/view"
@@ -32,6 +33,15 @@
 		Expect(err).NotTo(HaveOccurred())
 		t.Set(v.AppointmentKey("s"), value)
 	}
+	setCopies := func(servers ...model.ServerID) {
+		config := promo.CopySetConfig{SyncReplicas: 1}
+		for _, id := range servers {
+			config.Copies = append(config.Copies, promo.Copy{Server: id, StartedAt: time.UnixMilli(1)})
+		}
+		value, err := view.CopiesValue(promo.NewCopySet(config), t.Era())
+		Expect(err).NotTo(HaveOccurred())
+		t.Set(v.CopiesKey("s"), value)
+	}
 	known := func() bool { return v.Revision() == store.Revision(t.Era(), t.Revision()) }
 	inNewEra := func() bool { return v.Era() == t.Era() && !v.Settled() }
 	BeforeEach(func() {
@@ -43,6 +53,7 @@
 		setRight("r", "i")
 		t.Set("server/a", []byte("ready s"))
 		setAppointment("a")
+		setCopies("a")
 	})
 
 	It("keeps what was known, never what is older", func() {
@@ -53,6 +64,7 @@
 		setRight("r", "j")
 		setRight("q", "j")
 		setAppointment("b")
+		setCopies("a", "b")
 		Eventually(known).WithTimeout(waitTimeout).Should(BeTrue())
 		before := v.State()
 		t.Restore(older)
@@ -62,6 +74,7 @@
 		Expect(s.Servers).To(HaveKey(model.ServerID("b")))
 		Expect(s.Instances).To(Equal(before.Instances))
 		Expect(s.Appointments).To(Equal(before.Appointments))
+		Expect(s.Copies["s"].All()).To(HaveLen(2), "a server that the older copy lacks may hold acknowledged commits")
 		Expect(s.Rights).To(HaveLen(2))
 		for name, right := range s.Rights {
 			Expect(right.Instance).To(Equal(model.InstanceID("j")), name)
--- a/io/view/state.go
+++ b/io/view/state.go
@@ -7,6 +7,7 @@
 
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
+	"pomelofork/core/promo"
 	"pomelofork/io/store"
 )
 
@@ -57,6 +58,9 @@
 	Services map[model.ServiceID][]plan.Server
 	// Appointments say which servers are to be used as primaries.
 	Appointments map[model.ServiceID]plan.Appointment
+	// Copies are the servers that may hold acknowledged commits of the services that replicate
+	// synchronously. They stay when a server's entry is removed.
+	Copies map[model.ServiceID]promo.CopySet
 	// Vacancies are the services that had a primary and have none now.
 	Vacancies map[model.ServiceID]Vacancy
 	// Instances are the registered instances. This one is among them once it is registered.
