No promotion before the configuration is known

What callers may have seen: an instance that had the entries of the servers, but not yet the configuration, took a service for one without synchronous replicas, and promoted whichever replica answered first.

Cause: promoteBest read sync_replicas from the plan and took a missing plan for 0.

The promotion now waits, says so in a log line, and goes on once a configuration is known.

Test: io/lead "A monitor that doesn't know the configuration promotes nobody" fails without the check (a promotion within 0.5 s).

--- a/io/lead/cluster_test.go
+++ b/io/lead/cluster_test.go
@@ -71,8 +71,9 @@
 	gone       []model.ServerID
 	copies     []byte
 	olderBuild bool
-	// appoints says that the view learns of appointments.
-	appoints bool
+	// appoints says that the view learns of appointments, and unconfigured that it doesn't know the
+	// configuration.
+	appoints, unconfigured bool
 	// told counts the withdrawals that the gateway was told of.
 	told int
 }
@@ -166,7 +167,10 @@
 	time.Sleep(10 * time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	entries := []store.Entry{{Key: "plan"}}
+	var entries []store.Entry
+	if !s.unconfigured {
+		entries = append(entries, store.Entry{Key: "plan"})
+	}
 	for _, id := range []model.ServerID{"p", "r1", "r2"} {
 		if slices.Contains(s.gone, id) {
 			continue
--- a/io/lead/copies.go
+++ b/io/lead/copies.go
@@ -23,12 +23,13 @@
 )
 
 // syncReplicas returns the number of replicas that must have received a commit before it is
-// acknowledged.
-func (m *Monitor) syncReplicas() int {
-	if p := m.config.View.State().Plan; p != nil {
-		return p.SyncReplicas(m.config.Service)
+// acknowledged, and false while the configuration isn't known.
+func (m *Monitor) syncReplicas() (int, bool) {
+	p := m.config.View.State().Plan
+	if p == nil {
+		return 0, false
 	}
-	return 0
+	return p.SyncReplicas(m.config.Service), true
 }
 
 // copies returns the copies of the service's log: those that are recorded, and the registered servers.
@@ -44,10 +45,16 @@
 	return copies.Settled() && fleet >= level.Copies || now.Sub(m.since) >= settleTime
 }
 
-// mustSettle reports whether a promotion has to wait until the recorded copies are settled.
-func (m *Monitor) mustSettle(ctx context.Context, now time.Time) bool {
-	syncReplicas := m.syncReplicas()
-	if syncReplicas == 0 || m.settled(now, m.copies(syncReplicas)) {
+// mustWait reports whether nothing may be done about the primary yet, because it isn't known who may
+// have acknowledged commits.
+func (m *Monitor) mustWait(ctx context.Context, now time.Time) bool {
+	syncReplicas, known := m.syncReplicas()
+	switch {
+	case !known:
+		m.waitUntil = now.Add(retryPause)
+		m.config.Log.LogAttrs(ctx, slog.LevelWarn, "promotion waits: no configuration is known", slog.String("service", string(m.config.Service)))
+		return true
+	case syncReplicas == 0 || m.settled(now, m.copies(syncReplicas)):
 		return false
 	}
 	m.waitUntil = m.since.Add(settleTime)
@@ -60,7 +67,7 @@
 // ended before the primary was last probed. They are removed once enough replicas have all that the
 // primary had then.
 func (m *Monitor) updateCopies(ctx context.Context, now time.Time, servers []plan.Server, ended []promo.Copy) {
-	syncReplicas := m.syncReplicas()
+	syncReplicas, _ := m.syncReplicas()
 	if syncReplicas == 0 || now.Before(m.copiesRetryAt) || !m.config.Current(now) {
 		return
 	}
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -127,7 +127,7 @@
 	// steppedDown the end of the log of the last primary that stepped down.
 	reported, steppedDown logEnd
 	reportedAt            time.Time
-	turn                  turn
+	turn                           turn
 	// laggingUntil is the time until which no promotion is tried again after one was refused because
 	// the replicas lacked a part of the log.
 	laggingUntil time.Time
@@ -208,7 +208,7 @@
 	}
 	m.config.Log.LogAttrs(ctx, slog.LevelWarn, "service needs another primary", slog.String("service", string(m.config.Service)),
 		slog.String("primary", string(decision.Primary)), slog.String("reason", decision.Reason), slog.Duration("for", now.Sub(decision.Since)))
-	if m.mustSettle(ctx, now) {
+	if m.mustWait(ctx, now) {
 		return
 	}
 	var minPoint model.Point
--- a/io/lead/promote.go
+++ b/io/lead/promote.go
@@ -43,7 +43,7 @@
 // receive the rest of its log. None is promoted without it, unless the service replicates synchronously.
 func (m *Monitor) promoteBest(ctx context.Context, decision promo.Decision, servers []plan.Server, minPoint model.Point) {
 	var best promo.ReplicaLog
-	syncReplicas := m.syncReplicas()
+	syncReplicas, _ := m.syncReplicas()
 	command := stmt.Command{Op: stmt.OpStatus}
 	if syncReplicas > 0 && decision.Action == promo.ActionReplace {
 		// The primary may still be running, although this instance doesn't reach it. From their
