A promotion counts only replicas that have paused

What callers may have seen: nothing so far. A monitor that has just started knows no term and sent PAUSE 1, which servers answer without obeying, and their answers counted as those of replicas that receive nothing any more. At a planned hand-over whose primary didn't answer the command to step down, no pause was sent at all.

Cause: an answer was taken for obedience, and the monitor's last known term for the newest.

The status row says which term a replica obeys. Answers count only if that is the commanded one, and the command is repeated with a higher term if a server reports a newer one. The emulated servers follow the protocol here now.

Tests: io/lead "relies on paused replicas only". By a monitor that has just started: fails without the check. At a hand-over: passes with and without it, and fails without the pause there.

--- a/core/promo/choose.go
+++ b/core/promo/choose.go
@@ -1,20 +1,19 @@
 package promo
 
 // Choose returns the replica to promote, and whether its promotion is certain to keep every acknowledged
-// commit. total is the number of all replicas. MostAdvanced is preferred; where the service replicates
-// synchronously, a draining server takes over if only that keeps the acknowledged commits, and hands
-// over to another one once that has received them. found is false if no server may be promoted.
+// commit, by the given function. MostAdvanced is preferred. If that isn't certain, a draining server takes
+// over for which it is, and hands over to another one later. found is false if no server may be promoted.
 //
 // Load pattern: a primary fails while the servers of its service are replaced one after the other. The
 // draining replica receives and acknowledges commits until it ends, and may be the only one that has them.
-func Choose(replicas []ReplicaLog, total, syncReplicas int) (best ReplicaLog, covered, found bool) {
+func Choose(replicas []ReplicaLog, keeps func(promoted ReplicaLog) bool) (best ReplicaLog, covered, found bool) {
 	if best, found = MostAdvanced(replicas); !found {
 		return best, false, false
 	}
-	if Covers(best, replicas, total, syncReplicas) {
+	if keeps(best) {
 		return best, true, true
 	}
-	if draining, _ := mostAdvanced(replicas, false); Covers(draining, replicas, total, syncReplicas) {
+	if draining, _ := mostAdvanced(replicas, false); keeps(draining) {
 		return draining, true, true
 	}
 	return best, false, true
--- a/core/promo/copies.go
+++ b/core/promo/copies.go
@@ -158,7 +158,7 @@
 	return CopySet{copies: left, syncReplicas: syncReplicas, settled: c.settled}
 }
 
-// Replicas returns the number of copies besides the primary's, for Choose. The former runs of a server
+// Replicas returns the number of copies besides the primary's, for Covers. The former runs of a server
 // that answers as the primary don't count: a primary starts again with its log.
 func (c CopySet) Replicas(answers []ReplicaLog) int {
 	n := -1
--- a/core/promo/promo.go
+++ b/core/promo/promo.go
@@ -263,6 +263,8 @@
 	// considers itself the primary of that term.
 	Term    model.Term
 	Primary bool
+	// Held is the term before which the replica receives nothing, or zero if it receives.
+	Held model.Term
 }
 
 // outdated reports whether the server considers itself the primary of a term that has ended. It
--- a/core/promo/promo_test.go
+++ b/core/promo/promo_test.go
@@ -282,7 +282,7 @@
 		"none for certain if two of four are missing":                    {[]promo.ReplicaLog{received("a", 9, true), received("b", 3, false)}, 4, 2, "b", false},
 	} {
 		It("chooses "+name, func() {
-			best, covered, found := promo.Choose(c.replicas, c.total, c.syncReplicas)
+			best, covered, found := promo.Choose(c.replicas, func(r promo.ReplicaLog) bool { return promo.Covers(r, c.replicas, c.total, c.syncReplicas) })
 			Expect(found).To(BeTrue())
 			Expect(covered).To(Equal(c.covered))
 			Expect(best.Server.ID).To(Equal(model.ServerID(c.want)))
--- a/core/stmt/status.go
+++ b/core/stmt/status.go
@@ -11,4 +11,7 @@
 	// Received is the end of the log that the server has received. A promotion starts from
 	// there.
 	Received model.Point
+	// Held is the term of the command to pause that a replica obeys: it receives nothing. It is zero if
+	// the replica receives.
+	Held model.Term
 }
--- a/emul/group/group.go
+++ b/emul/group/group.go
@@ -73,9 +73,9 @@
 	primary      bool
 	term         model.Term
 	down         bool
-	// A server receives no log entries after CutReplication, and while it is paused by
-	// OpPause.
-	replicationCut, paused bool
+	// A server receives no log entries after CutReplication, and while held is the term of an OpPause.
+	replicationCut bool
+	held           model.Term
 	// cutOff is true while the server exchanges nothing with the others of its group.
 	cutOff   bool
 	applyLag time.Duration
@@ -147,7 +147,7 @@
 		s.primary = s == chosen
 		if !s.down {
 			s.term = g.term
-			s.paused = false
+			s.held = 0
 			s.commits = append([]commit{}, chosen.commits...)
 		}
 	}
@@ -203,6 +203,6 @@
 	if n := len(s.commits); n > 0 {
 		received = s.commits[n-1].point
 	}
-	row := fmt.Sprintf("%s %d %d.%d 0 0 0 0", role, s.term, received.Term(), received.Pos())
+	row := fmt.Sprintf("%s %d %d.%d %d 0 0 0", role, s.term, received.Term(), received.Pos(), s.held)
 	return stmt.Answer{Rows: []string{row}, Point: received}
 }
--- a/emul/group/server.go
+++ b/emul/group/server.go
@@ -37,7 +37,7 @@
 
 // receives reports whether the server receives log entries of servers that it reaches. The caller
 // holds the lock.
-func (s *Server) receives() bool { return !s.down && !s.replicationCut && !s.paused }
+func (s *Server) receives() bool { return !s.down && !s.replicationCut && s.held == 0 }
 
 // followNewest makes the server a replica of the primary, if that is another server. The caller
 // holds the lock.
@@ -111,7 +111,7 @@
 func (s *Server) Paused() bool {
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
-	return s.paused
+	return s.held != 0
 }
 
 // DropAnswers makes the server run the next n statements of callers without answering them.
--- a/emul/group/session.go
+++ b/emul/group/session.go
@@ -158,8 +158,13 @@
 		s.preparedStatements[c.Name] = stmt.Prepared{Shape: c.Rest, Writes: c.Writes}
 	case stmt.OpStatus:
 		return s.server.statusAnswer()
-	case stmt.OpPause, stmt.OpResume:
-		s.server.paused = c.Op == stmt.OpPause
+	case stmt.OpPause:
+		if c.Term > s.server.term && !s.server.primary {
+			s.server.held = c.Term
+		}
+		return s.server.statusAnswer()
+	case stmt.OpResume:
+		s.server.held = 0
 		return s.server.statusAnswer()
 	case stmt.OpStepDown:
 		if c.Term > s.server.term {
--- a/io/lead/cluster_test.go
+++ b/io/lead/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
 	"strings"
@@ -29,7 +30,14 @@
 type groupStatus struct{}
 
 func (groupStatus) Status(answer stmt.Answer) (stmt.Status, error) {
-	return stmt.Status{Received: answer.Point, Term: answer.Point.Term(), Primary: len(answer.Rows) > 0 && strings.HasPrefix(answer.Rows[0], "primary")}, nil
+	var role, received string
+	status := stmt.Status{Received: answer.Point}
+	if len(answer.Rows) == 0 {
+		return status, errors.New("no row")
+	}
+	_, err := fmt.Sscan(answer.Rows[0], &role, &status.Term, &received, &status.Held)
+	status.Primary = role == "primary"
+	return status, err
 }
 
 // testCluster is a group of servers, the source of their entries in the store, and the platform
@@ -74,6 +82,9 @@
 	// appoints says that the view learns of appointments, and unconfigured that it doesn't know the
 	// configuration.
 	appoints, unconfigured bool
+	// steppingDown is called before the primary is told to step down, which fails if it returns an error.
+	// It may be nil.
+	steppingDown func() error
 	// told counts the withdrawals that the gateway was told of.
 	told int
 }
@@ -127,7 +138,13 @@
 // Send implements pooler.Conn.
 func (c watchedConn) Send(commands []stmt.Command) error {
 	if commands[0].Op == stmt.OpStepDown {
-		c.cluster.set(func(s *testCluster) { s.steppedDownAt = time.Now() })
+		var before func() error
+		c.cluster.set(func(s *testCluster) { s.steppedDownAt, before = time.Now(), s.steppingDown })
+		if before != nil {
+			if err := before(); err != nil {
+				return err
+			}
+		}
 	}
 	return c.Conn.Send(commands)
 }
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -127,7 +127,7 @@
 	// steppedDown the end of the log of the last primary that stepped down.
 	reported, steppedDown logEnd
 	reportedAt            time.Time
-	turn                           turn
+	turn                  turn
 	// laggingUntil is the time until which no promotion is tried again after one was refused because
 	// the replicas lacked a part of the log.
 	laggingUntil time.Time
@@ -211,16 +211,16 @@
 	if m.mustWait(ctx, now) {
 		return
 	}
-	var minPoint model.Point
+	var end model.Point
 	if decision.Action == promo.ActionHandOver && !m.sealed(clock.Now(), former) {
-		if minPoint = m.stepDown(ctx, decision.Primary); evacuated && !minPoint.IsZero() {
+		if end = m.stepDown(ctx, decision.Primary); evacuated && !end.IsZero() {
 			time.Sleep(answerGrace)
 		}
 	}
-	if minPoint.IsZero() && !m.withdraw(ctx, decision, servers) {
+	if end.IsZero() && !m.withdraw(ctx, decision, servers) {
 		return
 	}
-	m.promoteBest(ctx, decision, servers, minPoint)
+	m.promoteBest(ctx, m.newPromotion(decision, servers, end))
 }
 
 // confirm probes the primary, and asks its gateways if the last confirmation is old.
--- a/io/lead/promote.go
+++ b/io/lead/promote.go
@@ -35,77 +35,127 @@
 	return status.Received
 }
 
-// promoteBest promotes the replica that has received most of the log, as soon as one has received
-// everything up to minPoint or catchUpTimeout has passed. It promotes none unless the logs of those that
-// answer are certain to hold every acknowledged commit.
-//
-// If the former primary is in an evacuated failure domain, the replicas get until that is closed to
-// receive the rest of its log. None is promoted without it, unless the service replicates synchronously.
-func (m *Monitor) promoteBest(ctx context.Context, decision promo.Decision, servers []plan.Server, minPoint model.Point) {
-	var best promo.ReplicaLog
-	syncReplicas, _ := m.syncReplicas()
-	command := stmt.Command{Op: stmt.OpStatus}
-	if syncReplicas > 0 && decision.Action == promo.ActionReplace {
+// promotion is the state of an attempt to promote a server.
+type promotion struct {
+	decision promo.Decision
+	// servers are the service's servers. Those other than decision.Primary are sent command.
+	servers []plan.Server
+	command stmt.Command
+	// syncReplicas is the number of replicas that must have received a commit before it is acknowledged.
+	syncReplicas int
+	// floor is the point that the promoted log is to hold, and until the time that replicas get to receive it.
+	floor model.Point
+	until time.Time
+	// former is the former primary if its failure domain is evacuated.
+	former    plan.Server
+	evacuated bool
+}
+
+// newPromotion returns an attempt that follows from a decision. end is the end of the log of the primary
+// if that has stepped down.
+func (m *Monitor) newPromotion(decision promo.Decision, servers []plan.Server, end model.Point) *promotion {
+	p := &promotion{decision: decision, servers: servers, command: stmt.Command{Op: stmt.OpStatus}, floor: end, until: clock.Now().Add(catchUpTimeout)}
+	p.syncReplicas, _ = m.syncReplicas()
+	if p.syncReplicas > 0 && end.IsZero() {
 		// The primary may still be running, although this instance doesn't reach it. From their
 		// answer on, the replicas must not acknowledge any more commits to it.
-		command = stmt.Command{Op: stmt.OpPause, Term: m.term + 1}
-	}
-	handOver := decision.Action == promo.ActionHandOver
-	former, evacuated := evacuatedFormer(decision, servers)
-	floor, until := minPoint, clock.Now().Add(catchUpTimeout)
-	if evacuated && (handOver || syncReplicas == 0) {
-		if known := m.floorOf(clock.Now(), former); floor.Less(known) {
-			floor = known
+		p.command = stmt.Command{Op: stmt.OpPause, Term: m.term + 1}
+	}
+	if p.former, p.evacuated = evacuatedFormer(decision, servers); p.evacuated && (p.handOver() || p.syncReplicas == 0) {
+		if known := m.floorOf(clock.Now(), p.former); p.floor.Less(known) {
+			p.floor = known
 		}
-		if closed := m.config.Evacuation.ClosedAt(former.EvacuatedSince); closed.After(until) {
-			until = closed
+		if closed := m.config.Evacuation.ClosedAt(p.former.EvacuatedSince); closed.After(p.until) {
+			p.until = closed
+		}
+	}
+	return p
+}
+
+// handOver reports whether the primary is replaced as planned.
+func (p *promotion) handOver() bool { return p.decision.Action == promo.ActionHandOver }
+
+// keepsAll returns whether a promotion is certain to keep every acknowledged commit that the copies may
+// have. Without synchronous replicas any answer suffices.
+func (p *promotion) keepsAll(replicas []promo.ReplicaLog, copies promo.CopySet) func(promo.ReplicaLog) bool {
+	return func(promoted promo.ReplicaLog) bool {
+		return promo.Covers(promoted, replicas, copies.Replicas(replicas), copies.SyncReplicas())
+	}
+}
+
+// paused returns the answers of replicas that receive nothing any more, and of primaries. It returns
+// false if the command to pause named too low a term for a server, and then raises the term.
+func (p *promotion) paused(replicas []promo.ReplicaLog) ([]promo.ReplicaLog, bool) {
+	if p.command.Op != stmt.OpPause {
+		return replicas, true
+	}
+	var out []promo.ReplicaLog
+	term := p.command.Term
+	for _, r := range replicas {
+		if r.Primary || r.Held >= p.command.Term {
+			out = append(out, r)
 		}
+		term = max(term, r.Term+1)
 	}
-	paused := false
+	raised := term > p.command.Term
+	p.command.Term = term
+	return out, !raised || len(out) == len(replicas)
+}
+
+// promoteBest promotes the replica that has received most of the log, as soon as one has received
+// all of the log of a primary that has stepped down, or catchUpTimeout has passed. It promotes none
+// unless the logs of those that answer are certain to hold every acknowledged commit.
+//
+// If the former primary is in an evacuated failure domain, the replicas get until that is closed to
+// receive the rest of its log. None is promoted without it, unless the service replicates synchronously.
+func (m *Monitor) promoteBest(ctx context.Context, p *promotion) {
+	var best promo.ReplicaLog
 	defer func() {
-		if paused {
-			m.queryReplicas(ctx, decision.Primary, servers, stmt.Command{Op: stmt.OpResume})
+		if p.command.Op == stmt.OpPause {
+			m.queryReplicas(ctx, p.decision.Primary, p.servers, stmt.Command{Op: stmt.OpResume})
 		}
 	}()
 	for {
-		if evacuated && !m.config.View.State().Servers[former.ID].Evacuated() {
+		if p.evacuated && !m.config.View.State().Servers[p.former.ID].Evacuated() {
 			// The former primary, which has the whole log, is a candidate again.
-			servers, evacuated, decision.Primary = m.servers(), false, ""
+			p.servers, p.evacuated, p.decision.Primary = m.servers(), false, ""
+		}
+		replicas, ok := p.paused(m.queryReplicas(ctx, p.decision.Primary, p.servers, p.command))
+		if !ok {
+			continue
 		}
-		paused = command.Op == stmt.OpPause
-		replicas := m.queryReplicas(ctx, decision.Primary, servers, command)
-		if evacuated {
+		if p.evacuated {
 			var end model.Point
-			if replicas, end = promo.SplitFormer(replicas, former.ID); syncReplicas == 0 && floor.Less(end) {
-				floor = end
+			if replicas, end = promo.SplitFormer(replicas, p.former.ID); p.syncReplicas == 0 && p.floor.Less(end) {
+				p.floor = end
 			}
 		}
-		late := clock.Now().After(until)
-		copies := m.copies(syncReplicas)
+		late := clock.Now().After(p.until)
+		copies := m.copies(p.syncReplicas)
 		var covered, found bool
-		if best, covered, found = promo.Choose(replicas, copies.Replicas(replicas), copies.SyncReplicas()); !found && len(replicas) > 0 {
+		if best, covered, found = promo.Choose(replicas, p.keepsAll(replicas, copies)); !found && len(replicas) > 0 {
 			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "all servers that answered are primaries of earlier terms or evacuated", slog.String("service", string(m.config.Service)))
 			return
 		}
-		if !covered && (late || !evacuated || !handOver) {
+		if covered && (late || !best.Point.Less(p.floor)) {
+			break
+		}
+		if !covered && (late || !p.evacuated || !p.handOver()) {
 			m.waitUntil = clock.Now().Add(retryPause)
 			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "promotion waits: a server that didn't answer may have acknowledged commits", slog.String("service", string(m.config.Service)),
 				slog.Int("answers", len(replicas)), slog.Any("missing", copies.Missing(replicas)), slog.Int("copies", len(copies.All())), slog.Int("sync_replicas", copies.SyncReplicas()),
-				slog.String("server", string(best.Server.ID)), slog.String("point", best.Point.String()))
+				slog.String("server", string(best.Server.ID)), slog.String("point", best.Point.String()), slog.String("floor", p.floor.String()))
 			return
 		}
-		if covered && (late || !best.Point.Less(floor)) {
-			break
-		}
 		time.Sleep(catchUpPollInterval)
 	}
-	if evacuated && syncReplicas == 0 && best.Point.Less(floor) {
+	if p.evacuated && p.syncReplicas == 0 && best.Point.Less(p.floor) {
 		m.laggingUntil = clock.Now().Add(laggingPause)
 		m.config.Log.LogAttrs(ctx, slog.LevelWarn, "no replica has the whole log of the primary in an evacuated failure domain, none is promoted", slog.String("service", string(m.config.Service)),
-			slog.String("server", string(best.Server.ID)), slog.String("point", best.Point.String()), slog.String("floor", floor.String()))
+			slog.String("server", string(best.Server.ID)), slog.String("point", best.Point.String()), slog.String("floor", p.floor.String()))
 		return
 	}
-	m.promote(ctx, best, floor)
+	m.promote(ctx, best, p.floor)
 }
 
 // promote appoints a replica and has the platform promote it. floor is the point that its log was to hold,
@@ -157,7 +207,7 @@
 				results <- promo.ReplicaLog{}
 				return
 			}
-			results <- promo.ReplicaLog{Server: s, Point: status.Received, Term: status.Term, Primary: status.Primary}
+			results <- promo.ReplicaLog{Server: s, Point: status.Received, Term: status.Term, Held: status.Held, Primary: status.Primary}
 		}()
 	}
 	var out []promo.ReplicaLog
