A hand-over promotes only a server with the whole log

What callers may have seen: acknowledged writes gone after a planned change of the primary of a service with sync_replicas; nothing of the kind is known. A replica that didn't receive the rest of the log within 0.8 s took over if enough replicas had answered, though the primary that had stepped down still ran, with more in its log. A primary that had written nothing in its term ignored the command to step down and wrote on.

Cause: after a time-out the rule for a crash was taken for enough, and the role in the answer to the command to step down wasn't looked at.

A primary is told to step down only once a replica has what it had at the probe before the last. Then a server with its whole log takes over, or the primary leads again. The command is repeated with the term that the primary reports. Services without synchronous replicas are handed over as before, but for the latter.

--- a/io/lead/copies.go
+++ b/io/lead/copies.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pomelofork/core/level"
+	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/promo"
 	"pomelofork/core/stmt"
@@ -63,6 +64,23 @@
 	return true
 }
 
+// hasSuccessor reports whether a replica may take over from a primary that is to step down: it has
+// what the primary had at the probe before the last one. The primary writes on until there is one. A
+// service without synchronous replicas is handed over in any case.
+func (m *Monitor) hasSuccessor(ctx context.Context, now time.Time, primary model.ServerID, servers []plan.Server) bool {
+	if syncReplicas, _ := m.syncReplicas(); syncReplicas == 0 {
+		return true
+	}
+	best, found := promo.MostAdvanced(m.queryReplicas(ctx, primary, servers, stmt.Command{Op: stmt.OpStatus}))
+	if found && !best.Server.Draining && m.earlier.server == primary && !best.Point.Less(m.earlier.point) {
+		return true
+	}
+	m.waitUntil = now.Add(retryPause)
+	m.config.Log.LogAttrs(ctx, slog.LevelWarn, "hand-over waits: no replica is close to the end of the primary's log", slog.String("service", string(m.config.Service)),
+		slog.String("server", string(best.Server.ID)), slog.String("point", best.Point.String()), slog.String("floor", m.earlier.point.String()))
+	return false
+}
+
 // updateCopies records the servers that may hold acknowledged commits. ended are the copies that had
 // ended before the primary was last probed. They are removed once enough replicas have all that the
 // primary had then.
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -35,6 +35,9 @@
 	catchUpPollInterval = 30 * time.Millisecond
 	// promoteTimeout is the time-out of the call that promotes a server.
 	promoteTimeout = time.Second
+	// stepDownTries is the number of times that a primary is told to step down, the second time with the
+	// term that it reports.
+	stepDownTries = 2
 	// retryPause is the pause after a refused promotion.
 	retryPause = 300 * time.Millisecond
 	// answerGrace is the time after a primary in an evacuated failure domain has stepped down for which its
@@ -124,10 +127,10 @@
 	// lastPrimary is the server that was last known to be the primary.
 	lastPrimary plan.Server
 	// reported is the last point that the primary reported, reportedAt when it was asked for that, and
-	// steppedDown the end of the log of the last primary that stepped down.
-	reported, steppedDown logEnd
-	reportedAt            time.Time
-	turn                  turn
+	// earlier the point before. steppedDown is the end of the log of the last primary that stepped down.
+	reported, earlier, steppedDown logEnd
+	reportedAt                     time.Time
+	turn                           turn
 	// laggingUntil is the time until which no promotion is tried again after one was refused because
 	// the replicas lacked a part of the log.
 	laggingUntil time.Time
@@ -213,6 +216,9 @@
 	}
 	var end model.Point
 	if decision.Action == promo.ActionHandOver && !m.sealed(clock.Now(), former) {
+		if !m.hasSuccessor(ctx, now, decision.Primary, servers) {
+			return
+		}
 		if end = m.stepDown(ctx, decision.Primary); evacuated && !end.IsZero() {
 			time.Sleep(answerGrace)
 		}
@@ -283,7 +289,7 @@
 		m.machine.PrimaryConfirmed(sent, primary.ID)
 		if !begin.Point.IsZero() {
 			m.term = begin.Point.Term()
-			m.reported, m.reportedAt = logEnd{primary.ID, begin.Point}, sent
+			m.earlier, m.reported, m.reportedAt = m.reported, logEnd{primary.ID, begin.Point}, sent
 			m.config.Observe(m.config.Service, sent, begin.Point)
 		}
 	}
--- a/io/lead/monitor_test.go
+++ b/io/lead/monitor_test.go
@@ -147,6 +147,8 @@
 		s.group.Server("p").SetDown(true)
 		Eventually(s.primary).WithTimeout(waitTimeout).ShouldNot(Equal(model.ServerID("p")))
 		Expect(s.group.Log()).To(HaveLen(1))
+		Eventually(s.primary).WithTimeout(waitTimeout).Should(Equal(model.ServerID("r2")), "the draining server hands over")
+		Expect(s.group.Log()).To(HaveLen(1))
 	})
 
 	It("doesn't replace a primary that only accepts no more connections", func() {
--- a/io/lead/promote.go
+++ b/io/lead/promote.go
@@ -19,20 +19,29 @@
 	if m.conn == nil || m.connServer != primary {
 		return model.Point{}
 	}
-	answers, err := exchange(m.conn, statusTimeout, stmt.Command{Op: stmt.OpStepDown, Term: m.term + 1})
-	if err != nil {
-		m.config.Log.LogAttrs(ctx, slog.LevelWarn, "primary did not step down", slog.String("server", string(primary)), slog.String("error", err.Error()))
-		m.closeConn()
-		return model.Point{}
-	}
-	status, err := m.config.Status.Status(answers[0])
-	if err != nil {
-		m.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot decode the answer to the command to step down", slog.String("server", string(primary)), slog.String("error", err.Error()))
-		return model.Point{}
+	command := stmt.Command{Op: stmt.OpStepDown, Term: m.term + 1}
+	for range stepDownTries {
+		answers, err := exchange(m.conn, statusTimeout, command)
+		if err != nil {
+			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "primary did not step down", slog.String("server", string(primary)), slog.String("error", err.Error()))
+			m.closeConn()
+			return model.Point{}
+		}
+		status, err := m.config.Status.Status(answers[0])
+		if err != nil {
+			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot decode the answer to the command to step down", slog.String("server", string(primary)), slog.String("error", err.Error()))
+			return model.Point{}
+		}
+		if !status.Primary {
+			m.steppedDown = logEnd{primary, status.Received}
+			m.config.Log.LogAttrs(ctx, slog.LevelInfo, "primary stepped down", slog.String("server", string(primary)), slog.String("point", status.Received.String()))
+			return status.Received
+		}
+		// The term of the last point is lower than that of a primary that has written nothing yet.
+		command.Term = status.Term + 1
 	}
-	m.steppedDown = logEnd{primary, status.Received}
-	m.config.Log.LogAttrs(ctx, slog.LevelInfo, "primary stepped down", slog.String("server", string(primary)), slog.String("point", status.Received.String()))
-	return status.Received
+	m.config.Log.LogAttrs(ctx, slog.LevelWarn, "primary did not step down", slog.String("server", string(primary)), slog.Uint64("term", uint64(command.Term)))
+	return model.Point{}
 }
 
 // promotion is the state of an attempt to promote a server.
@@ -43,6 +52,8 @@
 	command stmt.Command
 	// syncReplicas is the number of replicas that must have received a commit before it is acknowledged.
 	syncReplicas int
+	// end is the end of the log of a primary that has stepped down, or zero.
+	end model.Point
 	// floor is the point that the promoted log is to hold, and until the time that replicas get to receive it.
 	floor model.Point
 	until time.Time
@@ -54,7 +65,7 @@
 // newPromotion returns an attempt that follows from a decision. end is the end of the log of the primary
 // if that has stepped down.
 func (m *Monitor) newPromotion(decision promo.Decision, servers []plan.Server, end model.Point) *promotion {
-	p := &promotion{decision: decision, servers: servers, command: stmt.Command{Op: stmt.OpStatus}, floor: end, until: clock.Now().Add(catchUpTimeout)}
+	p := &promotion{decision: decision, servers: servers, command: stmt.Command{Op: stmt.OpStatus}, end: end, floor: end, until: clock.Now().Add(catchUpTimeout)}
 	p.syncReplicas, _ = m.syncReplicas()
 	if p.syncReplicas > 0 && end.IsZero() {
 		// The primary may still be running, although this instance doesn't reach it. From their
@@ -75,10 +86,14 @@
 // handOver reports whether the primary is replaced as planned.
 func (p *promotion) handOver() bool { return p.decision.Action == promo.ActionHandOver }
 
-// keepsAll returns whether a promotion is certain to keep every acknowledged commit that the copies may
-// have. Without synchronous replicas any answer suffices.
+// keepsAll returns whether a promotion is certain to keep every acknowledged commit: the whole log of a
+// primary that has stepped down, or else what the copies may have acknowledged. Without synchronous
+// replicas any answer suffices.
 func (p *promotion) keepsAll(replicas []promo.ReplicaLog, copies promo.CopySet) func(promo.ReplicaLog) bool {
 	return func(promoted promo.ReplicaLog) bool {
+		if p.syncReplicas > 0 && !p.end.IsZero() {
+			return !promoted.Point.Less(p.end)
+		}
 		return promo.Covers(promoted, replicas, copies.Replicas(replicas), copies.SyncReplicas())
 	}
 }
@@ -140,7 +155,7 @@
 		if covered && (late || !best.Point.Less(p.floor)) {
 			break
 		}
-		if !covered && (late || !p.evacuated || !p.handOver()) {
+		if !covered && !p.mayWait(late) {
 			m.waitUntil = clock.Now().Add(retryPause)
 			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "promotion waits: a server that didn't answer may have acknowledged commits", slog.String("service", string(m.config.Service)),
 				slog.Int("answers", len(replicas)), slog.Any("missing", copies.Missing(replicas)), slog.Int("copies", len(copies.All())), slog.Int("sync_replicas", copies.SyncReplicas()),
@@ -158,6 +173,23 @@
 	m.promote(ctx, best, p.floor)
 }
 
+// mayWait reports whether the replicas are asked again, after no promotion was certain to keep every
+// acknowledged commit. A primary that has stepped down is asked too once its replicas have had their
+// time: it has the whole log.
+func (p *promotion) mayWait(late bool) bool {
+	switch {
+	case !p.handOver(), p.end.IsZero() && !p.evacuated:
+		return false
+	case !late:
+		return true
+	case p.syncReplicas == 0 || p.decision.Primary == "":
+		return false
+	default:
+		p.decision.Primary = ""
+		return true
+	}
+}
+
 // promote appoints a replica and has the platform promote it. floor is the point that its log was to hold,
 // for the log.
 func (m *Monitor) promote(ctx context.Context, best promo.ReplicaLog, floor model.Point) {
