An instance goes on accepting after it was short of descriptors

Readiness was answered with 200 all the while.

Cause: entry.Serve and relay.NewServer ended their loops at any error of Accept, also at "too many open files". The listeners stayed open, and Ready didn't know. The log of the case has "stopped accepting callers" with that error as its last line about callers.

sock.Persistent goes on after errors of the kernel that pass, and closes what waits while no descriptor is left. All listeners use it, those of readiness, metrics and of "pomelofork serve" too. Callers may use three quarters of the descriptors (core/admit) and are refused at once beyond that, since without the rest the instance could serve nobody; it isn't ready while it is full or fails to accept.

--- a/cmd/pomelofork/serve.go
+++ b/cmd/pomelofork/serve.go
@@ -13,9 +13,11 @@
 	"syscall"
 	"time"
 
+	"pomelofork/core/admit"
 	"pomelofork/core/model"
 	"pomelofork/io/certs"
 	"pomelofork/io/node"
+	"pomelofork/io/sock"
 )
 
 // serveCommand runs one instance of the proxy.
@@ -101,6 +103,11 @@
 	if err := c.certificates(&config); err != nil {
 		return config, err
 	}
+	descriptors, err := sock.MaxDescriptors()
+	if err != nil {
+		return config, fmt.Errorf("reading the limit of descriptors: %w", err)
+	}
+	config.Limit = admit.NewLimit(descriptors)
 	var errs []error
 	for _, l := range []struct {
 		flag, address string
--- a/io/caller/config.go
+++ b/io/caller/config.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"pomelofork/core/admit"
 	"pomelofork/core/assert"
 	"pomelofork/core/conf"
 	"pomelofork/core/model"
@@ -61,6 +62,8 @@
 type Config struct {
 	// Listener accepts the connections of callers. The server closes it.
 	Listener net.Listener
+	// Limit is the limit on the sessions.
+	Limit admit.Limit
 	// TLS is used for callers that request TLS. If it is nil, such requests are declined.
 	TLS *tls.Config
 	// RequireTLS rejects sessions that don't use TLS.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -52,11 +52,11 @@
 	}
 }
 
-// register adds a session to the open ones. It returns false if the server is stopping.
+// register adds a session to the open ones. It returns false if the server is stopping, or there are too many.
 func (s *Server) register(sess *session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining.Load() {
+	if s.draining.Load() || s.config.Limit.Full(len(s.sessions)) {
 		return false
 	}
 	s.sessions[sess] = struct{}{}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sync/singleflight"
 
+	"pomelofork/core/admit"
 	"pomelofork/core/evac"
 	"pomelofork/core/fresh"
 	"pomelofork/core/home"
@@ -19,6 +20,7 @@
 	"pomelofork/core/model"
 	"pomelofork/core/pick"
 	"pomelofork/core/trial"
+	"pomelofork/io/sock"
 	"pomelofork/io/view"
 )
 
@@ -39,6 +41,8 @@
 	Fleet Fleet
 	// Codec returns the Caller that speaks the platform's protocol on a new connection.
 	Codec func(net.Conn) Caller
+	// Limit is the limit on the callers' sessions.
+	Limit admit.Limit
 	// Evacuation says what may be sent to servers in evacuated failure domains.
 	Evacuation evac.Policy
 	// ColdServers says that servers which have just started are limited in what they may get.
@@ -70,6 +74,8 @@
 	placed atomic.Uint64
 	// points are the questions for newest points that reads wait for, by service.
 	points singleflight.Group
+	// full says that the last new session exceeded the limit.
+	full atomic.Bool
 
 	mu            sync.Mutex
 	sessions      map[*session]struct{}
@@ -82,6 +88,8 @@
 	vacancies    map[model.ServiceID]view.Vacancy
 	stateChanged chan struct{}
 	closing      bool
+	// accepting is the listener for callers, or nil before Serve.
+	accepting *sock.Persistent
 	// isolated is the last value given to SetIsolated.
 	isolated bool
 	// picker is nil unless callers compete for capacity.
@@ -127,20 +135,40 @@
 	}
 }
 
-// Serve accepts callers in the background until the listener is closed.
+// Serve accepts callers in the background until the listener is closed. The entry isn't ready afterwards.
 func (e *Entry) Serve(listener net.Listener) {
+	accepting := sock.NewPersistent(sock.PersistentConfig{Listener: listener, Changed: sock.LogAccepting(e.config.Log, "callers")})
+	e.mu.Lock()
+	e.accepting = accepting
+	e.mu.Unlock()
 	go func() {
 		for {
-			conn, err := listener.Accept()
+			conn, err := accepting.Accept()
 			if err != nil {
+				e.MarkUnready()
 				e.config.Log.LogAttrs(context.Background(), slog.LevelInfo, "stopped accepting callers", slog.String("error", err.Error()))
 				return
 			}
-			newSession(e, e.config.Codec(conn))
+			e.accept(conn)
 		}
 	}()
 }
 
+// accept begins a session, unless there are too many.
+func (e *Entry) accept(conn net.Conn) {
+	open := e.Sessions()
+	verdict := e.config.Limit.Admit(open)
+	if full := verdict != admit.Serve; e.full.Swap(full) != full {
+		e.config.Log.LogAttrs(context.Background(), slog.LevelWarn, "limit of sessions reached or left", slog.Bool("reached", full), slog.Int("sessions", open), slog.Int("limit", e.config.Limit.Sessions()))
+	}
+	if verdict == admit.Close {
+		// An error means that the caller closed the connection first.
+		_ = conn.Close()
+		return
+	}
+	newSession(e, e.config.Codec(conn), verdict == admit.Refuse)
+}
+
 // MarkUnready makes Ready report false from now on, so that no new callers are sent
 // here. Those that connect anyway are still served.
 func (e *Entry) MarkUnready() {
@@ -238,10 +266,10 @@
 }
 
 // Ready reports whether new callers should be sent to this instance: it has a
-// configuration, may accept keys, and is neither stopping nor isolated.
+// configuration, may accept keys, has room for sessions, and is neither stopping nor isolated.
 func (e *Entry) Ready(now time.Time) bool {
 	e.mu.Lock()
-	closing := e.closing || e.isolated
+	closing := e.closing || e.isolated || e.config.Limit.Full(len(e.sessions)) || (e.accepting != nil && e.accepting.Failing(now))
 	e.mu.Unlock()
 	return !closing && e.keysUsable(now) && e.config.View.State().Plan != nil
 }
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -18,6 +18,8 @@
 const (
 	// openTimeout bounds the wait for a caller's opening.
 	openTimeout = 5 * time.Second
+	// refusedOpenTimeout is the same for a caller that is refused because of the number of sessions.
+	refusedOpenTimeout = 500 * time.Millisecond
 	// firstPlanWait bounds the time that a caller waits for the first configuration when
 	// the instance has just started.
 	firstPlanWait = 1500 * time.Millisecond
@@ -28,9 +30,11 @@
 // session serves the connection of one caller. Only its own goroutine uses the fields
 // above mu.
 type session struct {
-	entry    *Entry
-	caller   Caller
-	opening  Opening
+	entry   *Entry
+	caller  Caller
+	opening Opening
+	// excess says that there are too many sessions for this one.
+	excess   bool
 	values   []stmt.Value
 	prepared map[string]stmt.Prepared
 	// ownPoint is the point of the session's newest commit, and ownService the service of
@@ -49,9 +53,9 @@
 }
 
 // newSession serves a caller in the background until the caller or this instance ends
-// the session.
-func newSession(e *Entry, caller Caller) *session {
-	s := &session{entry: e, caller: caller, prepared: map[string]stmt.Prepared{}}
+// the session. If excess is true, the caller is refused once its opening has been read.
+func newSession(e *Entry, caller Caller, excess bool) *session {
+	s := &session{entry: e, caller: caller, excess: excess, prepared: map[string]stmt.Prepared{}}
 	e.mu.Lock()
 	e.sessions[s] = struct{}{}
 	e.mu.Unlock()
@@ -77,7 +81,11 @@
 // open reads the opening and checks it. It returns false if the session was not
 // accepted.
 func (s *session) open() bool {
-	s.setReadDeadline(time.Now().Add(openTimeout))
+	timeout := openTimeout
+	if s.excess {
+		timeout = refusedOpenTimeout
+	}
+	s.setReadDeadline(time.Now().Add(timeout))
 	opening, err := s.caller.Open()
 	if err != nil {
 		if errors.Is(err, ErrTooLarge) {
@@ -89,6 +97,10 @@
 	}
 	s.setReadDeadline(time.Time{})
 	s.opening = opening
+	if s.excess {
+		s.refuse(stmt.Refuse(stmt.CodeConnectionLimit, stmt.StateIdle, "too many sessions at this instance"))
+		return false
+	}
 	for waited := time.Duration(0); s.entry.config.View.State().Plan == nil && waited < firstPlanWait; waited += firstPlanPause {
 		time.Sleep(firstPlanPause)
 	}
--- a/io/event/instance.go
+++ b/io/event/instance.go
@@ -16,6 +16,8 @@
 	ConfigInForce    ID = 609
 	ConfigUnreadable ID = 610
 	LeaveFailed      ID = 611
+	AcceptFailed     ID = 612
+	AcceptResumed    ID = 613
 )
 
 var instanceKinds = map[ID]Kind{
@@ -30,5 +32,7 @@
 	GatewayFailed:    {slog.LevelError, "gateway of a service could not be opened", "Check the credentials and addresses of the service."},
 	ConfigInForce:    {slog.LevelInfo, "configuration in force", ""},
 	ConfigUnreadable: {slog.LevelError, "configuration can't be read", "Store a configuration that passes 'pomelofork check'; until then the one in force stays."},
+	AcceptFailed:     {slog.LevelError, "connections can't be accepted, those that wait are closed", "Raise the limit of descriptors of the process, or add instances."},
+	AcceptResumed:    {slog.LevelInfo, "connections are accepted again", ""},
 	LeaveFailed:      {slog.LevelWarn, "not all rights were handed over", "None: the successors take over the other rights when these expire."},
 }
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"pomelofork/core/admit"
 	"pomelofork/core/model"
 	"pomelofork/io/peer"
 )
@@ -19,6 +20,8 @@
 	Domain model.Domain
 	// CallerListener accepts the connections of callers.
 	CallerListener net.Listener
+	// Limit is the limit on the callers' sessions.
+	Limit admit.Limit
 	// LinkListener accepts the connections on which other instances send units of work to
 	// the gateways of this instance.
 	LinkListener net.Listener
--- a/io/node/fleet_test.go
+++ b/io/node/fleet_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http/httptest"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 
 	"pomelofork/core/conf"
 	"pomelofork/core/model"
+	"pomelofork/emul/lack"
 	"pomelofork/emul/pgsim"
 	"pomelofork/emul/plat"
 	"pomelofork/emul/seed"
@@ -175,12 +177,13 @@
 	Expect(err).NotTo(HaveOccurred())
 }
 
-// start starts one more instance with the given seeds.
+// start starts one more instance with the given seeds. Each of its listeners is short of descriptors at
+// first, which must not end it.
 func (f *testFleet) start(seeds []string) *Node {
 	listen := func() net.Listener {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		return l
+		return lack.Wrap(l, 2, syscall.ENOBUFS)
 	}
 	i := len(f.nodes)
 	n, err := New(Config{
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -19,6 +19,7 @@
 	"pomelofork/io/link"
 	"pomelofork/io/meter"
 	"pomelofork/io/peer"
+	"pomelofork/io/sock"
 	"pomelofork/io/store"
 	"pomelofork/io/wire"
 )
@@ -37,8 +38,10 @@
 	links          *links
 	leavingServers leavingServers
 	callerServer   *caller.Server
-	linkServer     *link.Server
-	adminServer    *http.Server
+	// accepting is the listener for callers.
+	accepting   *sock.Persistent
+	linkServer  *link.Server
+	adminServer *http.Server
 
 	stopping atomic.Bool
 	done     chan struct{}
@@ -61,15 +64,16 @@
 	n.links = newLinks(func(address string) *link.Client {
 		return link.NewClient(link.ClientConfig{Address: address, Secret: c.FleetSecret, TLS: c.FleetTLS, Logger: c.Logger, Now: n.now})
 	})
+	n.persist()
 	if err := n.joinFleet(); err != nil {
 		return nil, err
 	}
 	n.linkServer = link.NewServer(link.ServerConfig{
-		Listener: c.LinkListener, Secret: c.FleetSecret, TLS: c.FleetTLS, Logger: c.Logger, Now: n.now,
+		Listener: n.config.LinkListener, Secret: c.FleetSecret, TLS: c.FleetTLS, Logger: c.Logger, Now: n.now,
 		Gateways: func(service model.ServiceID) (wire.Gateway, bool) { return n.gateways.lookup(service) },
 	})
 	n.callerServer = caller.NewServer(caller.Config{
-		Listener: c.CallerListener, TLS: c.CallerTLS, RequireTLS: c.RequireTLS, Directory: n,
+		Listener: n.config.CallerListener, Limit: c.Limit, TLS: c.CallerTLS, RequireTLS: c.RequireTLS, Directory: n,
 		Logger: c.Logger, Meter: n.meter, Check: n.check, Now: n.now,
 	})
 	n.startAdmin(operators)
@@ -189,7 +193,7 @@
 // stopping, has a current configuration, knows a usable gateway for each service, and can
 // issue the tokens of all its shares of the accounts' rates.
 func (n *Node) Ready() bool {
-	if n.stopping.Load() || !n.fleet.Ready() {
+	if n.stopping.Load() || !n.fleet.Ready() || n.config.Limit.Full(n.callerServer.Sessions()) || n.accepting.Failing(n.now()) {
 		return false
 	}
 	config, refusal := n.Config(n.now())
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"pomelofork/core/admit"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
 	"pomelofork/core/quota"
@@ -44,6 +45,8 @@
 	Established bool
 	// Prefix is the prefix of the keys that are watched in the store.
 	Prefix string
+	// Limit is the limit on the callers' sessions.
+	Limit admit.Limit
 	// OwnPrefix is the prefix of the keys under which the instances write their registrations
 	// and rights.
 	OwnPrefix string
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -151,7 +151,7 @@
 	})
 	n.entry = entry.New(entry.Config{
 		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, ColdServers: c.ColdLimit != (ramp.Limit{}), Homes: home.NewMap(c.Regions), View: n.view, Fleet: n, SuspectsDomain: n.outages.suspects, Codec: c.Codec, Meter: n.meter, Evacuation: c.evacuation(), Disabled: c.Disabled, Log: c.Log,
-		Contended: c.Contended, Decided: n.meter.Decision,
+		Limit: c.Limit, Contended: c.Contended, Decided: n.meter.Decision,
 	})
 	close(ready)
 	n.entry.Serve(c.Callers)
@@ -179,7 +179,8 @@
 // the given message.
 func (n *Node) serveHTTP(listener net.Listener, handler http.Handler, message string) {
 	go func() {
-		err := (&http.Server{Handler: handler, ReadHeaderTimeout: time.Second}).Serve(listener)
+		persistent := sock.NewPersistent(sock.PersistentConfig{Listener: listener, Changed: sock.LogAccepting(n.config.Log, "HTTP clients")})
+		err := (&http.Server{Handler: handler, ReadHeaderTimeout: time.Second}).Serve(persistent)
 		n.config.Log.LogAttrs(context.Background(), slog.LevelInfo, message, slog.String("error", err.Error()))
 	}()
 }
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -8,6 +8,8 @@
 	"log/slog"
 	"net"
 	"net/rpc"
+
+	"pomelofork/io/sock"
 )
 
 // Handler answers the calls of peers. Its methods may be called concurrently. An error is
@@ -60,9 +62,10 @@
 	if err := server.RegisterName(serviceName, c.Handler); err != nil {
 		return err
 	}
+	listener := sock.NewPersistent(sock.PersistentConfig{Listener: c.Listener, Changed: sock.LogAccepting(c.Log, "instances")})
 	go func() {
 		for {
-			conn, err := c.Listener.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				c.Log.LogAttrs(context.Background(), slog.LevelInfo, "stopped accepting connections of peers", slog.String("error", err.Error()))
 				return
