A lack of descriptors says nothing about the other side

What callers may have seen: writes refused for a change of primary without a cause. An instance that has no descriptor left can't open connections; it took that for failures of the servers and instances it called.

Cause: a connection that can't be opened counted as evidence, whatever the error.

sock.Exhausted tells such errors apart. Monitors decide nothing about a primary that they can't probe, a server without an entry isn't taken as ended, pools have the statement tried through another instance and don't count the server as lost, calls between instances, surveys and evidence about failure domains pass over it, and a promotion whose call wasn't made is known not to take place.

--- a/io/lead/absent.go
+++ b/io/lead/absent.go
@@ -11,6 +11,7 @@
 	"pomelofork/core/promo"
 	"pomelofork/io/clock"
 	"pomelofork/io/pooler"
+	"pomelofork/io/sock"
 )
 
 // absent are the servers that hold a copy of the log and have no entry.
@@ -45,6 +46,10 @@
 		// An error doesn't matter, since the connection is not used again.
 		_ = conn.Close()
 	}
+	if sock.Exhausted(err) {
+		m.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot try to reach a server without an entry", slog.String("server", string(server.ID)), slog.String("error", err.Error()))
+		return
+	}
 	answered := err == nil || errors.Is(err, pooler.ErrConnectionLimit)
 	m.absent.mu.Lock()
 	m.absent.tracker.Tried(began, server.ID, answered, errors.Is(err, pooler.ErrMoved))
--- a/io/lead/cluster_test.go
+++ b/io/lead/cluster_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -19,6 +20,7 @@
 	"pomelofork/core/promo"
 	"pomelofork/core/stmt"
 	"pomelofork/emul/group"
+	"pomelofork/emul/lack"
 	"pomelofork/io/lead"
 	"pomelofork/io/pooler"
 	"pomelofork/io/store"
@@ -61,6 +63,8 @@
 	// appointedAt is when that was, and steppedDownAt when the primary was last told to step down.
 	appointedAt, steppedDownAt time.Time
 	withdrawals                int
+	// lacking is the server for a connection to which the monitor has no descriptor, or empty.
+	lacking model.ServerID
 	// unreached says that the monitor doesn't reach server p. confirms says that the only
 	// gateway does, and stopped that the gateway acknowledges a withdrawal.
 	unreached, confirms, stopped bool
@@ -120,8 +124,11 @@
 // Dial implements pooler.Dialer for the monitor.
 func (s *testCluster) Dial(ctx context.Context, server plan.Server, account model.AccountID) (pooler.Conn, error) {
 	s.mu.Lock()
-	unreached := s.unreached && server.ID == "p"
+	unreached, lacking := s.unreached && server.ID == "p", s.lacking == server.ID
 	s.mu.Unlock()
+	if lacking {
+		return nil, lack.Error("socket", syscall.EMFILE)
+	}
 	if unreached {
 		return nil, errors.New("no answer")
 	}
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -15,6 +15,7 @@
 	"pomelofork/core/trial"
 	"pomelofork/io/clock"
 	"pomelofork/io/pooler"
+	"pomelofork/io/sock"
 	"pomelofork/io/view"
 )
 
@@ -140,6 +141,8 @@
 	// copiesRetryAt is the time until which the copies of the log are not recorded again.
 	copiesRetryAt time.Time
 	absent        absent
+	// blind says that the primary couldn't be probed for a reason of this instance.
+	blind bool
 }
 
 // New returns a Monitor and runs it until the context ends.
@@ -192,6 +195,7 @@
 		return
 	}
 	ended := m.endedCopies(ctx, now)
+	m.blind = false
 	if primary, ok := m.machine.Primary(now, servers); ok {
 		m.lastPrimary = primary
 		handOverAt := m.takeTurn(now, primary)
@@ -206,7 +210,7 @@
 	m.machine.DomainLost(m.lastPrimary.ID, m.domainLost())
 	decision := m.machine.Decide(clock.Now(), servers)
 	former, evacuated := evacuatedFormer(decision, servers)
-	if decision.Action == promo.ActionNone || (evacuated && now.Before(m.laggingUntil)) || now.Before(m.waitUntil) {
+	if m.blind || decision.Action == promo.ActionNone || (evacuated && now.Before(m.laggingUntil)) || now.Before(m.waitUntil) {
 		return
 	}
 	m.config.Log.LogAttrs(ctx, slog.LevelWarn, "service needs another primary", slog.String("service", string(m.config.Service)),
@@ -262,6 +266,11 @@
 	if m.conn == nil || m.connServer != primary.ID {
 		m.closeConn()
 		conn, err := m.dial(ctx, primary, probeTimeout)
+		if sock.Exhausted(err) {
+			m.blind = true
+			m.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot probe the primary, nothing is decided about it meanwhile", slog.String("server", string(primary.ID)), slog.String("error", err.Error()))
+			return
+		}
 		if err != nil {
 			switch {
 			case errors.Is(err, syscall.ECONNREFUSED):
--- a/io/lead/monitor_test.go
+++ b/io/lead/monitor_test.go
@@ -82,6 +82,20 @@
 		Eventually(s.primary).WithTimeout(waitTimeout).ShouldNot(Equal(model.ServerID("p")))
 	})
 
+	// Guards against replacing a primary because the monitor has no descriptor to probe it.
+	It("promotes nobody while it can't probe the primary for a reason of its own", func() {
+		s := start(0)
+		Eventually(s.confirmed).WithTimeout(waitTimeout).Should(BeTrue())
+		s.set(func(s *testCluster) { s.lacking = "p" })
+		// This closes the monitor's connection.
+		s.group.Server("p").SetDown(true)
+		s.group.Server("p").SetDown(false)
+		Consistently(s.fences, 2500*time.Millisecond).Should(BeEmpty())
+		s.set(func(s *testCluster) { s.lacking = "" })
+		s.group.Server("p").SetDown(true)
+		Eventually(s.primary).WithTimeout(waitTimeout).ShouldNot(Equal(model.ServerID("p")))
+	})
+
 	It("promotes nobody while a gateway may still use the primary", func() {
 		s := startWithdrawal()
 		withdrawn := time.Now()
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -10,6 +10,7 @@
 	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
 	"pomelofork/io/clock"
+	"pomelofork/io/sock"
 )
 
 // handleOpened handles the end of an attempt to open a connection. It returns false if
@@ -26,6 +27,7 @@
 		delete(p.conns, sc)
 		p.log.LogAttrs(context.Background(), slog.LevelWarn, "opening a connection to a server failed",
 			slog.String("server", string(p.server.ID)), slog.String("account", string(sc.account)), slog.String("error", err.Error()))
+		p.exhausted = sock.Exhausted(err)
 		p.handleOpenFailure(now, sc.account, errors.Is(err, ErrConnectionLimit))
 		p.dispatch(now)
 		return false
@@ -40,7 +42,7 @@
 	sc.conn = conn
 	p.share.Opened(now, now.Sub(sc.openingSince))
 	p.ramp.Opened(now, !p.reached, !p.downSince.IsZero() || (p.reached && p.alone(sc)))
-	p.reached, p.downSince = true, time.Time{}
+	p.reached, p.downSince, p.exhausted = true, time.Time{}, false
 	sc.idleFrom = now
 	p.dispatch(now)
 	return true
@@ -56,7 +58,7 @@
 		return
 	}
 	p.pauseOpening(now, dialPause)
-	if !limitReached && p.downSince.IsZero() {
+	if !limitReached && !p.exhausted && p.downSince.IsZero() {
 		p.downSince = now
 	}
 	p.refuseAccount(account)
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -93,6 +93,8 @@
 	// downSince is the time of the first failure to connect since the last success. Zero
 	// means that there was none.
 	downSince time.Time
+	// exhausted says that this process lacked a descriptor for the last connection that it tried to open.
+	exhausted bool
 	// reached says that a connection was opened once.
 	reached bool
 	// lastAnswer is when the server last answered. It is also set when a statement is sent
@@ -260,9 +262,9 @@
 }
 
 // unreachable returns the code for a statement without a connection to run on: whether the
-// server can't be reached or has reached its limit of connections.
+// server can't be reached from here or has reached its limit of connections.
 func (p *Pool) unreachable() stmt.Code {
-	if p.downSince.IsZero() {
+	if p.downSince.IsZero() && !p.exhausted {
 		return stmt.CodeConnectionLimit
 	}
 	return stmt.CodeConnectionLost
--- a/io/pooler/pooler_test.go
+++ b/io/pooler/pooler_test.go
@@ -12,6 +12,7 @@
 	"pomelofork/core/plan"
 	"pomelofork/core/stmt"
 	"pomelofork/emul/group"
+	"pomelofork/emul/lack"
 	"pomelofork/emul/seed"
 	"pomelofork/io/clock"
 	"pomelofork/io/pooler"
@@ -32,12 +33,15 @@
 	mu    sync.Mutex
 	// points are those that the pool reported to Observe.
 	points []model.Point
+	// dialer opens the connections of the pool.
+	dialer lack.Dialer
 }
 
 func newFixture(c group.Config) *fixture {
 	c.Service = "s"
 	c.Servers = []plan.Server{{ID: "p", Service: "s", Slots: 2, Primary: true}, {ID: "r", Service: "s", Slots: 2}}
 	f := &fixture{group: group.New(c)}
+	f.dialer.Dialer = group.Dialer{f.group}
 	f.pool = f.newPool("p", c.Connections)
 	return f
 }
@@ -45,7 +49,7 @@
 // newPool returns a new pool for a server of the group.
 func (f *fixture) newPool(id model.ServerID, connections int) *pooler.Pool {
 	return newPoolOf(pooler.Config{
-		Server: f.group.Server(id).Registration(), Connections: connections, Dialer: group.Dialer{f.group},
+		Server: f.group.Server(id).Registration(), Connections: connections, Dialer: &f.dialer,
 		Observe: func(_ model.ServiceID, _ time.Time, point model.Point) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -149,6 +153,17 @@
 		Expect(f.group.RunCount("w1")).To(Equal(1))
 	})
 
+	// Guards against taking a server as lost because this process has no descriptor for a connection.
+	It("reports that nothing was sent without a descriptor, and takes the server as reachable", func() {
+		f.dialer.Lacking.Store(true)
+		result := f.run(order("w1", "WRITE x one", stmt.KindWrite))
+		Expect(result.Answer.Code).To(Equal(stmt.CodeConnectionLost), "another instance is tried")
+		Expect(result.NotSent).To(BeTrue())
+		Expect(f.pool.DownSince()).To(BeZero())
+		f.dialer.Lacking.Store(false)
+		Eventually(func() stmt.Code { return f.run(order("w2", "WRITE x one", stmt.KindWrite)).Answer.Code }).WithTimeout(waitTimeout).Should(Equal(stmt.CodeDone))
+	})
+
 	It("reports that nothing was sent to a crashed server, and reconnects after its restart", func() {
 		f.group.Server("p").SetDown(true)
 		result := f.run(order("w1", "WRITE x one", stmt.KindWrite))
--- a/io/proxy/examine.go
+++ b/io/proxy/examine.go
@@ -13,6 +13,7 @@
 	"pomelofork/io/clock"
 	"pomelofork/io/lead"
 	"pomelofork/io/relay"
+	"pomelofork/io/sock"
 	"pomelofork/io/view"
 )
 
@@ -114,8 +115,8 @@
 	defer timer.Stop()
 	select {
 	case err := <-answer:
-		if err == nil {
-			// The peer has recorded the answer.
+		if err == nil || sock.Exhausted(err) {
+			// The peer has recorded the answer, or was asked nothing.
 			return
 		}
 	case <-timer.C:
@@ -133,7 +134,7 @@
 	defer cancel()
 	sent := clock.Now()
 	_, err := lead.Probe(ctx, o.node.config.Dialer, server, examineTimeout)
-	if err == nil || clock.Now().Sub(sent) <= 3*examineTimeout {
+	if err == nil || (clock.Now().Sub(sent) <= 3*examineTimeout && !sock.Exhausted(err)) {
 		o.probed(server, lead.Reached(err))
 	}
 }
--- a/io/proxy/isolation.go
+++ b/io/proxy/isolation.go
@@ -9,6 +9,7 @@
 	"pomelofork/core/reach"
 	"pomelofork/core/trial"
 	"pomelofork/io/clock"
+	"pomelofork/io/sock"
 )
 
 const (
@@ -81,6 +82,8 @@
 func (n *Node) surveyPeer(now time.Time, inst plan.Instance) reach.Survey {
 	response, err := n.peer(inst).Look(now, "", lookTimeout)
 	switch {
+	case sock.Exhausted(err):
+		return reach.Survey{}
 	case err != nil:
 		return reach.Survey{Unresponsive: 1}
 	case response.ConfigAge >= 0:
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/io/sock"
 )
 
 const (
@@ -218,8 +219,10 @@
 	close(p.opening)
 	p.opening = nil
 	if err != nil {
-		p.observe(EventSilent)
-		p.markUnreachable(err)
+		if !sock.Exhausted(err) {
+			p.observe(EventSilent)
+			p.markUnreachable(err)
+		}
 		p.nextDial, p.unreachableErr = now.Add(reconnectPause), fmt.Errorf("%w: %w", ErrNotSent, err)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			p.unreachableErr = fmt.Errorf("%w: %w", ErrNotSent, ErrConnRefused)
--- a/io/relay/reconnect.go
+++ b/io/relay/reconnect.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pomelofork/io/clock"
+	"pomelofork/io/sock"
 )
 
 // reconnectAttempts bounds the attempts to reach an unresponsive peer. With their pauses
@@ -23,10 +24,10 @@
 	for range reconnectAttempts {
 		time.Sleep(reconnectPause)
 		client, err := p.dialAndCheck()
-		if err != nil {
-			p.observe(EventSilent)
-		} else {
+		if err == nil {
 			p.observe(EventAnswered)
+		} else if !sock.Exhausted(err) {
+			p.observe(EventSilent)
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			p.mu.Lock()
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"pomelofork/core/model"
 	"pomelofork/core/stmt"
+	"pomelofork/emul/lack"
 	"pomelofork/emul/seed"
 	"pomelofork/io/clock"
 	"pomelofork/io/relay"
@@ -203,6 +205,16 @@
 		Expect(err).NotTo(Or(MatchError(relay.ErrNoAnswer), MatchError(relay.ErrNotSent)))
 	})
 
+	// Guards against taking an instance as failed because this process has no descriptor for a connection.
+	It("reports that an order was not sent without a descriptor, and nothing of the instance", func() {
+		var events []relay.Event
+		peer = relay.NewPeer(relay.PeerConfig{Name: "p", Address: address, Log: slog.New(slog.DiscardHandler), Observe: func(e relay.Event) { events = append(events, e) },
+			Dial: func(context.Context, string) (net.Conn, error) { return nil, lack.Error("socket", syscall.EMFILE) }})
+		_, err := peer.Run(clock.Now(), &relay.RunRequest{}, time.Second)
+		Expect(err).To(And(MatchError(relay.ErrNotSent), MatchError(syscall.EMFILE)))
+		Expect(events).To(BeEmpty())
+	})
+
 	It("reports that an order was not sent when no process listens", func() {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
