A monitor remembers the servers that it couldn't record

What callers may have seen: acknowledged writes gone after a crash of the primary, if the store took no writes of the monitor while a replica's entry expired.

Cause: the copies of a log were those recorded and those registered at the moment, so that a server which the monitor had seen, but couldn't record, was forgotten with its entry.

The monitor keeps what it couldn't write, until it is written. Where a service has no synchronous replicas, nobody tries to reach servers without entries.

Test: io/lead "A promotion while the entry of a replica is missing ... which couldn't record it" fails without the memory.

--- a/core/promo/copies.go
+++ b/core/promo/copies.go
@@ -104,9 +104,11 @@
 
 // Merge returns the copies of both sets. It is settled only if both are.
 func (c CopySet) Merge(other CopySet) CopySet {
-	if c.Empty() || other.Empty() {
-		other.copies = append(other.copies, c.copies...)
-		return NewCopySet(CopySetConfig{Copies: other.copies, SyncReplicas: max(c.syncReplicas, other.syncReplicas), Settled: c.settled || other.settled})
+	switch {
+	case c.Empty():
+		return other
+	case other.Empty():
+		return c
 	}
 	return NewCopySet(CopySetConfig{Copies: slices.Concat(c.copies, other.copies), SyncReplicas: min(c.syncReplicas, other.syncReplicas), Settled: c.settled && other.settled})
 }
--- a/io/lead/absent.go
+++ b/io/lead/absent.go
@@ -23,6 +23,9 @@
 // endedCopies returns the recorded copies whose processes have ended. It has those tried in the
 // background that have no entry.
 func (m *Monitor) endedCopies(ctx context.Context, now time.Time) []promo.Copy {
+	if syncReplicas, _ := m.syncReplicas(); syncReplicas == 0 {
+		return nil
+	}
 	state := m.config.View.State()
 	copies := state.Copies[m.config.Service]
 	missing := copies.Absent(state.Servers)
--- a/io/lead/cluster_test.go
+++ b/io/lead/cluster_test.go
@@ -80,9 +80,10 @@
 	promoting func(*testCluster)
 	// gone are the servers without an entry in the store, and copies is the record of the copies of the log,
 	// or empty. olderBuild is true if an instance of an older build takes part.
-	gone       []model.ServerID
-	copies     []byte
-	olderBuild bool
+	// unwritable is true if the record can't be written.
+	gone                   []model.ServerID
+	copies                 []byte
+	olderBuild, unwritable bool
 	// appoints says that the view learns of appointments, and unconfigured that it doesn't know the
 	// configuration.
 	appoints, unconfigured bool
@@ -172,6 +173,9 @@
 func (s *testCluster) keepCopies(_ context.Context, copies promo.CopySet) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.unwritable {
+		return store.ErrUnavailable
+	}
 	value, err := view.CopiesValue(copies, 0)
 	s.copies = value
 	return err
--- a/io/lead/copies.go
+++ b/io/lead/copies.go
@@ -33,10 +33,11 @@
 	return p.SyncReplicas(m.config.Service), true
 }
 
-// copies returns the copies of the service's log: those that are recorded, and the registered servers.
+// copies returns the copies of the service's log: those that are recorded or were to be, and the
+// registered servers.
 func (m *Monitor) copies(syncReplicas int) promo.CopySet {
 	state := m.config.View.State()
-	return state.Copies[m.config.Service].With(state.Services[m.config.Service], syncReplicas)
+	return state.Copies[m.config.Service].Merge(m.unrecorded).With(state.Services[m.config.Service], syncReplicas)
 }
 
 // settled reports whether the recorded copies are all that may have acknowledged a commit. Instances
@@ -103,10 +104,11 @@
 				slog.Int("ended", len(ended)), slog.String("point", m.reported.point.String()))
 		}
 	}
-	if next.Equal(known) {
+	if m.unrecorded = (promo.CopySet{}); next.Equal(known) {
 		return
 	}
 	if err := m.config.KeepCopies(ctx, next); err != nil {
+		m.unrecorded = next
 		m.copiesRetryAt = clock.Now().Add(copiesPause)
 		m.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot record the copies of a service's log", slog.String("service", string(m.config.Service)), slog.String("error", err.Error()))
 	}
--- a/io/lead/copies_test.go
+++ b/io/lead/copies_test.go
@@ -33,17 +33,18 @@
 // one whose entry has expired goes on to receive and acknowledge commits.
 var _ = Describe("A promotion while the entry of a replica is missing", func() {
 	for name, c := range map[string]struct {
-		recorded, restarted, olderBuild bool
-		syncReplicas                    int
+		recorded, restarted, olderBuild, unwritable bool
+		syncReplicas                                int
 	}{
 		"seen before by this monitor":                             {recorded: true, syncReplicas: 1},
 		"by a monitor that has started since":                     {recorded: true, restarted: true, syncReplicas: 1},
 		"by a monitor that has started since, before any record":  {restarted: true, syncReplicas: 1},
 		"by one that has started since, beside an older build":    {recorded: true, restarted: true, olderBuild: true, syncReplicas: 1},
+		"seen before by this monitor, which couldn't record it":   {unwritable: true, syncReplicas: 1},
 		"by a monitor that has started since, with both replicas": {recorded: true, restarted: true, syncReplicas: 2},
 	} {
 		It("waits for that replica and goes on with it: "+name, func() {
-			s := &testCluster{group: newGroup(0), syncReplicas: c.syncReplicas, stopped: true, bound: time.Hour, olderBuild: c.olderBuild}
+			s := &testCluster{group: newGroup(0), syncReplicas: c.syncReplicas, stopped: true, bound: time.Hour, olderBuild: c.olderBuild, unwritable: c.unwritable}
 			if c.recorded && !c.olderBuild {
 				s.record("p", "r1", "r2")
 			} else if c.recorded {
@@ -53,6 +54,10 @@
 			Eventually(s.confirmed).WithTimeout(waitTimeout).Should(BeTrue())
 			s.group.Server("r2").CutReplication()
 			s.write()
+			if c.unwritable {
+				// Until the monitor doesn't wait for unknown servers any more.
+				time.Sleep(3500 * time.Millisecond)
+			}
 			if c.restarted {
 				end()
 			}
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -136,7 +136,9 @@
 	// waitUntil is the time until which no promotion is tried again after one could not be shown to keep
 	// every acknowledged commit.
 	waitUntil time.Time
-	// copiesRetryAt is the time until which the copies of the log are not recorded again.
+	// unrecorded are the copies of the log that could not be recorded, and copiesRetryAt is the time until
+	// which that isn't tried again.
+	unrecorded    promo.CopySet
 	copiesRetryAt time.Time
 	absent        absent
 	// blind says that the primary couldn't be probed for a reason of this instance.
