io/lead: absences count anew after the right was lost; lead.Reached in one more place

A monitor that lost its right for a moment kept since when servers without an entry hadn't answered, though nobody tried them meanwhile: after it had the right again, such a server could count as ended too early. It forgets that with the right now, so a server is at most taken as ended later than before.

tryAbsent calls Reached in place of a copy of its condition.

Run: io/lead, io/proxy, io/entry, io/sock, core/promo and the linters pass.

--- a/io/lead/absent.go
+++ b/io/lead/absent.go
@@ -40,6 +40,14 @@
 	return append(copies.Ended(state.Servers), m.absent.tracker.Ended(now, missing)...)
 }
 
+// forget forgets since when servers have not answered: nobody has tried them while this instance doesn't
+// hold the right.
+func (a *absent) forget() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tracker = promo.Absences{}
+}
+
 // tryAbsent finds out whether a server without an entry answers at its last known address. Only a
 // server with its ID accepts the connection.
 func (m *Monitor) tryAbsent(ctx context.Context, server plan.Server) {
@@ -53,7 +61,7 @@
 		m.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot try to reach a server without an entry", slog.String("server", string(server.ID)), slog.String("error", err.Error()))
 		return
 	}
-	answered := err == nil || errors.Is(err, pooler.ErrConnectionLimit)
+	answered := Reached(err)
 	m.absent.mu.Lock()
 	m.absent.tracker.Tried(began, server.ID, answered, errors.Is(err, pooler.ErrMoved))
 	m.absent.mu.Unlock()
--- a/io/lead/monitor.go
+++ b/io/lead/monitor.go
@@ -170,6 +170,7 @@
 func (m *Monitor) run(ctx context.Context, now time.Time) {
 	if !m.config.Holds(now) {
 		m.closeConn()
+		m.absent.forget()
 		m.machine = nil
 		return
 	}
