io/pooler: log what is prepared at a server, and refused setup commands

A line now names each statement that is prepared at a server, with the name that the server gets, and another one each refused setup command.

--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -114,6 +114,7 @@
 		if answer.Code != stmt.CodeDone && e.setupError == nil {
 			e.setupError = &answer
 			e.syncFailed = e.setupLeft >= e.setupRest
+			p.logRefusedSetup(e, answer)
 		}
 		switch {
 		case e.setupLeft > 0:
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -163,6 +163,7 @@
 		p.log.LogAttrs(context.Background(), slog.LevelWarn, "setting the deadline of a connection to a server failed", slog.String("error", err.Error()))
 	}
 	if len(setup) > 0 {
+		p.logPrepared(sc, r, setup)
 		p.ramp.Send(now, len(setup))
 		p.ramp.Reserve(len(main))
 		sc.execution.reserved = len(main)
