--- a/emul/group/group.go
+++ b/emul/group/group.go
@@ -60,6 +60,8 @@
 	promotedAt time.Time
 	// runCounts holds the number of runs of statements by the identifier of the request.
 	runCounts map[string]int
+	// executions holds the last prepared statement that each request ran, by its identifier.
+	executions map[string]Execution
 	// violations are the messages that Violations returns.
 	violations []string
 }
@@ -86,7 +88,7 @@
 
 // New returns a group whose first server is primary of term 1.
 func New(c Config) *Group {
-	g := &Group{config: c, servers: map[model.ServerID]*Server{}, term: 1, runCounts: map[string]int{}}
+	g := &Group{config: c, servers: map[model.ServerID]*Server{}, term: 1, runCounts: map[string]int{}, executions: map[string]Execution{}}
 	for i, registration := range c.Servers {
 		g.servers[registration.ID] = &Server{
 			group: g, registration: registration, slots: make(chan struct{}, max(registration.Slots, 1)), primary: i == 0, term: 1, applyLag: c.ApplyLag, sessions: map[*Session]struct{}{},
@@ -168,6 +170,22 @@
 	return g.runCounts[id]
 }
 
+// Execution is the run of a prepared statement.
+type Execution struct {
+	// Prepared is the statement that the name stood for at the server.
+	Prepared stmt.Prepared
+	// Arguments are the item and the data.
+	Arguments string
+}
+
+// Execution returns the prepared statement that a request ran last, or false if it ran none.
+func (g *Group) Execution(id string) (Execution, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e, ok := g.executions[id]
+	return e, ok
+}
+
 // Log returns the writes in the log of the primary, in the order of their commits.
 func (g *Group) Log() []Write {
 	g.mu.Lock()
--- a/emul/group/session.go
+++ b/emul/group/session.go
@@ -181,8 +181,10 @@
 func (s *Session) runStatement(now time.Time, c stmt.Command, applied model.Point) stmt.Answer {
 	verb, rest, _ := strings.Cut(c.Text, " ")
 	writes := verb == "WRITE"
+	var prepared stmt.Prepared
 	if c.Name != "" {
-		prepared, ok := s.preparedStatements[c.Name]
+		var ok bool
+		prepared, ok = s.preparedStatements[c.Name]
 		if !ok {
 			return stmt.Refuse(stmt.CodeNoStatement, stmt.StateIdle, c.Name)
 		}
@@ -202,6 +204,9 @@
 		return stmt.Refuse(stmt.CodeLagging, stmt.StateIdle, "behind")
 	}
 	s.server.group.runCounts[c.ID]++
+	if c.Name != "" {
+		s.server.group.executions[c.ID] = Execution{Prepared: prepared, Arguments: rest}
+	}
 	digest := fmt.Sprintf("%s.%s", s.server.registration.ID, c.ID)
 	if !writes {
 		return stmt.Answer{Rows: []string{s.read(now, rest)}, Digest: digest}
