io/pooler: number the prepared statements of a connection instead of naming them by their shape

Cause: the name at the server was "w_" or "r_" and the shape. A shape extends to the end of the line and may have blanks; a name ends at the first one. So "PREPARE w_q WRITE dv WRITE q WRITE dv" defines w_q anew, as a statement of the text "dv WRITE q WRITE dv", also for the session that had prepared q.

A name is now the number of the statement on its connection. A connection's statements are bounded in number and bytes; beyond that the session is reset, outside of transactions. Until now they accumulated for as long as the connection was open.

--- a/io/pooler/log.go
+++ b/io/pooler/log.go
@@ -19,7 +19,7 @@
 		if c.Op == stmt.OpPrepare {
 			p.log.LogAttrs(context.Background(), slog.LevelInfo, "statement prepared at a server", slog.String("request", shortened(r.order.Statement.ID)),
 				slog.String("server", string(p.server.ID)), slog.String("account", string(sc.account)), slog.String("name", shortened(c.Name)),
-				slog.Bool("writes", c.Writes), slog.String("shape", shortened(c.Rest)), slog.Int("shape_bytes", len(c.Rest)), slog.Int("prepared", len(sc.prepared)))
+				slog.Bool("writes", c.Writes), slog.String("shape", shortened(c.Rest)), slog.Int("shape_bytes", len(c.Rest)), slog.Int("prepared", len(sc.prepared.byStatement)))
 		}
 	}
 }
--- a/io/pooler/serverconn.go
+++ b/io/pooler/serverconn.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"maps"
+	"slices"
 	"time"
 
 	"pomelofork/core/model"
@@ -27,7 +27,7 @@
 	// values and prepared are the session values and the prepared statements that the
 	// server's session has after all commands sent to it.
 	values   map[string]string
-	prepared map[string]bool
+	prepared preparedNames
 	// tx is the open transaction, or zero.
 	tx txKey
 	// execution is the statement in flight, or nil.
@@ -92,7 +92,7 @@
 // newServerConn returns a connection and starts a goroutine that opens it and reads from it
 // until it closes.
 func newServerConn(p *Pool, account model.AccountID) *serverConn {
-	sc := &serverConn{account: account, values: map[string]string{}, prepared: map[string]bool{}}
+	sc := &serverConn{account: account, values: map[string]string{}}
 	server, dialer := p.server, p.dialer
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
@@ -130,7 +130,8 @@
 		pass.After = order.After
 	}
 	if order.Statement.Kind == stmt.KindExecute {
-		pass.Name, pass.Rest = serverName(order.Prepared), order.Statement.Rest
+		pass.Name, _ = sc.prepared.name(order.Prepared)
+		pass.Rest = order.Statement.Rest
 	}
 	main = append(main, pass)
 	if order.Prove {
@@ -147,33 +148,40 @@
 		return nil
 	}
 	var out []stmt.Command
-	wanted := make(map[string]string, len(order.Values))
-	for _, v := range order.Values {
-		wanted[v.Name] = v.Content
-	}
-	for name := range sc.values {
-		if _, ok := wanted[name]; !ok {
-			out = append(out, stmt.Command{Op: stmt.OpReset})
-			clear(sc.values)
-			clear(sc.prepared)
-			break
-		}
+	if sc.needsReset(order) {
+		out = append(out, stmt.Command{Op: stmt.OpReset})
+		clear(sc.values)
+		sc.prepared.clear()
 	}
 	for _, v := range order.Values {
 		if held, ok := sc.values[v.Name]; !ok || held != v.Content {
 			out = append(out, stmt.Command{Op: stmt.OpSet, Name: v.Name, Rest: v.Content})
+			sc.values[v.Name] = v.Content
 		}
 	}
-	maps.Copy(sc.values, wanted)
 	if order.Statement.Kind == stmt.KindExecute {
-		if name := serverName(order.Prepared); !sc.prepared[name] {
-			out = append(out, stmt.Command{Op: stmt.OpPrepare, Name: name, Rest: order.Prepared.Shape, Writes: order.Prepared.Writes})
-			sc.prepared[name] = true
+		if _, ok := sc.prepared.name(order.Prepared); !ok {
+			out = append(out, stmt.Command{Op: stmt.OpPrepare, Name: sc.prepared.add(order.Prepared), Rest: order.Prepared.Shape, Writes: order.Prepared.Writes})
 		}
 	}
 	return out
 }
 
+// needsReset reports whether the server's session has values that the order's session lacks, or, outside of a
+// transaction, no room for the prepared statement that the order executes.
+func (sc *serverConn) needsReset(order *stmt.Order) bool {
+	for name := range sc.values {
+		if !slices.ContainsFunc(order.Values, func(v stmt.Value) bool { return v.Name == name }) {
+			return true
+		}
+	}
+	if order.Statement.Kind != stmt.KindExecute || sc.tx != (txKey{}) {
+		return false
+	}
+	_, known := sc.prepared.name(order.Prepared)
+	return !known && sc.prepared.full(order.Prepared)
+}
+
 // starts returns the number of commands that an order needs on the connection, or a few more.
 func (sc *serverConn) starts(order *stmt.Order) int {
 	count := 1
@@ -183,7 +191,7 @@
 	if order.Prove {
 		count += 2
 	}
-	if sc.matchingValues(order) < 0 {
+	if sc.needsReset(order) {
 		count += 1 + len(order.Values)
 	} else {
 		for _, v := range order.Values {
@@ -212,13 +220,3 @@
 	}
 	return held
 }
-
-// serverName returns the name under which a statement is prepared at the server. It
-// consists of the statement's shape and whether it writes, because callers may use the same
-// name for different statements.
-func serverName(p stmt.Prepared) string {
-	if p.Writes {
-		return "w_" + p.Shape
-	}
-	return "r_" + p.Shape
-}
