--- a/core/level/level.go
+++ b/core/level/level.go
@@ -20,9 +20,12 @@
 	Stated = 1
 	// Copies is the level of builds whose monitors record the servers that may hold acknowledged commits.
 	Copies = 2
+	// Names is the level of builds whose gateways number prepared statements at servers, so that a shape may
+	// have blanks. Gateways below it name them by their shapes.
+	Names = 3
 
 	// Newest is the level of this build.
-	Newest = Copies
+	Newest = Names
 )
 
 // Of returns the level of a fleet: the lowest of all registered instances, and those that register it if
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -125,6 +125,9 @@
 	if inst.ID == n.config.Self.ID {
 		return n.runLocally(now, order), true
 	}
+	if !understands(inst, order) {
+		return refuseOlderBuild(), false
+	}
 	response, err := n.peer(inst).Run(now, &relay.RunRequest{Order: *order}, order.Timeout+callSlack)
 	switch {
 	case err == nil:
