platform: know before it is sent whether a statement fits into a message to a server

A read gets a log point in front of it, an EXECUTE the proxy's name of the statement in place of the caller's, and a shape the proxy's PREPARE, so a statement that a caller may send could exceed the limit on its way to the server, which then ends the connection: the caller is told that the outcome is unknown, and the next attempt does the same.

A read without room for a log point runs at the primary, which needs none. An EXECUTE or a shape that doesn't fit is answered TOOLARGE at once. Nothing above the limit is written to a server.

--- a/core/stmt/kind.go
+++ b/core/stmt/kind.go
@@ -27,9 +27,11 @@
 	KindExecute
 	// KindDeallocate deletes a prepared statement.
 	KindDeallocate
+	// KindOversized is a statement that can't be passed on, because the message to the server would be too large.
+	KindOversized
 )
 
-var kindNames = [...]string{"invalid", "begin", "begin_read", "read", "write", "commit", "rollback", "set", "prepare", "execute", "deallocate"}
+var kindNames = [...]string{"invalid", "begin", "begin_read", "read", "write", "commit", "rollback", "set", "prepare", "execute", "deallocate", "oversized"}
 
 // String returns the kind's name in snake case.
 func (k Kind) String() string { return kindNames[k] }
--- a/core/stmt/statement.go
+++ b/core/stmt/statement.go
@@ -16,6 +16,9 @@
 	Rest string
 	// Writes says that a prepared statement writes. It is set with KindPrepare only.
 	Writes bool
+	// NoPrefix says that a message to a server has no room for a log point beside the statement. Outside of a
+	// transaction it can only run where none is needed. It isn't passed on to the gateway.
+	NoPrefix bool
 }
 
 // Value is one session value.
--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -167,7 +167,7 @@
 	route := admitted.route
 	a := s.newAttempts(now, admitted, statement)
 	a.primary = s.writes(statement)
-	a.allowsStale = !a.primary && route.Freshness != plan.FreshLatest
+	a.allowsStale = !a.primary && route.Freshness != plan.FreshLatest && !statement.NoPrefix
 	if !a.allowsStale {
 		a.primary = true
 		a.order.Prove = !s.writes(statement)
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -281,7 +281,7 @@
 // doesn't allow is logged here, since it reaches no server.
 func (s *session) answer(now time.Time, statement stmt.Statement) stmt.Answer {
 	answer := s.serveStatement(now, statement)
-	if answer.Code == stmt.CodeMalformed || answer.Code == stmt.CodeNoStatement {
+	if answer.Code == stmt.CodeMalformed || answer.Code == stmt.CodeNoStatement || answer.Code == stmt.CodeTooLarge {
 		s.log(slog.LevelInfo, "statement refused in this state of the session", slog.String("request", statement.ID), slog.String("kind", statement.Kind.String()),
 			slog.String("code", answer.Code.String()), slog.String("reason", answer.Text), slog.Bool("in_transaction", s.tx != nil))
 	}
@@ -293,6 +293,8 @@
 	switch {
 	case statement.Kind == stmt.KindInvalid:
 		return stmt.Refuse(stmt.CodeMalformed, s.state(), "statement not understood")
+	case statement.Kind == stmt.KindOversized:
+		return stmt.Refuse(stmt.CodeTooLarge, s.state(), "statement is too large to be passed on")
 	case s.tx != nil:
 		return s.inTransaction(now, statement)
 	case statement.Kind == stmt.KindCommit || statement.Kind == stmt.KindRollback:
--- /dev/null
+++ b/io/entry/size_test.go
@@ -0,0 +1,28 @@
+package entry_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"pomelofork/core/plan"
+	"pomelofork/core/stmt"
+	"pomelofork/io/entry"
+)
+
+var _ = Describe("A statement at the limit of a message", func() {
+	It("runs at the primary without a log point, if there is no room for one", func() {
+		f := newFixture([]plan.Server{{ID: "p", Service: "s", Primary: true}, {ID: "r", Service: "s"}}, func(*entry.Config, *plan.Config) {})
+		caller := f.connect()
+		Expect(caller.send(stmt.Statement{ID: "r1", Text: "READ x", Kind: stmt.KindRead, NoPrefix: true}).Code).To(Equal(stmt.CodeDone))
+		order := f.fleet.sent()[0]
+		Expect(order.Server).To(BeEquivalentTo("p"))
+		Expect(order.Prove).To(BeTrue())
+		Expect(order.After.IsZero()).To(BeTrue())
+	})
+
+	It("is refused at once if it can't be passed on", func() {
+		f := newFixture([]plan.Server{{ID: "p", Service: "s", Primary: true}}, func(*entry.Config, *plan.Config) {})
+		Expect(f.connect().send(stmt.Statement{ID: "e", Kind: stmt.KindOversized})).To(HaveField("Code", stmt.CodeTooLarge))
+		Expect(f.fleet.sent()).To(BeEmpty())
+	})
+})
