io/entry: bound the session values and prepared statements of a session

A caller could set values and prepare statements without end. An order carries all values to the gateway: above 8 MiB the message between instances was refused, so that each further statement of the session was answered BUSY until its caller gave up; and one session could take all memory of an instance, which ends the process with the sessions of all others.

A SET or PREPARE beyond 2 MiB of values, 1,000 prepared statements or 4 MiB of shapes is answered TOOLARGE and changes nothing. What all sessions together may hold is still not bounded.

--- a/io/entry/local.go
+++ b/io/entry/local.go
@@ -1,28 +1,19 @@
 package entry
 
-import (
-	"slices"
-
-	"pomelofork/core/stmt"
-)
+import "pomelofork/core/stmt"
 
 // answerLocally answers statements that need no server: settings of the session and
 // prepared statements. It returns false for the others.
 func (s *session) answerLocally(statement stmt.Statement) (stmt.Answer, bool) {
 	done := stmt.Answer{State: s.state()}
+	stored := true
 	switch statement.Kind {
 	case stmt.KindSet:
-		i := slices.IndexFunc(s.values, func(v stmt.Value) bool { return v.Name == statement.Name })
-		if i < 0 {
-			s.values = append(s.values, stmt.Value{Name: statement.Name, Content: statement.Rest})
-		} else {
-			s.values = slices.Clone(s.values)
-			s.values[i].Content = statement.Rest
-		}
+		stored = s.set(stmt.Value{Name: statement.Name, Content: statement.Rest})
 	case stmt.KindPrepare:
-		s.prepared[statement.Name] = stmt.Prepared{Shape: statement.Rest, Writes: statement.Writes}
+		stored = s.prepare(statement.Name, stmt.Prepared{Shape: statement.Rest, Writes: statement.Writes})
 	case stmt.KindDeallocate:
-		delete(s.prepared, statement.Name)
+		s.deallocate(statement.Name)
 	case stmt.KindExecute:
 		if _, ok := s.prepared[statement.Name]; !ok {
 			return stmt.Refuse(stmt.CodeNoStatement, s.state(), "no such prepared statement"), true
@@ -31,6 +22,9 @@
 	default:
 		return done, false
 	}
+	if !stored {
+		return stmt.Refuse(stmt.CodeTooLarge, s.state(), "session values or prepared statements are too large"), true
+	}
 	return done, true
 }
 
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -34,9 +34,8 @@
 	caller  Caller
 	opening Opening
 	// excess says that there are too many sessions for this one.
-	excess   bool
-	values   []stmt.Value
-	prepared map[string]stmt.Prepared
+	excess bool
+	settings
 	// ownPoint is the point of the session's newest commit, and ownService the service of
 	// that commit.
 	ownPoint   model.Point
@@ -55,7 +54,7 @@
 // newSession serves a caller in the background until the caller or this instance ends
 // the session. If excess is true, the caller is refused once its opening has been read.
 func newSession(e *Entry, caller Caller, excess bool) *session {
-	s := &session{entry: e, caller: caller, excess: excess, prepared: map[string]stmt.Prepared{}}
+	s := &session{entry: e, caller: caller, excess: excess}
 	e.mu.Lock()
 	e.sessions[s] = struct{}{}
 	e.mu.Unlock()
--- /dev/null
+++ b/io/entry/settings.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"slices"
+
+	"pomelofork/core/stmt"
+)
+
+const (
+	// maxValueBytes bounds the session values of one session, names and contents together. An order carries all of
+	// them to the gateway, beside a statement and the shape that it executes.
+	maxValueBytes = 2 << 20
+	// maxPrepared and maxShapeBytes bound the prepared statements of one session, by their number and by the bytes of
+	// their names and shapes.
+	maxPrepared   = 1000
+	maxShapeBytes = 4 << 20
+)
+
+// settings are the session values and the prepared statements of a caller's session. The zero value is ready for use.
+type settings struct {
+	values     []stmt.Value
+	valueBytes int
+	prepared   map[string]stmt.Prepared
+	shapeBytes int
+}
+
+// set sets a session value. It returns false, and changes nothing, if the values would be too large.
+func (s *settings) set(v stmt.Value) bool {
+	i := slices.IndexFunc(s.values, func(other stmt.Value) bool { return other.Name == v.Name })
+	size := s.valueBytes + len(v.Name) + len(v.Content)
+	if i >= 0 {
+		size -= len(v.Name) + len(s.values[i].Content)
+	}
+	if size > maxValueBytes {
+		return false
+	}
+	s.valueBytes = size
+	if i < 0 {
+		s.values = append(s.values, v)
+		return true
+	}
+	// Orders in flight refer to the former values.
+	s.values = slices.Clone(s.values)
+	s.values[i] = v
+	return true
+}
+
+// prepare stores a prepared statement. It returns false, and changes nothing, if there would be too many of them.
+func (s *settings) prepare(name string, p stmt.Prepared) bool {
+	size, count := s.shapeBytes+len(name)+len(p.Shape), len(s.prepared)+1
+	if former, ok := s.prepared[name]; ok {
+		size -= len(name) + len(former.Shape)
+		count--
+	}
+	if size > maxShapeBytes || count > maxPrepared {
+		return false
+	}
+	if s.prepared == nil {
+		s.prepared = map[string]stmt.Prepared{}
+	}
+	s.shapeBytes, s.prepared[name] = size, p
+	return true
+}
+
+// deallocate forgets a prepared statement, if there is one.
+func (s *settings) deallocate(name string) {
+	if former, ok := s.prepared[name]; ok {
+		s.shapeBytes -= len(name) + len(former.Shape)
+		delete(s.prepared, name)
+	}
+}
