io/entry: say that a message was malformed before the session ends

A line feed inside a message isn't passed on, since a server could take what follows for a message of its own. The session ended without a word, which a caller can't tell from a lost connection. It gets MALFORMED now. The spec "passes no line feed on" reads EOF in place of it without the change.

--- a/io/entry/caller.go
+++ b/io/entry/caller.go
@@ -10,6 +10,10 @@
 // ErrTooLarge is returned by a Caller for a message above the size limit.
 var ErrTooLarge = errors.New("message over the size limit")
 
+// ErrMalformed is returned by a Caller for bytes whose end as a message can't be told, so that what follows
+// can't be read.
+var ErrMalformed = errors.New("malformed message")
+
 // Opening is what a caller sends to start a session.
 type Opening struct {
 	// Database is the name of the route.
@@ -29,8 +33,8 @@
 	// whose session ends.
 	Refuse(answer stmt.Answer) error
 	// Next waits for the next statement. It returns io.EOF when the caller ends the
-	// session, ErrTooLarge for a message above the size limit, and os.ErrDeadlineExceeded
-	// at the read deadline. A statement that can't be parsed has KindInvalid.
+	// session, ErrTooLarge for a message above the size limit, ErrMalformed for one whose end
+	// can't be told, and os.ErrDeadlineExceeded at the read deadline. A statement that can't be parsed has KindInvalid.
 	Next() (stmt.Statement, error)
 	// Reply sends the answer to the statement that Next returned last.
 	Reply(answer stmt.Answer) error
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -168,6 +168,9 @@
 			if errors.Is(err, ErrTooLarge) {
 				s.refuse(stmt.Refuse(stmt.CodeTooLarge, stmt.StateIdle, "message is too large"))
 			}
+			if errors.Is(err, ErrMalformed) {
+				s.refuse(stmt.Refuse(stmt.CodeMalformed, stmt.StateIdle, "end of the message not understood"))
+			}
 			return
 		}
 		s.mu.Lock()
