io/entry: bound what the settings of all sessions take together

The bound of one session leaves room for some hundred of them to exceed the memory limit of an instance, which ends the process and cuts off all others. The spec "is bounded for all sessions together" fails without the check.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -43,6 +43,9 @@
 	Codec func(net.Conn) Caller
 	// Limit is the limit on the callers' sessions.
 	Limit admit.Limit
+	// MaxSettingsBytes bounds the session values and prepared statements of all sessions together. Zero means no
+	// limit.
+	MaxSettingsBytes int64
 	// Evacuation says what may be sent to servers in evacuated failure domains.
 	Evacuation evac.Policy
 	// ColdServers says that servers which have just started are limited in what they may get.
@@ -74,6 +77,8 @@
 	placed atomic.Uint64
 	// points are the questions for newest points that reads wait for, by service.
 	points singleflight.Group
+	// settings is what the settings of all sessions may take.
+	settings budget
 	// full says that the last new session exceeded the limit.
 	full atomic.Bool
 
@@ -131,7 +136,7 @@
 		config: c, sessions: map[*session]struct{}{}, accountTokens: map[model.AccountID]*accountTokens{},
 		histories: map[model.ServiceID]*fresh.History{}, servers: map[model.ServerID]*serverStats{},
 		gaps: map[model.ServiceID]*primaryGap{}, scarcities: map[model.ServiceID]*keep.Scarcity{}, stateChanged: make(chan struct{}),
-		picker: newPicker(c),
+		picker: newPicker(c), settings: budget{limit: c.MaxSettingsBytes},
 	}
 }
 
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -54,7 +54,7 @@
 // newSession serves a caller in the background until the caller or this instance ends
 // the session. If excess is true, the caller is refused once its opening has been read.
 func newSession(e *Entry, caller Caller, excess bool) *session {
-	s := &session{entry: e, caller: caller, excess: excess}
+	s := &session{entry: e, caller: caller, excess: excess, settings: settings{budget: &e.settings}}
 	e.mu.Lock()
 	e.sessions[s] = struct{}{}
 	e.mu.Unlock()
@@ -72,6 +72,7 @@
 	s.rollback()
 	// An error means that the caller closed the connection first.
 	_ = s.caller.Close()
+	s.release()
 	s.entry.mu.Lock()
 	delete(s.entry.sessions, s)
 	s.entry.mu.Unlock()
--- a/io/entry/settings.go
+++ b/io/entry/settings.go
@@ -16,22 +16,25 @@
 	maxShapeBytes = 4 << 20
 )
 
-// settings are the session values and the prepared statements of a caller's session. The zero value is ready for use.
+// settings are the session values and the prepared statements of a caller's session.
 type settings struct {
+	// budget is that of all sessions.
+	budget     *budget
 	values     []stmt.Value
 	valueBytes int
 	prepared   map[string]stmt.Prepared
 	shapeBytes int
 }
 
-// set sets a session value. It returns false, and changes nothing, if the values would be too large.
+// set sets a session value. It returns false, and changes nothing, if the values would be too large, or those of
+// all sessions.
 func (s *settings) set(v stmt.Value) bool {
 	i := slices.IndexFunc(s.values, func(other stmt.Value) bool { return other.Name == v.Name })
 	size := s.valueBytes + len(v.Name) + len(v.Content)
 	if i >= 0 {
 		size -= len(v.Name) + len(s.values[i].Content)
 	}
-	if size > maxValueBytes {
+	if size > maxValueBytes || !s.budget.resize(size-s.valueBytes) {
 		return false
 	}
 	s.valueBytes = size
@@ -45,14 +48,15 @@
 	return true
 }
 
-// prepare stores a prepared statement. It returns false, and changes nothing, if there would be too many of them.
+// prepare stores a prepared statement. It returns false, and changes nothing, if there would be too many of them, or
+// those of all sessions would be too large.
 func (s *settings) prepare(name string, p stmt.Prepared) bool {
 	size, count := s.shapeBytes+len(name)+len(p.Shape), len(s.prepared)+1
 	if former, ok := s.prepared[name]; ok {
 		size -= len(name) + len(former.Shape)
 		count--
 	}
-	if size > maxShapeBytes || count > maxPrepared {
+	if size > maxShapeBytes || count > maxPrepared || !s.budget.resize(size-s.shapeBytes) {
 		return false
 	}
 	if s.prepared == nil {
@@ -65,7 +69,12 @@
 // deallocate forgets a prepared statement, if there is one.
 func (s *settings) deallocate(name string) {
 	if former, ok := s.prepared[name]; ok {
-		s.shapeBytes -= len(name) + len(former.Shape)
+		size := len(name) + len(former.Shape)
+		s.shapeBytes -= size
+		s.budget.resize(-size)
 		delete(s.prepared, name)
 	}
 }
+
+// release gives the budget back when the session ends.
+func (s *settings) release() { s.budget.resize(-s.valueBytes - s.shapeBytes) }
--- a/io/entry/settings_test.go
+++ b/io/entry/settings_test.go
@@ -50,4 +50,17 @@
 			Expect(f.fleet.sent()).To(BeEmpty())
 		})
 	}
+
+	It("is bounded for all sessions together, until one of them ends", func() {
+		f := newFixture([]plan.Server{{ID: "r", Service: "s"}}, func(c *entry.Config, _ *plan.Config) { c.MaxSettingsBytes = 100 })
+		first, second := f.connect(), f.connect()
+		Expect(first.send(set("a", 60)).Code).To(Equal(stmt.CodeDone))
+		Expect(first.send(set("a", 50)).Code).To(Equal(stmt.CodeDone))
+		Expect(first.send(prepare("p", 30)).Code).To(Equal(stmt.CodeDone))
+		Expect(second.send(set("a", 40)).Code).To(Equal(stmt.CodeTooLarge))
+		Expect(second.send(prepare("p", 17)).Code).To(Equal(stmt.CodeDone))
+		Expect(second.send(prepare("q", 0)).Code).To(Equal(stmt.CodeTooLarge))
+		close(first.statements)
+		Eventually(func() stmt.Code { return second.send(set("a", 80)).Code }).WithTimeout(waitTimeout).Should(Equal(stmt.CodeDone))
+	})
 })
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -47,6 +47,9 @@
 	Prefix string
 	// Limit is the limit on the callers' sessions.
 	Limit admit.Limit
+	// MaxSettingsBytes bounds the session values and prepared statements of all callers' sessions together. Zero
+	// means no limit.
+	MaxSettingsBytes int64
 	// OwnPrefix is the prefix of the keys under which the instances write their registrations
 	// and rights.
 	OwnPrefix string
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -151,7 +151,7 @@
 	})
 	n.entry = entry.New(entry.Config{
 		Domain: c.Self.Domain, RunID: rand.Uint64() | 1, KeyLife: c.KeyLife, ColdServers: c.ColdLimit != (ramp.Limit{}), Homes: home.NewMap(c.Regions), View: n.view, Fleet: n, SuspectsDomain: n.outages.suspects, Codec: c.Codec, Meter: n.meter, Evacuation: c.evacuation(), Disabled: c.Disabled, Log: c.Log,
-		Limit: c.Limit, Contended: c.Contended, Decided: n.meter.Decision,
+		Limit: c.Limit, MaxSettingsBytes: c.MaxSettingsBytes, Contended: c.Contended, Decided: n.meter.Decision,
 	})
 	close(ready)
 	n.entry.Serve(c.Callers)
