platform: the emulated servers parse the proxy's messages strictly, without the program's parser

The emulator read PREPARE with parseStatement, and took a statement with an empty name, a caller's identifier on SET or a BEGIN with other words as it came. It now parses by the grammar of the line protocol alone, and records each message that violates it: a wrong number of fields, an empty field, over 1 MiB, an identifier of a caller on a command of the proxy or the reverse, CONNECT without exactly three fields. The group records names and identifiers with blanks or line ends, and a prepared name that gets another meaning. For each request the group keeps every run, with account and session values.

--- a/emul/group/group.go
+++ b/emul/group/group.go
@@ -2,7 +2,7 @@
 // with a primary and replicas that receive its log at once and apply it with a lag. The
 // servers have slots and connections that belong to client accounts, and a replica can be
 // promoted. Tests can inject faults. The package also records a violation if a write takes
-// effect more than once.
+// effect more than once, or if a command has fields that a server could split or take for others.
 package group
 
 import (
@@ -60,8 +60,8 @@
 	promotedAt time.Time
 	// runCounts holds the number of runs of statements by the identifier of the request.
 	runCounts map[string]int
-	// executions holds the last prepared statement that each request ran, by its identifier.
-	executions map[string]Execution
+	// executions holds the statements that each request ran, by its identifier.
+	executions map[string][]Execution
 	// violations are the messages that Violations returns.
 	violations []string
 }
@@ -88,7 +88,7 @@
 
 // New returns a group whose first server is primary of term 1.
 func New(c Config) *Group {
-	g := &Group{config: c, servers: map[model.ServerID]*Server{}, term: 1, runCounts: map[string]int{}, executions: map[string]Execution{}}
+	g := &Group{config: c, servers: map[model.ServerID]*Server{}, term: 1, runCounts: map[string]int{}, executions: map[string][]Execution{}}
 	for i, registration := range c.Servers {
 		g.servers[registration.ID] = &Server{
 			group: g, registration: registration, slots: make(chan struct{}, max(registration.Slots, 1)), primary: i == 0, term: 1, applyLag: c.ApplyLag, sessions: map[*Session]struct{}{},
@@ -170,22 +170,6 @@
 	return g.runCounts[id]
 }
 
-// Execution is the run of a prepared statement.
-type Execution struct {
-	// Prepared is the statement that the name stood for at the server.
-	Prepared stmt.Prepared
-	// Arguments are the item and the data.
-	Arguments string
-}
-
-// Execution returns the prepared statement that a request ran last, or false if it ran none.
-func (g *Group) Execution(id string) (Execution, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	e, ok := g.executions[id]
-	return e, ok
-}
-
 // Log returns the writes in the log of the primary, in the order of their commits.
 func (g *Group) Log() []Write {
 	g.mu.Lock()
@@ -199,7 +183,8 @@
 	return out
 }
 
-// Violations returns one message for each write of a request that took effect again.
+// Violations returns one message for each write of a request that took effect again, and for each command
+// that a server could take for another one.
 func (g *Group) Violations() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/emul/group/session.go
+++ b/emul/group/session.go
@@ -13,6 +13,9 @@
 	"pomelofork/io/pooler"
 )
 
+// maxRowBytes bounds a row, so that an answer is never longer than a message may be.
+const maxRowBytes = 1 << 19
+
 // Session is one connection to a server. It implements pooler.Conn.
 type Session struct {
 	server             *Server
@@ -115,6 +118,7 @@
 		// The session was closed while the command waited.
 		return stmt.Answer{}, false
 	}
+	s.check(c)
 	answer := s.execute(time.Now(), c)
 	if answer.Code != stmt.CodeDone && s.inTransaction {
 		s.failed = true
@@ -203,10 +207,8 @@
 	case applied.Less(c.After):
 		return stmt.Refuse(stmt.CodeLagging, stmt.StateIdle, "behind")
 	}
-	s.server.group.runCounts[c.ID]++
-	if c.Name != "" {
-		s.server.group.executions[c.ID] = Execution{Prepared: prepared, Arguments: rest}
-	}
+	prepared.Writes = writes
+	s.recordExecution(c.ID, prepared, rest)
 	digest := fmt.Sprintf("%s.%s", s.server.registration.ID, c.ID)
 	if !writes {
 		return stmt.Answer{Rows: []string{s.read(now, rest)}, Digest: digest}
@@ -232,7 +234,8 @@
 			}
 		}
 	}
-	return fmt.Sprintf("%s values=%v account=%s", value, s.settings, s.account)
+	row := fmt.Sprintf("%s values=%v account=%s", value, s.settings, s.account)
+	return row[:min(len(row), maxRowBytes)]
 }
 
 // commit ends the transaction and appends its writes as one entry to the log of every
