io/relay: a message over the limit ends only the call that it belongs to

A caller whose session values, statement and shape exceed 8 MiB together closed the connection to each instance that its statement was tried at: net/rpc returned the error of writing, which counted as a broken connection. The gateways then rolled back the open transactions of all callers of that entry, and the calls in flight became in doubt. A caller whose answer exceeded 8 MiB waited for its time-out, because net/rpc sends nothing if a response can't be written. An answer of more than 131,072 rows was sent, failed to decode, and ended the connection. An error text over the limit was never sent either.

The assumption was that texts which callers and servers choose fit into a message. Now the caller of net/rpc gets ErrTooLarge, which is an ErrNotSent and leaves the connection alone, and no other instance is tried. The gateway replaces an answer over the limit by one that says what became of the statement: in doubt for a write or a commit, failed after it ran for the rest. This needs nothing of an older entry. Any other response over the limit becomes an error, which an older peer takes as such. A response that can't be decoded fails its own call, since its message was read whole. Methods and error texts are cut to 1 KiB on both sides.

--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -132,6 +132,8 @@
 	switch {
 	case err == nil:
 		return response.Result, true
+	case errors.Is(err, relay.ErrTooLarge):
+		return refuseTooLarge(), true
 	case errors.Is(err, relay.ErrNotSent):
 		n.endLeaseIfRefused(inst, err)
 		return stmt.Result{Answer: stmt.Refuse(stmt.CodeConnectionLimit, stmt.StateIdle, "instance not reached"), NotSent: true}, false
@@ -142,6 +144,12 @@
 	}
 }
 
+// refuseTooLarge returns the result of an order that is over the limit of messages between instances. No
+// other instance would get it either.
+func refuseTooLarge() stmt.Result {
+	return stmt.Result{Answer: stmt.Refuse(stmt.CodeTooLarge, stmt.StateIdle, "statement and values of its session are too large to be passed on"), NotSent: true}
+}
+
 // runLocally runs an order through this instance's connections to the server.
 func (n *Node) runLocally(now time.Time, order *stmt.Order) stmt.Result {
 	pool := n.pool(order.Server)
@@ -203,6 +211,7 @@
 		return nil
 	}
 	result.Result = h.node.runLocally(clock.Now(), &args.Order)
+	result.Limit(&args.Order)
 	return nil
 }
 
--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -110,6 +111,19 @@
 	}
 })
 
+// Such an order closed the connections to three instances, and with them the transactions of all callers there.
+var _ = Describe("An order over the limit of messages between instances", func() {
+	It("is refused as not run, and no other instance is tried", func() {
+		n, orders := newNodeWithGateways(5)
+		order := stmt.Order{Statement: stmt.Statement{Kind: stmt.KindWrite}, Timeout: time.Second, Values: []stmt.Value{{Name: "v", Content: strings.Repeat("x", 9<<20)}}}
+		result := n.Run(clock.Now(), plan.Server{ID: "s1", Service: "s", Domain: "d"}, &order)
+		Expect(result.NotSent).To(BeTrue())
+		Expect(result.Answer.Code).To(Equal(stmt.CodeTooLarge))
+		Expect(orders.Load()).To(BeZero())
+		Expect(n.peers).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("An order for a primary at an instance without a valid registration", func() {
 	It("is left to the next instance in the order of holders", func() {
 		n, orders := newNodeWithGateways(2)
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -11,12 +11,17 @@
 func call[T any](p *Peer, now time.Time, method string, args any, timeout time.Duration) (T, error) {
 	var none T
 	result := new(T)
+	body, ok := any(result).(message)
+	if !ok {
+		return none, fmt.Errorf("%T is not a message", result)
+	}
 	client, err := p.connect(now)
 	if err != nil {
 		return none, err
 	}
 	done := make(chan *rpc.Call, 1)
-	client.Go(serviceName+"."+method, args, result, done)
+	answer := &response{body: body}
+	client.Go(serviceName+"."+method, args, answer, done)
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	checkTimer := time.NewTimer(checkAfter)
@@ -31,6 +36,9 @@
 				return none, p.callError(client, method, call.Error)
 			}
 			p.observe(EventAnswered)
+			if answer.err != nil {
+				return none, fmt.Errorf("peer %s: decoding its answer: %w", p.config.Name, answer.err)
+			}
 			return *result, nil
 		case <-checkTimer.C:
 			p.observe(EventOverdue)
@@ -41,9 +49,12 @@
 	}
 }
 
-// callError returns the error of a call that net/rpc ended with one: what the peer answered, or that there
-// was no answer, in which case the connection is closed.
+// callError returns the error of a call that net/rpc ended with one: that the request was over the limit,
+// what the peer answered, or that there was no answer, in which case the connection is closed.
 func (p *Peer) callError(client *rpc.Client, method string, err error) error {
+	if errors.Is(err, ErrTooLarge) {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	var remote rpc.ServerError
 	if !errors.As(err, &remote) {
 		p.disconnect(client)
--- a/io/relay/codec.go
+++ b/io/relay/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net/rpc"
@@ -10,9 +11,6 @@
 )
 
 const (
-	// maxMessage bounds one message, in bytes. It leaves room for a statement of one
-	// mebibyte, or for an answer with a few rows of that size, and the other fields.
-	maxMessage = 8 << 20
 	// lengthSize is the size of the length field before each message, in bytes.
 	lengthSize = 4
 	// undecodedPrefix begins the error text of the answer to a request that couldn't be decoded.
@@ -76,19 +74,23 @@
 // beginMessage starts a new message with the fields before its body and leaves room for the
 // length.
 func (c *codec) beginMessage(h header) {
+	h.method, h.text = truncated(h.method), truncated(h.text)
 	c.out = coder{buf: append(c.out.buf[:0], 0, 0, 0, 0)}
 	h.fields(&c.out)
 	c.out.form = c.form
 }
 
-// writeMessage encodes the body and writes the message to the connection. It returns an
-// error without writing if the message is too large.
+// writeMessage encodes the body and writes the message to the connection. It returns ErrTooLarge
+// without writing if the message is too large.
 func (c *codec) writeMessage(body any) error {
 	if m, ok := body.(message); ok {
 		m.fields(&c.out)
 	}
+	if c.out.err != nil {
+		return fmt.Errorf("%w: %w", ErrTooLarge, c.out.err)
+	}
 	if len(c.out.buf) > maxMessage {
-		return fmt.Errorf("message of %d bytes is over the limit of %d", len(c.out.buf), maxMessage)
+		return fmt.Errorf("%w: %d bytes, at most %d are sent", ErrTooLarge, len(c.out.buf), maxMessage)
 	}
 	if run, ok := body.(*RunRequest); ok {
 		run.sent = true
@@ -138,6 +140,12 @@
 // Close implements rpc.ClientCodec and rpc.ServerCodec.
 func (c *codec) Close() error { return c.conn.Close() }
 
+// response is what a call gets: the body, or the error of decoding it.
+type response struct {
+	body message
+	err  error
+}
+
 // clientCodec is the codec of the instance that makes the calls.
 type clientCodec struct{ *codec }
 
@@ -150,12 +158,20 @@
 // ReadResponseHeader implements rpc.ClientCodec.
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	h, err := c.readHeader()
-	r.Seq, r.ServiceMethod, r.Error = h.seq, h.method, h.text
+	r.Seq, r.ServiceMethod, r.Error = h.seq, h.method, truncated(h.text)
 	return err
 }
 
-// ReadResponseBody implements rpc.ClientCodec.
-func (c clientCodec) ReadResponseBody(body any) error { return c.decodeBody(body) }
+// ReadResponseBody implements rpc.ClientCodec. A response that can't be decoded fails only its call: the
+// message was read whole, so the connection can carry the answers to other calls.
+func (c clientCodec) ReadResponseBody(body any) error {
+	response, ok := body.(*response)
+	if !ok {
+		return c.decodeBody(body)
+	}
+	response.err = c.decodeBody(response.body)
+	return nil
+}
 
 // serverCodec is the codec of the instance that answers the calls. net/rpc calls its read methods one
 // after the other.
@@ -184,8 +200,14 @@
 	return fmt.Errorf("%s%w", undecodedPrefix, err)
 }
 
-// WriteResponse implements rpc.ServerCodec.
+// WriteResponse implements rpc.ServerCodec. The peer gets an error instead of a response over the limit,
+// and would otherwise wait for its time-out.
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	c.beginMessage(header{r.Seq, r.ServiceMethod, r.Error})
-	return c.writeMessage(body)
+	err := c.writeMessage(body)
+	if !errors.Is(err, ErrTooLarge) {
+		return err
+	}
+	c.beginMessage(header{r.Seq, r.ServiceMethod, err.Error()})
+	return c.writeMessage(nil)
 }
--- a/io/relay/list.go
+++ b/io/relay/list.go
@@ -20,6 +20,10 @@
 }
 
 func encodeList[T any](c *coder, n protowire.Number, elements []T, fields func(*coder, *T)) {
+	if len(elements) > maxElements {
+		c.err = errElements
+		return
+	}
 	if c.form == formOrdered {
 		c.buf = protowire.AppendVarint(c.buf, uint64(len(elements)))
 	}
--- a/io/relay/peer.go
+++ b/io/relay/peer.go
@@ -39,6 +39,9 @@
 	// ErrConnRefused means that no process listens at the peer's address. Errors that wrap
 	// it wrap ErrNotSent too.
 	ErrConnRefused = errors.New("connection refused, no process listens at the peer's address")
+	// ErrTooLarge means that a message is over the limit and was not sent. The errors of calls that wrap it
+	// wrap ErrNotSent too.
+	ErrTooLarge = errors.New("message is over the limit")
 	// errUnresponsive means that the peer didn't answer a check on an open connection
 	// within checkTimeout.
 	errUnresponsive = errors.New("peer did not answer a check on the open connection")
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -92,7 +92,7 @@
 
 // serve starts a server and returns its address, its listener, and a channel that receives
 // the entries whose connections ended.
-func serve(h *handler) (string, net.Listener, chan uint64) {
+func serve(h relay.Handler) (string, net.Listener, chan uint64) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	disconnected := make(chan uint64, 8)
