io/right: a right whose key is too long keeps nobody from the others

A service whose name is over 178 bytes, be it in the operator's configuration or in an entry that another writer left among the backend servers, kept the whole fleet from acquiring any free right: no instance issued tokens or monitored a primary. The free rights are acquired in one transaction, which the store refuses as a whole if one key is over 200 bytes, and after errors other than a conflict the instance pauses and tries the same set again.

Such rights are now left out and logged once, and the keys of all others stay as they are, so that a mixed fleet agrees on them. Nobody monitors the primary of such a service. The emulated store refuses keys over its limit as the platform's does.

--- a/emul/kvsim/store.go
+++ b/emul/kvsim/store.go
@@ -188,6 +188,9 @@
 	if n := len(txn.Expected) + len(txn.Puts) + len(txn.Deletes); n > maxEntries {
 		return 0, store.NewRequestError(http.StatusBadRequest, fmt.Sprintf("a transaction with %d conditions and changes is too large", n))
 	}
+	if slices.ContainsFunc(txn.Puts, func(p store.Put) bool { return len(p.Key) > store.MaxKeyBytes }) {
+		return 0, store.NewRequestError(http.StatusBadRequest, "a key is too long")
+	}
 	for _, c := range txn.Expected {
 		if t.entries[c.Key].Revision != c.Revision {
 			return 0, store.ErrConflict
--- a/io/right/former.go
+++ b/io/right/former.go
@@ -31,7 +31,7 @@
 		return nil
 	}
 	var rights []formerRight
-	for _, spec := range mgr.config.Wanted(state) {
+	for _, spec := range mgr.wantedRights(state) {
 		right, ok := state.Rights[spec.Name]
 		if ok && !right.Restored && right.Instance == mgr.config.Self.ID && uint64(right.Lease) == former.Lease && len(rights) < maxRights-1 {
 			rights = append(rights, formerRight{spec, right.Revision})
--- a/io/right/manager.go
+++ b/io/right/manager.go
@@ -132,6 +132,8 @@
 	free map[string]freeRight
 	// wanted are the rights that some instance should hold, by name.
 	wanted map[string]Spec
+	// unwritableLogged are the rights of which the log says that nobody can hold them.
+	unwritableLogged map[string]bool
 	// comparedCounts and comparedLease identify the state and the lease that free was computed
 	// from.
 	comparedCounts view.ChangeCounts
--- a/io/right/takeover.go
+++ b/io/right/takeover.go
@@ -62,7 +62,8 @@
 		return
 	}
 	mgr.comparedCounts, mgr.comparedLease = state.ChangeCounts, lease
-	wanted := mgr.config.Wanted(state)
+	mgr.logUnwritable(ctx, state)
+	wanted := mgr.wantedRights(state)
 	mgr.wanted = make(map[string]Spec, len(wanted))
 	previous := mgr.free
 	mgr.free = map[string]freeRight{}
--- a/io/right/transfer.go
+++ b/io/right/transfer.go
@@ -79,7 +79,7 @@
 	state := mgr.config.View.State()
 	others := mgr.others(state)
 	recipients := map[string]plan.Instance{}
-	for _, spec := range mgr.config.Wanted(state) {
+	for _, spec := range mgr.wantedRights(state) {
 		if next, ok := successor(spec, others); ok {
 			recipients[spec.Name] = next
 		}
--- a/io/store/table.go
+++ b/io/store/table.go
@@ -14,6 +14,10 @@
 // changed nothing.
 var ErrConflict = errors.New("condition of the transaction not met")
 
+// MaxKeyBytes is the largest size of a key that the platform's store accepts, in bytes. A transaction with a
+// longer one is refused as a whole.
+const MaxKeyBytes = 200
+
 // Condition is the revision that a transaction expects of one key.
 type Condition struct {
 	// Key is the key to check.
