io/caller, io/gate: a shared prepared statement is known by its text, not by a hash that callers can collide

Callers saw, or would see: a prepared statement runs another text than its session prepared. The name of a statement at a backend server was a 64-bit xxhash of text and parameter types with the length of the text. Connections to backend servers are used by the sessions of all client accounts, and a gateway doesn't send the Parse of a name that the connection has. xxhash without a key is reversible block by block: for a text of 96 bytes or more another one of the same length and hash, differing in 16 chosen letters, was found in 10 ms. A caller who prepares that first makes every session of any account that prepares the known text run the other one on that connection.

Cause: a name made of text that somebody else chose, by a function that isn't injective. The types were also joined without a length; that couldn't be used only because the length of the text stood in the name.

A gateway also keeps the digest of what a connection has under each name, because entries of older builds go on sending the old names: a Parse of another text under a present name closes the statement and parses it again. Names of the two forms differ, so mixed builds only prepare a text once for each form. Two names of one text prepared in one batch now lead to one Parse at the server; the second was answered with 42P05 by servers like PostgreSQL. The emulator refuses such a Parse from now on, as PostgreSQL does.

--- a/emul/pgsim/errors.go
+++ b/emul/pgsim/errors.go
@@ -13,6 +13,7 @@
 	errReadOnlyTx         = sqlError{"25006", "transaction is read only"}
 	errUnknownStatement   = sqlError{"42601", "statement not known to the stand-in"}
 	errNoStatement        = sqlError{"26000", "no such prepared statement"}
+	errStatementExists    = sqlError{"42P05", "prepared statement already exists"}
 	errNoPortal           = sqlError{"34000", "no such portal"}
 	errTooManyConnections = sqlError{"53300", "too many connections"}
 	errWrongLogin         = sqlError{"28P01", "wrong user or password"}
--- a/emul/pgsim/extended.go
+++ b/emul/pgsim/extended.go
@@ -68,6 +68,9 @@
 }
 
 func (s *session) handleParse(m *pgproto3.Parse) error {
+	if _, taken := s.statements[m.Name]; taken && m.Name != "" {
+		return errStatementExists
+	}
 	all := parseStatements(m.Query)
 	if len(all) > 1 {
 		return sqlError{"42601", "only one statement in a prepared statement"}
--- a/io/caller/translate.go
+++ b/io/caller/translate.go
@@ -89,10 +89,10 @@
 	last.prepares, last.name = true, m.Name
 }
 
-// addParse adds the Parse of a statement under its shared name.
+// addParse adds the Parse of a stored statement under its shared name.
 func (t *translation) addParse(m *pgproto3.Parse, hidden bool) {
 	c := *m
-	c.Name = sharedName(m)
+	c.Name = t.statements.shared(m.Name)
 	t.parsed[c.Name] = true
 	t.steps = append(t.steps, step{message: &c, hidden: hidden})
 }
@@ -105,7 +105,7 @@
 		t.errResponse = newErrorResponse("26000", "prepared statement %q does not exist", name)
 		return ""
 	}
-	shared := sharedName(m)
+	shared := t.statements.shared(name)
 	if !t.parsed[shared] {
 		t.addParse(m, true)
 	}
--- a/io/caller/translate_test.go
+++ b/io/caller/translate_test.go
@@ -32,6 +32,25 @@
 		Expect(sharedName(different)).NotTo(Equal(sharedName(parse)))
 	})
 
+	// Whoever prepares the second text would otherwise make sessions that prepared the first one,
+	// also those of other client accounts, run the second.
+	It("gives other names to a text that was constructed to have the same xxhash, and to other types", func() {
+		names := map[string]bool{}
+		for _, p := range []*pgproto3.Parse{
+			{Name: "s", Query: "INSERT INTO ledger (id) VALUES ('order 4711 of 2026-12-06, three boxes of paper, paid in advance, 8c41')"},
+			{Name: "s", Query: "INSERT INTO ledger (id) VALUES ('order 4j1yzbplx026-12-06, three boxes obxNJzY5- paid in advance, 8c41')"},
+			{Name: "s", Query: "SELECT 1/23"},
+			{Name: "s", Query: "SELECT 1", ParameterOIDs: []uint32{23}},
+			{Name: "s", Query: "SELECT 1", ParameterOIDs: []uint32{2, 3}},
+			{Name: "s", Query: "SELECT 1", ParameterOIDs: []uint32{0x20202020}},
+			{Name: "s", Query: "SELECT 1    "},
+		} {
+			names[sharedName(p)] = true
+			Expect(sharedName(p)).To(MatchRegexp("^pf_[0-9A-Za-z_-]{1,60}$"), "an identifier of PostgreSQL has at most 63 bytes")
+		}
+		Expect(names).To(HaveLen(7))
+	})
+
 	It("uses the unnamed statement of an earlier batch", func() {
 		_, errResponse := translate(statements, []pgproto3.FrontendMessage{&pgproto3.Parse{Query: "SELECT 3"}, &pgproto3.Sync{}})
 		Expect(errResponse).To(BeNil())
--- a/io/gate/conn.go
+++ b/io/gate/conn.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -9,6 +10,7 @@
 	"pomelofork/core/model"
 	"pomelofork/io/dbconn"
 	"pomelofork/io/match"
+	"pomelofork/io/wire"
 )
 
 // sharedPrefix begins the names of the prepared statements that are parsed once for each
@@ -28,7 +30,10 @@
 	cancel *pgconn.PgConn
 	// statements are the shared prepared statements that the server has for the connection.
 	statements *statementCache
-	readOnly   bool
+	// parsing holds the shared statements of the batch whose Parse was sent and not answered
+	// yet, in the order of the messages.
+	parsing  []sharedStatement
+	readOnly bool
 	// altered says that the state of the connection may have changed beyond a
 	// transaction. The connection must then be closed instead of reused.
 	altered bool
@@ -53,6 +58,7 @@
 
 // addBatch adds the messages of a batch.
 func (c *conn) addBatch(messages []pgproto3.FrontendMessage) error {
+	c.parsing = nil
 	for _, m := range messages {
 		if err := c.addMessage(m); err != nil {
 			return err
@@ -102,33 +108,54 @@
 	case match.KindClose:
 		return c.AddAs(entry.Withheld(), m)
 	case match.KindParse:
-		return c.addSharedParse(entry, m)
+		return c.addSharedParse(entry, m.(*pgproto3.Parse))
 	}
 	return c.Add(m)
 }
 
 // addSharedParse adds the Parse message of a shared statement. It is not sent if the
-// connection already has the statement.
-func (c *conn) addSharedParse(entry match.Entry, m pgproto3.FrontendMessage) error {
-	if c.altered {
-		// The caller may have deallocated the statement, so it is closed and parsed again.
-		if err := c.addHidden(&pgproto3.Close{ObjectType: 'S', Name: entry.Name()}); err != nil {
+// connection already has the statement. If the connection has another statement of that name,
+// or may have one, that is closed first.
+func (c *conn) addSharedParse(entry match.Entry, m *pgproto3.Parse) error {
+	wanted := sharedStatement{name: entry.Name(), digest: wire.StatementDigest(m)}
+	present, found := c.presentDigest(wanted.name)
+	if found && present == wanted.digest && !c.altered {
+		return c.AddAs(entry.Withheld(), m)
+	}
+	// The caller of an altered connection may have deallocated or replaced the statement.
+	if found || c.altered {
+		if err := c.addHidden(&pgproto3.Close{ObjectType: 'S', Name: wanted.name}); err != nil {
 			return err
 		}
-		return c.AddAs(entry, m)
-	}
-	if c.statements.use(entry.Name()) {
-		return c.AddAs(entry.Withheld(), m)
 	}
+	c.parsing = append(c.parsing, wanted)
 	return c.AddAs(entry, m)
 }
 
-// recordParsed records the shared statements that the server has parsed.
+// presentDigest returns the digest of the statement that has this name when the server has
+// processed the messages that were added so far. It returns false if there is none.
+func (c *conn) presentDigest(name string) (statementDigest, bool) {
+	for _, s := range slices.Backward(c.parsing) {
+		if s.name == name {
+			return s.digest, true
+		}
+	}
+	return c.statements.use(name)
+}
+
+// recordParsed records the shared statements that the server has parsed or closed.
 func (c *conn) recordParsed(done []match.Entry) {
 	for _, entry := range done {
-		if entry.Kind() == match.KindParse && strings.HasPrefix(entry.Name(), sharedPrefix) {
-			c.statements.add(entry.Name())
+		if !entry.Forward() || !strings.HasPrefix(entry.Name(), sharedPrefix) {
+			continue
+		}
+		if entry.Kind() == match.KindClose {
+			c.statements.remove(entry.Name())
+			continue
 		}
+		// The server answers in the order of the messages, and skips the rest after an error.
+		c.statements.add(c.parsing[0])
+		c.parsing = c.parsing[1:]
 	}
 }
 
--- a/io/gate/gate_test.go
+++ b/io/gate/gate_test.go
@@ -124,6 +124,31 @@
 		}
 	})
 
+	// An entry of an older build names statements by a hash for which callers can construct a
+	// second text.
+	It("runs the text of the caller if another text was parsed under the same shared name", func(ctx SpecContext) {
+		cluster := newTestCluster(pgsim.Config{Slots: 1, Connections: 3})
+		insert := func(value string, types ...uint32) []pgproto3.FrontendMessage {
+			return []pgproto3.FrontendMessage{
+				&pgproto3.Parse{Name: "pf_1", Query: "INSERT INTO ledger (id) VALUES ('" + value + "')", ParameterOIDs: types},
+				&pgproto3.Bind{PreparedStatement: "pf_1"}, &pgproto3.Execute{},
+			}
+		}
+		run := func(messages ...pgproto3.FrontendMessage) {
+			got, _, err := runUnit(ctx, cluster.gateway, writeUnit(), wire.Batch{Messages: append(messages, &pgproto3.Sync{})})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got.codes).To(BeEmpty())
+			Expect(got.others).To(Equal(2*len(got.tags)), "one ParseComplete and one BindComplete each")
+		}
+		run(insert("x")...)
+		run(insert("y")...)
+		run(append(insert("x"), insert("y")...)...)
+		run(append(insert("y"), insert("y")...)...)
+		run(insert("x")...)
+		Expect(cluster.ledgerCount(ctx, "x")).To(Equal("3"))
+		Expect(cluster.ledgerCount(ctx, "y")).To(Equal("4"))
+	})
+
 	It("never runs more statements on a server than it has slots", func(ctx SpecContext) {
 		cluster := newTestCluster(pgsim.Config{Slots: 2, Connections: 8, StatementCost: time.Millisecond})
 		done := make(chan error)
