io/link: a caller's query that begins like the announcement of a unit is run

Callers would see: a query such as "SET pomelofork.unit = 'x'; INSERT ..." is answered with SET and doesn't run, and ends an open transaction, which is rolled back, if the gateway of the service is at another instance. At the caller's own instance it runs.

Cause: the announcement of a unit and the queries of callers are messages of one kind, and the gateway told them apart by the text alone. The entry answers a single SET of its own settings, but not a text with further statements or of more than 64 KiB.

The gateway now tells them apart by their place: the client announces a unit only after the end of the one before, so inside a unit every query is the caller's. Nothing changes on the wire; a gateway of this build is right with entries of any build.

--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -161,6 +161,32 @@
 		Expect(gateway.openedUnits()).To(HaveLen(1))
 	})
 
+	// Such a query ended the transaction, was not run, and was answered as successful.
+	It("runs a caller's query that begins like the announcement of a unit", func(ctx SpecContext) {
+		const text = "SET pomelofork.unit = 'x'; INSERT INTO ledger (id) VALUES ('1')"
+		var ran []string
+		gateway := &fakeGateway{}
+		gateway.run = func(_ context.Context, batch wire.Batch, _ wire.Sink) (wire.Result, error) {
+			query := batch.Messages[0].(*pgproto3.Query).String
+			ran = append(ran, query)
+			if query == "COMMIT" {
+				return wire.Result{TxStatus: 'I'}, nil
+			}
+			return wire.Result{TxStatus: 'T'}, nil
+		}
+		client, _ := connect(gateway)
+		for range 2 {
+			stream, err := client.Open(ctx, unit(model.AccessWrite))
+			Expect(err).NotTo(HaveOccurred())
+			for _, batch := range []wire.Batch{query(text), query(text), query("COMMIT")} {
+				_, err := stream.Run(ctx, batch, &countingSink{})
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+		Expect(ran).To(Equal([]string{text, text, "COMMIT", text, text, "COMMIT"}))
+		Expect(gateway.openedUnits()).To(HaveLen(2))
+	})
+
 	It("closes the gateway's stream when the client closes its own during a transaction", func(ctx SpecContext) {
 		gateway := &fakeGateway{run: func(context.Context, wire.Batch, wire.Sink) (wire.Result, error) {
 			return wire.Result{TxStatus: 'T'}, nil
--- a/io/link/reader.go
+++ b/io/link/reader.go
@@ -13,26 +13,18 @@
 // errBatchTooLarge ends a connection on which a batch exceeds maxBatchBytes.
 var errBatchTooLarge = errors.New("batch too large")
 
-// request is either the announcement of a unit or a batch.
-type request struct {
-	// header is the text after headerBegin if isHeader is true.
-	header   string
-	isHeader bool
-	batch    wire.Batch
-}
-
 // reader reads requests ahead while a batch runs, to notice when the client closes
 // the connection.
 type reader struct {
 	backend *pgproto3.Backend
 	// requests delivers what was read. It is closed when reading has ended.
-	requests chan request
+	requests chan wire.Batch
 }
 
 // newReader starts reading. Reading ends when the connection is closed, a request is
 // invalid or ctx ends; then onEnd is called.
 func newReader(ctx context.Context, backend *pgproto3.Backend, onEnd func()) *reader {
-	r := &reader{backend: backend, requests: make(chan request, 1)}
+	r := &reader{backend: backend, requests: make(chan wire.Batch, 1)}
 	go func() {
 		defer close(r.requests)
 		defer onEnd()
@@ -51,33 +43,30 @@
 	return r
 }
 
-// next reads one announcement or one batch.
-func (r *reader) next() (request, error) {
-	var req request
+// next reads one batch. The announcement of a unit is a batch of one query.
+func (r *reader) next() (wire.Batch, error) {
+	var batch wire.Batch
 	size := 0
 	for {
 		m, err := r.backend.Receive()
 		if err != nil {
-			return request{}, err
-		}
-		if text, ok := cutHeaderBegin(m); ok && len(req.batch.Messages) == 0 {
-			return request{header: text, isHeader: true}, nil
+			return wire.Batch{}, err
 		}
 		copied, err := match.Clone(m)
 		if err != nil {
-			return request{}, err
+			return wire.Batch{}, err
 		}
 		raw, err := copied.Encode(nil)
 		if err != nil {
-			return request{}, err
+			return wire.Batch{}, err
 		}
 		if size += len(raw); size > maxBatchBytes {
-			return request{}, errBatchTooLarge
+			return wire.Batch{}, errBatchTooLarge
 		}
-		req.batch.Messages = append(req.batch.Messages, copied)
+		batch.Messages = append(batch.Messages, copied)
 		switch copied.(type) {
 		case *pgproto3.Query, *pgproto3.Sync:
-			return req, nil
+			return batch, nil
 		}
 	}
 }
--- a/io/link/server_conn.go
+++ b/io/link/server_conn.go
@@ -71,20 +71,25 @@
 		if !ok {
 			return false
 		}
-		if next.isHeader {
-			return s.beginUnit(next.header) == nil
-		}
-		return s.runBatch(next.batch) == nil
+		return s.serveRequest(next) == nil
 	case <-draining:
 		s.sendShutdown(in)
 		return false
 	}
 }
 
+// serveRequest begins a unit or runs a batch. The client announces a unit only after the end
+// of the one before, so a query that looks like an announcement inside a unit is a caller's.
+func (s *serverConn) serveRequest(next wire.Batch) error {
+	if text, ok := cutHeaderBegin(next.Messages[0]); ok && s.unit == nil {
+		return s.beginUnit(text)
+	}
+	return s.runBatch(next)
+}
+
 // beginUnit begins a unit. If its header is invalid, the first batch is answered with
 // the refusal.
 func (s *serverConn) beginUnit(text string) error {
-	s.closeStream()
 	s.refusal = nil
 	unit, err := parseHeader(text)
 	if err != nil {
