io/caller: every batch that an entry accepts is one that a gateway accepts

Callers would see: a write in a batch of many small messages, of long names or of statements with long texts fails with "connection lost" and an unknown outcome, if the gateway is at another instance, however often it is sent. An entry also kept up to 1,000 statements of 16 MiB for one session, and any number of messages without a text or parameter, in memory.

Cause: the entry bounded the texts and parameters that the caller sent, and the gateway bounds the messages that the entry makes of them: with longer names, and with the text of each prepared statement that the batch uses.

Each message now counts with its names, texts, parameters and codes and 64 bytes for the rest, which covers the shared name, and the prepared statements of a session are bounded to the difference between the gateway's limit and that of a batch (32 MiB). A batch over its limit is refused as not run, a statement over the limit with 53400. The gateway's limit is unchanged.

--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -11,7 +11,7 @@
 // batch collects the messages of a caller up to and including a Query or Sync.
 type batch struct {
 	messages []pgproto3.FrontendMessage
-	// bytes is the size of the statement texts and parameters in messages.
+	// bytes is the sum of sizeOf over messages.
 	bytes int
 }
 
@@ -30,16 +30,32 @@
 		return
 	}
 	b.messages = append(b.messages, copied)
+	b.bytes += sizeOf(m)
+}
+
+// sizeOf returns an upper bound of the bytes of a message that is sent to a gateway, also
+// with a shared name in place of the caller's.
+func sizeOf(m pgproto3.FrontendMessage) int {
+	size := messageOverhead
 	switch m := m.(type) {
 	case *pgproto3.Bind:
+		size += len(m.PreparedStatement) + len(m.DestinationPortal)
+		size += 2 * (len(m.ParameterFormatCodes) + len(m.ResultFormatCodes))
 		for _, p := range m.Parameters {
-			b.bytes += len(p)
+			size += 4 + len(p)
 		}
 	case *pgproto3.Parse:
-		b.bytes += len(m.Query)
+		size += len(m.Name) + len(m.Query) + 4*len(m.ParameterOIDs)
 	case *pgproto3.Query:
-		b.bytes += len(m.String)
+		size += len(m.String)
+	case *pgproto3.Describe:
+		size += len(m.Name)
+	case *pgproto3.Execute:
+		size += len(m.Portal)
+	case *pgproto3.Close:
+		size += len(m.Name)
 	}
+	return size
 }
 
 // executes reports whether the batch executes a statement. A batch that only prepares or
--- a/io/caller/config.go
+++ b/io/caller/config.go
@@ -34,8 +34,11 @@
 	drainIdleTime = 300 * time.Millisecond
 	// maxMessageBytes bounds the body of one message of a caller.
 	maxMessageBytes = 16 << 20
-	// maxBatchBytes bounds the statement texts and parameters of one batch.
+	// maxBatchBytes bounds the messages of one batch, by sizeOf.
 	maxBatchBytes = 32 << 20
+	// messageOverhead is the size that a message counts for beyond its texts and parameters.
+	// It covers the fixed fields and a shared name.
+	messageOverhead = 64
 	// retryDelay is the delay that callers are told to wait before a retry while an
 	// instance or a gateway is being replaced.
 	retryDelay = 200 * time.Millisecond
--- a/io/caller/local.go
+++ b/io/caller/local.go
@@ -93,8 +93,8 @@
 	case *pgproto3.Query:
 		return l.execute(m.String, true)
 	case *pgproto3.Parse:
-		if !l.session.statements.put(m) {
-			return newErrorResponse("53400", "more than %d prepared statements in one session", maxPrepared)
+		if errResponse := l.session.statements.put(m); errResponse != nil {
+			return errResponse
 		}
 		backend.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
--- a/io/caller/prepared.go
+++ b/io/caller/prepared.go
@@ -11,6 +11,9 @@
 const (
 	// maxPrepared bounds the prepared statements of one session.
 	maxPrepared = 1000
+	// maxPreparedBytes bounds their messages, by sizeOf. The entry adds them to the batches that
+	// use them.
+	maxPreparedBytes = wire.MaxBatchBytes - maxBatchBytes
 	// sharedPrefix begins the shared name of every prepared statement. Gateways recognize
 	// shared statements by the same prefix.
 	sharedPrefix = "pf_"
@@ -30,6 +33,8 @@
 type preparedStatements struct {
 	// byName holds the statements by the caller's name.
 	byName map[string]preparedStatement
+	// bytes is the sum of sizeOf over the messages in byName.
+	bytes int
 }
 
 func newPreparedStatements() *preparedStatements {
@@ -50,13 +55,23 @@
 	return sharedPrefix + base64.RawURLEncoding.EncodeToString(digest[:])
 }
 
-// put stores a statement. It returns false if the session already has maxPrepared others.
-func (s *preparedStatements) put(p *pgproto3.Parse) bool {
-	if _, known := s.byName[p.Name]; !known && len(s.byName) >= maxPrepared {
-		return false
+// put stores a statement, in place of the one that has its name. It returns an error for the
+// caller if the session already has maxPrepared others, or maxPreparedBytes with it.
+func (s *preparedStatements) put(p *pgproto3.Parse) *pgproto3.ErrorResponse {
+	replaced, known := s.byName[p.Name]
+	if !known && len(s.byName) >= maxPrepared {
+		return newErrorResponse("53400", "more than %d prepared statements in one session", maxPrepared)
 	}
+	bytes := s.bytes + sizeOf(p)
+	if known {
+		bytes -= sizeOf(replaced.parse)
+	}
+	if bytes > maxPreparedBytes {
+		return newErrorResponse("53400", "more than %d bytes of prepared statements in one session", maxPreparedBytes)
+	}
+	s.bytes = bytes
 	s.byName[p.Name] = preparedStatement{parse: p, shared: sharedName(p)}
-	return true
+	return nil
 }
 
 // get returns the Parse message of the statement that has this name in the session.
@@ -68,6 +83,14 @@
 // shared returns the shared name of a statement of the session.
 func (s *preparedStatements) shared(name string) string { return s.byName[name].shared }
 
-func (s *preparedStatements) remove(name string) { delete(s.byName, name) }
+func (s *preparedStatements) remove(name string) {
+	if statement, known := s.byName[name]; known {
+		s.bytes -= sizeOf(statement.parse)
+		delete(s.byName, name)
+	}
+}
 
-func (s *preparedStatements) clear() { clear(s.byName) }
+func (s *preparedStatements) clear() {
+	clear(s.byName)
+	s.bytes = 0
+}
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -131,14 +131,19 @@
 		s.backend.Send(newErrorResponse("0A000", "function calls are not supported"))
 		return s.sendReady()
 	default:
-		s.batch.add(m)
-		if s.batch.bytes > maxBatchBytes {
-			return s.fatal(notRun(model.ReasonTooLarge, "more than %d bytes up to a Sync", maxBatchBytes))
-		}
-		return nil
+		return s.addToBatch(m)
 	}
 }
 
+// addToBatch adds m to the batch. It ends the session if the batch becomes too large.
+func (s *session) addToBatch(m pgproto3.FrontendMessage) error {
+	s.batch.add(m)
+	if s.batch.bytes > maxBatchBytes {
+		return s.fatal(notRun(model.ReasonTooLarge, "more than %d bytes up to a Sync", maxBatchBytes))
+	}
+	return nil
+}
+
 // flush rejects a Flush inside a batch. A batch is sent to a backend server only when it is
 // complete, so a caller that waits for answers before it sends its Sync would wait forever.
 func (s *session) flush() error {
@@ -161,8 +166,10 @@
 		s.skipping = false
 		return s.sendReady()
 	}
-	s.batch.add(m)
 	defer s.batch.reset()
+	if err := s.addToBatch(m); err != nil {
+		return err
+	}
 	return s.runBatch()
 }
 
--- a/io/caller/translate.go
+++ b/io/caller/translate.go
@@ -80,8 +80,7 @@
 		t.errResponse = newErrorResponse("42P05", "prepared statement %q already exists", m.Name)
 		return
 	}
-	if !t.statements.put(m) {
-		t.errResponse = newErrorResponse("53400", "more than %d prepared statements in one session", maxPrepared)
+	if t.errResponse = t.statements.put(m); t.errResponse != nil {
 		return
 	}
 	t.addParse(m, false)
--- a/io/link/reader.go
+++ b/io/link/reader.go
@@ -10,7 +10,7 @@
 	"pomelofork/io/wire"
 )
 
-// errBatchTooLarge ends a connection on which a batch exceeds maxBatchBytes.
+// errBatchTooLarge ends a connection on which a batch exceeds wire.MaxBatchBytes.
 var errBatchTooLarge = errors.New("batch too large")
 
 // reader reads requests ahead while a batch runs, to notice when the client closes
@@ -60,7 +60,7 @@
 		if err != nil {
 			return wire.Batch{}, err
 		}
-		if size += len(raw); size > maxBatchBytes {
+		if size += len(raw); size > wire.MaxBatchBytes {
 			return wire.Batch{}, errBatchTooLarge
 		}
 		batch.Messages = append(batch.Messages, copied)
--- a/io/wire/stream.go
+++ b/io/wire/stream.go
@@ -8,6 +8,10 @@
 	"pomelofork/core/model"
 )
 
+// MaxBatchBytes bounds the encoded messages of one batch. Entries accept only batches that
+// stay within it after the names of statements were replaced and their texts added.
+const MaxBatchBytes = 64 << 20
+
 // Sink receives the answer of a backend server, one message per call. The message is
 // valid only during the call.
 type Sink interface {
