io/caller: request ids that differ stay different on their way to the gateway

Callers would see: a write with a request id that was never used is answered from the record of another one, and doesn't run. Two causes, both on the way of the id:

- An id with bytes that aren't UTF-8.
Towards a gateway at another instance the id is part of a JSON document, in which every invalid byte becomes U+FFFD, so "a\xff" and "a\xfe" were one id there, and other ids than at a gateway of the same instance.
Such an id is refused now (08P01 at startup, 22023 for SET); servers with a UTF-8 database refuse it anyway.
- Backslashes in the startup parameter "options" were removed instead of read, so "a\\b" and "ab" were one id.
A setting was also found inside the value of another argument, as in "--search_path=-cpomelofork.route=x".
The parameter is now split as PostgreSQL does it: at white space, with a backslash for the character after it.
"--name=value" is understood too.

--- a/io/caller/local.go
+++ b/io/caller/local.go
@@ -202,8 +202,8 @@
 		}
 		s.tokens = tokens
 	case settingRequestID:
-		if len(value) > maxRequestID {
-			return newErrorResponse("22023", "%s%s: longer than %d bytes", settingPrefix, name, maxRequestID)
+		if err := checkRequestID(value); err != nil {
+			return newErrorResponse("22023", "%v", err)
 		}
 		s.requestID = value
 	case settingTimeout:
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -50,6 +50,7 @@
 		"no key":                 {"ann", "", nil, "28P01"},
 		"unknown route":          {"ann", "key-ann", map[string]string{"route": "nope"}, "3F000"},
 		"malformed token":        {"ann", "key-ann", map[string]string{"token": "stock=x"}, "08P01"},
+		"malformed request id":   {"ann", "key-ann", map[string]string{"request_id": "a\xff"}, "08P01"},
 		"malformed timeout":      {"ann", "key-ann", map[string]string{"timeout_ms": "soon"}, "08P01"},
 	} {
 		It("is rejected: "+name, func() {
--- a/io/caller/setting.go
+++ b/io/caller/setting.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // The names of the settings that the entry handles, without settingPrefix.
@@ -78,27 +79,33 @@
 	return s
 }
 
-// optionsPattern matches each "-c name=value" in the startup parameter "options".
-var optionsPattern = regexp.MustCompile(`-c\s*([\w.]+)=((?:\\.|[^\\\s])*)`)
-
 // startupSettings returns the settings of the entry among the startup parameters, by their
 // names without settingPrefix. A setting may be a parameter of its own, which takes
 // precedence, or be part of the parameter "options". Its name must have the prefix.
 func startupSettings(parameters map[string]string) map[string]string {
 	found := map[string]string{}
-	for _, m := range optionsPattern.FindAllStringSubmatch(parameters["options"], -1) {
-		if name, ok := strings.CutPrefix(m[1], settingPrefix); ok {
-			found[name] = strings.ReplaceAll(m[2], `\`, "")
-		}
-	}
-	for name, value := range parameters {
-		if short, ok := strings.CutPrefix(name, settingPrefix); ok {
-			found[short] = value
+	for _, given := range []map[string]string{optionSettings(parameters["options"]), parameters} {
+		for name, value := range given {
+			if short, ok := strings.CutPrefix(name, settingPrefix); ok {
+				found[short] = value
+			}
 		}
 	}
 	return found
 }
 
+// checkRequestID returns an error if the text can't be the ID of a request. Between instances
+// it is part of a JSON document, in which all invalid bytes become the same character.
+func checkRequestID(value string) error {
+	if len(value) > maxRequestID {
+		return fmt.Errorf("%s%s: longer than %d bytes", settingPrefix, settingRequestID, maxRequestID)
+	}
+	if !utf8.ValidString(value) {
+		return fmt.Errorf("%s%s: not UTF-8", settingPrefix, settingRequestID)
+	}
+	return nil
+}
+
 // parseTimeout parses a whole number of milliseconds from 1 to maxBatchTimeout.
 func parseTimeout(value string) (time.Duration, error) {
 	ms, err := strconv.Atoi(strings.TrimSpace(value))
--- a/io/caller/setting_test.go
+++ b/io/caller/setting_test.go
@@ -46,6 +46,22 @@
 		Expect(got).To(Equal(map[string]string{"route": "stock check", "token": "new"}))
 	})
 
+	// Two ids became one, so the second request was answered from the first one's record.
+	It("keeps request ids apart in the startup options", func() {
+		for text, want := range map[string]string{
+			`-c pomelofork.request_id=a\\b`: `a\b`, `-c pomelofork.request_id=a\b`: "ab",
+			`-cpomelofork.request_id=a\ b`: "a b", `--pomelofork.request_id=7`: "7",
+			`-c search_path=x\ -c\ pomelofork.request_id=7`: "", `--search_path=-cpomelofork.request_id=7`: "",
+		} {
+			Expect(startupSettings(map[string]string{"options": text})["request_id"]).To(Equal(want), text)
+		}
+	})
+
+	It("refuses a request id that isn't UTF-8, which another instance would read as another one", func() {
+		Expect((&session{}).set("request_id", "a\xff")).To(HaveField("Code", "22023"))
+		Expect((&session{}).set("request_id", "7 – ä")).To(BeNil())
+	})
+
 	for name, value := range map[string]string{"zero": "0", "negative": "-1", "not a number": "soon", "too long": "99999999"} {
 		It("rejects a timeout: "+name, func() {
 			_, err := parseTimeout(value)
--- a/io/caller/startup.go
+++ b/io/caller/startup.go
@@ -136,8 +136,8 @@
 		}
 		s.timeout = timeout
 	}
-	if value := settings[settingRequestID]; len(value) > maxRequestID {
-		return notRun(model.ReasonBadMessage, "%s%s: longer than %d bytes", settingPrefix, settingRequestID, maxRequestID)
+	if err := checkRequestID(settings[settingRequestID]); err != nil {
+		return notRun(model.ReasonBadMessage, "%v", err)
 	}
 	s.requestID = settings[settingRequestID]
 	return nil
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -143,6 +143,21 @@
 		Eventually(gateway.closedStreams, 5*time.Second).Should(Equal(3))
 	})
 
+	It("transmits every field of a unit with any text", func(ctx SpecContext) {
+		gateway := &fakeGateway{run: func(context.Context, wire.Batch, wire.Sink) (wire.Result, error) {
+			return wire.Result{TxStatus: 'I'}, nil
+		}}
+		client, _ := connect(gateway)
+		sent := unit(model.AccessWrite)
+		sent.Account, sent.RequestID, sent.Route = "' \\' \n</\u2028", "''x\x01\\\"'; COMMIT; --", "\U0001F34A="
+		sent.Remaining = 0
+		stream, err := client.Open(ctx, sent)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = stream.Run(ctx, query("SELECT 1"), &countingSink{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(gateway.openedUnits()).To(Equal([]wire.Unit{sent}))
+	})
+
 	It("uses one stream for all batches of a transaction", func(ctx SpecContext) {
 		gateway := &fakeGateway{}
 		gateway.run = func(_ context.Context, batch wire.Batch, _ wire.Sink) (wire.Result, error) {
