io/gate: another request with a used id isn't answered from the first one's record

Callers would see: a request with the id of another one that was done, but with another text, another portal or other parameter types, gets the recorded answer and doesn't run.

The row gets an answer when it is inserted (the error "done before"), so a request whose answer isn't kept and a transaction block have the digest too. The column "fingerprint" keeps the form of older builds: they find their rows and ours, and pass the ParameterStatus on to the caller; rows of theirs have no digest and are compared by the fingerprint as before.

--- a/emul/pgsim/logentry.go
+++ b/emul/pgsim/logentry.go
@@ -42,10 +42,12 @@
 type outcomeWrite struct {
 	key         outcomeKey
 	fingerprint string
+	// answer is nil if the row has none yet.
+	answer *string
 }
 
 func (w outcomeWrite) apply(d *data) {
-	d.outcomes[w.key] = outcome{fingerprint: w.fingerprint}
+	d.outcomes[w.key] = outcome{fingerprint: w.fingerprint, answer: w.answer}
 }
 
 // answerWrite sets the answer in the row of a recorded request. It does nothing if the
--- a/emul/pgsim/statement.go
+++ b/emul/pgsim/statement.go
@@ -74,9 +74,10 @@
 		return c.bufferWrite("INSERT 0 1", ledgerWrite{id: c.args[0]})
 	}},
 	"select id from ledger": {columns: []string{"id"}, needsSlot: true, run: (*call).readLedger},
-	"insert into request_outcomes ( account , request_id , fingerprint ) values ( ? , ? , ? )":        {needsSlot: true, run: (*call).insertOutcome},
-	"update request_outcomes set answer = ? where account = ? and request_id = ? and fingerprint = ?": {needsSlot: true, run: (*call).updateOutcome},
-	"select fingerprint , answer from request_outcomes where account = ? and request_id = ?":          {columns: []string{"fingerprint", "answer"}, needsSlot: true, run: (*call).readOutcome},
+	"insert into request_outcomes ( account , request_id , fingerprint ) values ( ? , ? , ? )":              {needsSlot: true, run: (*call).insertOutcome},
+	"insert into request_outcomes ( account , request_id , fingerprint , answer ) values ( ? , ? , ? , ? )": {needsSlot: true, run: (*call).insertOutcome},
+	"update request_outcomes set answer = ? where account = ? and request_id = ? and fingerprint = ?":       {needsSlot: true, run: (*call).updateOutcome},
+	"select fingerprint , answer from request_outcomes where account = ? and request_id = ?":                {columns: []string{"fingerprint", "answer"}, needsSlot: true, run: (*call).readOutcome},
 	"select ?":                      {columns: []string{"?column?"}, needsSlot: true, run: (*call).selectValue},
 	"select pg_sleep ( ? )":         {columns: []string{"pg_sleep"}, run: (*call).sleep},
 	"show group.status":             {columns: statusColumns, run: (*call).showStatus},
--- a/emul/pgsim/table.go
+++ b/emul/pgsim/table.go
@@ -73,7 +73,11 @@
 	if _, exists := s.ensureTransaction().visibleData(s.server, lookup{outcome: key}).outcomes[key]; exists && s.server.primary {
 		return result{}, errDuplicateRequest
 	}
-	return c.bufferWrite("INSERT 0 1", outcomeWrite{key: key, fingerprint: c.args[2]})
+	w := outcomeWrite{key: key, fingerprint: c.args[2]}
+	if len(c.args) > 3 {
+		w.answer = textValue(c.args[3])
+	}
+	return c.bufferWrite("INSERT 0 1", w)
 }
 
 // updateOutcome sets the answer in the row of a recorded request. It updates no row if the
--- a/io/gate/dedup.go
+++ b/io/gate/dedup.go
@@ -28,6 +28,7 @@
 	}
 	return &deduplicator{attempt: a, record: outcomeRecord{
 		account: string(s.unit.Account), id: s.unit.RequestID, fingerprint: fingerprint(a.batch.Messages),
+		digest: digestOfRequest(a.batch.Messages),
 	}}
 }
 
@@ -53,11 +54,15 @@
 // commit adds the answer to the record and commits the transaction.
 func (d *deduplicator) commit(ctx context.Context) error {
 	a := d.attempt
-	answer := answerNotRecorded
+	commit := "COMMIT"
 	if !a.answer.forwarded {
-		answer = encodeAnswer(a.answer.buffer)
+		answer, err := d.record.encodeAnswer(a.answer.buffer)
+		if err != nil {
+			return err
+		}
+		commit = d.record.commitSQL(answer)
 	}
-	got, err := runInternal(ctx, a.grant.conn, d.record.commitSQL(answer))
+	got, err := runInternal(ctx, a.grant.conn, commit)
 	if err != nil {
 		return err
 	}
--- a/io/gate/dedup_test.go
+++ b/io/gate/dedup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"sync"
 	"time"
 
@@ -30,6 +31,17 @@
 	}}
 }
 
+// portalBatch returns a batch that binds two portals to an insertion with a parameter of the
+// given type, and executes one of them.
+func portalBatch(executed string, oid uint32) wire.Batch {
+	return wire.Batch{Messages: []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Name: "pf_7", Query: "INSERT INTO ledger (id) VALUES ($1)", ParameterOIDs: []uint32{oid}},
+		&pgproto3.Bind{PreparedStatement: "pf_7", DestinationPortal: "p", Parameters: [][]byte{[]byte("x")}},
+		&pgproto3.Bind{PreparedStatement: "pf_7", DestinationPortal: "q", Parameters: [][]byte{[]byte("x")}},
+		&pgproto3.Execute{Portal: executed}, &pgproto3.Sync{},
+	}}
+}
+
 // ledgerCount returns how many rows of the ledger have an id.
 func (cluster *testCluster) ledgerCount(ctx context.Context, id string) string {
 	got, _, err := runUnit(ctx, cluster.gateway, readUnit(""), queryBatch("SELECT count FROM ledger WHERE id = '"+id+"'"))
@@ -84,6 +96,51 @@
 		Expect(cluster.ledgerCount(ctx, "y")).To(Equal("0"))
 	})
 
+	// Another request that was taken for the first one got its answer and did not run.
+	for name, pair := range map[string][2]wire.Batch{
+		"texts constructed to have the same xxhash": {
+			queryBatch("INSERT INTO ledger (id) VALUES ('order 4711 of 2026-12-06, three boxes of paper, paid in advance, 8c41')"),
+			queryBatch("INSERT INTO ledger (id) VALUES ('order c45a1o212026-12-06, three boxes esiw-iIx, paid in advance, 8c41')"),
+		},
+		"another portal":        {portalBatch("p", 25), portalBatch("q", 25)},
+		"other parameter types": {portalBatch("p", 25), portalBatch("p", 1043)},
+	} {
+		It("is rejected if its id was used for another request: "+name, func(ctx SpecContext) {
+			cluster := newTestCluster(smallConfig)
+			for _, c := range []struct {
+				batch wire.Batch
+				codes []string
+			}{{pair[0], nil}, {pair[0], nil}, {pair[1], []string{"22023"}}} {
+				got, _, err := runUnit(ctx, cluster.gateway, writeUnitWithID("1"), c.batch)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(got.codes).To(Equal(c.codes))
+			}
+		})
+	}
+
+	It("is known by what a gateway of an older build has recorded", func(ctx SpecContext) {
+		cluster := newTestCluster(smallConfig)
+		run := func(batch wire.Batch) *answerRecorder {
+			got, _, err := runUnit(ctx, cluster.gateway, writeUnitWithID("1"), batch)
+			Expect(err).NotTo(HaveOccurred())
+			return got
+		}
+		run(insertBatch("x"))
+		row, _, err := runUnit(ctx, cluster.gateway, readUnit(""), queryBatch("SELECT fingerprint, answer FROM request_outcomes WHERE account = 'a' AND request_id = '1'"))
+		Expect(err).NotTo(HaveOccurred())
+		recordOld := func(answer string) {
+			cluster.execDirect(ctx, "g-0", "UPDATE request_outcomes SET answer = '"+answer+"' WHERE account = 'a' AND request_id = '1' AND fingerprint = '"+row.rows[0][0]+"'")
+		}
+		complete, err := (&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")}).Encode(nil)
+		Expect(err).NotTo(HaveOccurred())
+		recordOld(base64.StdEncoding.EncodeToString(complete))
+		Expect(run(insertBatch("x")).tags).To(Equal([]string{"INSERT 0 1"}))
+		Expect(run(insertBatch("y")).codes).To(Equal([]string{"22023"}))
+		recordOld("-")
+		Expect(run(insertBatch("x")).codes).To(Equal([]string{"23505"}))
+		Expect(cluster.ledgerCount(ctx, "x")).To(Equal("1"))
+	})
+
 	It("may be sent again after its statement failed", func(ctx SpecContext) {
 		cluster := newTestCluster(smallConfig)
 		got, _, err := runUnit(ctx, cluster.gateway, writeUnitWithID("1"), queryBatch("INSERT INTO nowhere"))
--- a/io/gate/exchange.go
+++ b/io/gate/exchange.go
@@ -46,7 +46,11 @@
 		return notRun(model.ReasonBadMessage, err.Error())
 	}
 	if a.dedup != nil {
-		if err := c.addHidden(&pgproto3.Query{String: a.dedup.record.beginSQL()}); err != nil {
+		begin, err := a.dedup.record.beginSQL()
+		if err != nil {
+			return notRun(model.ReasonBadMessage, err.Error())
+		}
+		if err := c.addHidden(&pgproto3.Query{String: begin}); err != nil {
 			return notRun(model.ReasonBadMessage, err.Error())
 		}
 	}
--- a/io/gate/fingerprint.go
+++ b/io/gate/fingerprint.go
@@ -8,7 +8,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// fingerprint returns a hash by which different requests with the same id are detected. It
+// fingerprint returns a hash by which different requests with the same id are detected. Its
+// form is that of all builds; digestOfRequest detects what it misses. It
 // covers the kinds of the messages, the texts of the statements and their parameters, but
 // not the names of statements and portals.
 func fingerprint(messages []pgproto3.FrontendMessage) string {
--- a/io/gate/record.go
+++ b/io/gate/record.go
@@ -11,8 +11,8 @@
 // maxRecordedBytes is the size of the largest answer that is recorded.
 const maxRecordedBytes = 64 * 1024
 
-// answerNotRecorded is recorded in place of an answer that is too large, or that was partly
-// passed on before it was complete.
+// answerNotRecorded is what gateways of older builds recorded in place of an answer that was
+// too large, or that was partly passed on before it was complete.
 const answerNotRecorded = "-"
 
 // SQLSTATEs in connection with recorded outcomes.
@@ -30,13 +30,17 @@
 	account     string
 	id          string
 	fingerprint string
+	// digest is the result of digestOfRequest. It is recorded within the answer, where gateways
+	// of older builds ignore it.
+	digest string
 }
 
 // beginSQL begins a transaction and inserts the row. Only one transaction with that row can
 // be committed.
-func (r outcomeRecord) beginSQL() string {
-	return fmt.Sprintf("BEGIN; INSERT INTO request_outcomes (account, request_id, fingerprint) VALUES (%s, %s, %s)",
-		quoteLiteral(r.account), quoteLiteral(r.id), quoteLiteral(r.fingerprint))
+func (r outcomeRecord) beginSQL() (string, error) {
+	answer, err := r.encodeNotKept()
+	return fmt.Sprintf("BEGIN; INSERT INTO request_outcomes (account, request_id, fingerprint, answer) VALUES (%s, %s, %s, %s)",
+		quoteLiteral(r.account), quoteLiteral(r.id), quoteLiteral(r.fingerprint), quoteLiteral(answer)), err
 }
 
 // commitSQL adds the answer to the row and commits the transaction.
@@ -54,14 +58,6 @@
 // quoteLiteral returns text as an SQL string literal.
 func quoteLiteral(text string) string { return "'" + strings.ReplaceAll(text, "'", "''") + "'" }
 
-// encodeAnswer returns the text that is recorded for an answer.
-func encodeAnswer(answer []byte) string {
-	if len(answer) > maxRecordedBytes {
-		return answerNotRecorded
-	}
-	return base64.StdEncoding.EncodeToString(answer)
-}
-
 // decodeAnswer returns the encoded messages that answer a request which was executed
 // before. They are an ErrorResponse if the row belongs to another request with the same id,
 // or if it has no answer.
@@ -70,12 +66,25 @@
 		return nil, fmt.Errorf("recorded outcome has %d columns", len(row))
 	}
 	if row[0] != r.fingerprint {
-		return encodeError(sqlstateInvalidParameter, "the request id was used for another request")
+		return answerOtherRequest()
 	}
 	if row[1] == "" || row[1] == answerNotRecorded {
-		return encodeError(sqlstateUniqueViolation, "the request was done before; its answer was not kept")
+		return answerNotKept()
+	}
+	recorded, err := base64.StdEncoding.DecodeString(row[1])
+	if err != nil {
+		return nil, fmt.Errorf("recorded answer: %w", err)
 	}
-	return base64.StdEncoding.DecodeString(row[1])
+	answer, digest := cutDigest(recorded)
+	if digest != "" && digest != r.digest {
+		return answerOtherRequest()
+	}
+	return answer, nil
+}
+
+// answerOtherRequest returns the encoded error for a request whose id was used before.
+func answerOtherRequest() ([]byte, error) {
+	return encodeError(sqlstateInvalidParameter, "the request id was used for another request")
 }
 
 // encodeError returns an encoded ErrorResponse.
