--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 soak-fleet: ## test a fleet of separate processes under faults, with SEEDS seeds from SEED on
 	$(GO) test -count=1 -timeout 0 -parallel 3 ./platform -run Soak -args -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -soak.seconds=8
 
-FROM ?= acef66e
+FROM ?= 3e9f912
 soak-upgrade: SEEDS = 2
 soak-upgrade: ## upgrade such a fleet from the build of the commit FROM and return, with SEEDS seeds from SEED on
 	$(GO) test -count=1 -timeout 0 -parallel 3 ./platform -run 'TestSoakUpgrade$$' -args -soak.from=$(FROM) -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -soak.seconds=8
