io/right: the test of a lost answer loses the one that it means

Between the registration and the lease of a holder it lost the answer to the grant of that lease, again and again, so the instance could never hold the right, as it should. Where it came later, as in most runs, the right had been acquired before and nothing was tested.

--- a/emul/kvsim/client.go
+++ b/emul/kvsim/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -32,6 +33,8 @@
 
 	mu    sync.Mutex
 	fault Fault
+	// lossyKey is the key of LoseAnswerTo, or empty.
+	lossyKey string
 }
 
 var _ store.RawTable = (*RawClient)(nil)
@@ -46,6 +49,31 @@
 	c.fault = f
 }
 
+// LoseAnswerTo loses the answer to the next transaction that puts a key and takes effect.
+func (c *Client) LoseAnswerTo(key string) {
+	c.raw.mu.Lock()
+	defer c.raw.mu.Unlock()
+	c.raw.lossyKey = key
+}
+
+// AnswerLost reports whether there was such a transaction since LoseAnswerTo.
+func (c *Client) AnswerLost() bool {
+	c.raw.mu.Lock()
+	defer c.raw.mu.Unlock()
+	return c.raw.lossyKey == ""
+}
+
+// losesAnswerTo reports whether the answer to a transaction is the one that LoseAnswerTo loses.
+func (c *RawClient) losesAnswerTo(txn store.Txn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lossyKey == "" || !slices.ContainsFunc(txn.Puts, func(p store.Put) bool { return p.Key == c.lossyKey }) {
+		return false
+	}
+	c.lossyKey = ""
+	return true
+}
+
 // beginCall counts a call, ends expired leases and injects the faults that prevent a call
 // from taking effect. It returns the client's fault for endCall.
 func (c *RawClient) beginCall(ctx context.Context) (Fault, error) {
@@ -132,7 +160,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	revision, err := t.commit(txn)
-	if fault == FaultLoseTxnAnswer {
+	if fault == FaultLoseTxnAnswer || (err == nil && c.losesAnswerTo(txn)) {
 		fault = FaultLoseAnswer
 	}
 	return revision, t.era, endCall(fault, err)
--- a/io/right/manager_test.go
+++ b/io/right/manager_test.go
@@ -205,14 +205,21 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// An instance that gets no answers at all can't obtain the lease of a holder, so only this one is lost.
 	It("holds a right that it acquired in a call whose answer was lost", func() {
-		a := join(t, "a")
-		Eventually(func() bool { return a.manager.LeaseValid(clock.Now()) }).WithTimeout(waitTimeout).Should(BeTrue())
-		a.manager.Leave(context.Background())
+		former := t.RawClient()
+		lease, _, _, err := former.Grant(context.Background(), time.Minute)
+		Expect(err).NotTo(HaveOccurred())
+		held := store.Put{Key: "own/right/r", Value: []byte(`{"instance":"former"}`), Lease: lease}
+		_, _, err = former.Commit(context.Background(), store.Txn{Puts: []store.Put{held}})
+		Expect(err).NotTo(HaveOccurred())
 		b := join(t, "b")
 		Eventually(func() bool { return b.manager.LeaseValid(clock.Now()) }).WithTimeout(waitTimeout).Should(BeTrue())
-		b.client.SetFault(kvsim.FaultLoseAnswer)
+		b.client.LoseAnswerTo(held.Key)
+		_, err = former.End(context.Background(), lease)
+		Expect(err).NotTo(HaveOccurred())
 		Eventually(b.holds).WithTimeout(waitTimeout).Should(BeTrue())
+		Expect(b.client.AnswerLost()).To(BeTrue())
 	})
 
 	It("keeps the rights of its own former run when it starts again, under a new lease", func() {
