io/entry: a session holds its settings, not the messages that they came in

The bounds of the session values and prepared statements count the bytes of names, contents and shapes. These are parts of the text of the message, which stays in memory as a whole: 100 SET of 11 bytes under an identifier of 1 MiB held 100 MiB, with 1.1 KB counted. One caller could take all memory of an instance in spite of the bounds.

What is kept is copied.

--- a/io/entry/settings.go
+++ b/io/entry/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"pomelofork/core/stmt"
 )
@@ -38,13 +39,16 @@
 		return false
 	}
 	s.valueBytes = size
+	// What a codec returns may be a part of the whole message, which would stay in memory.
+	v.Content = strings.Clone(v.Content)
 	if i < 0 {
+		v.Name = strings.Clone(v.Name)
 		s.values = append(s.values, v)
 		return true
 	}
 	// Orders in flight refer to the former values.
 	s.values = slices.Clone(s.values)
-	s.values[i] = v
+	s.values[i].Content = v.Content
 	return true
 }
 
@@ -62,7 +66,8 @@
 	if s.prepared == nil {
 		s.prepared = map[string]stmt.Prepared{}
 	}
-	s.shapeBytes, s.prepared[name] = size, p
+	p.Shape = strings.Clone(p.Shape)
+	s.shapeBytes, s.prepared[strings.Clone(name)] = size, p
 	return true
 }
 
