io/pooler: compare the values of a session and of a connection in linear time

Since statements are numbered, each value of a connection is looked for among all those of the order, twice for each statement and under the lock of the pool.

The names of the order are a set again.

--- a/io/pooler/serverconn.go
+++ b/io/pooler/serverconn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"pomelofork/core/model"
@@ -170,10 +169,8 @@
 // needsReset reports whether the server's session has values that the order's session lacks, or, outside of a
 // transaction, no room for the prepared statement that the order executes.
 func (sc *serverConn) needsReset(order *stmt.Order) bool {
-	for name := range sc.values {
-		if !slices.ContainsFunc(order.Values, func(v stmt.Value) bool { return v.Name == name }) {
-			return true
-		}
+	if sc.hasOtherValues(order) {
+		return true
 	}
 	if order.Statement.Kind != stmt.KindExecute || sc.tx != (txKey{}) {
 		return false
@@ -182,6 +179,23 @@
 	return !known && sc.prepared.full(order.Prepared)
 }
 
+// hasOtherValues reports whether the server's session has values that the order's session lacks.
+func (sc *serverConn) hasOtherValues(order *stmt.Order) bool {
+	if len(sc.values) == 0 {
+		return false
+	}
+	wanted := make(map[string]struct{}, len(order.Values))
+	for _, v := range order.Values {
+		wanted[v.Name] = struct{}{}
+	}
+	for name := range sc.values {
+		if _, ok := wanted[name]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
 // starts returns the number of commands that an order needs on the connection, or a few more.
 func (sc *serverConn) starts(order *stmt.Order) int {
 	count := 1
