io/pooler: bound the prepared statements of a connection inside a transaction

The session is reset when it has too many prepared statements, but not inside a transaction. A caller that prepares one statement after the other under the same name and executes each stays within the bounds of its own session, while the gateway and the server keep all of them: 200 executions of shapes of 1 MiB in one transaction, which costs one token, held 200 MiB in the gateway.

The specs "are bounded in a transaction, too" fail without the check.

--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -141,6 +141,10 @@
 		r.result <- stmt.Result{Answer: stmt.Answer{Code: stmt.CodeDone}}
 		return
 	}
+	if !sc.takes(r.order) {
+		r.result <- refused(stmt.CodeTooLarge, "prepared statements of the transaction are too large", 0)
+		return
+	}
 	setup, main := sc.commands(r.order)
 	if !r.continuesTransaction() {
 		sc.usesPrimary, sc.epoch = r.order.NeedsPrimary(), r.order.Epoch
--- a/io/pooler/names.go
+++ b/io/pooler/names.go
@@ -11,6 +11,10 @@
 	// number and by the bytes of their shapes. Beyond that the server's session is reset.
 	maxPrepared      = 1000
 	maxPreparedBytes = 1 << 20
+	// maxInTransaction and maxInTransactionBytes bound the same inside a transaction, in which the session can't be
+	// reset. Beyond that an execution is refused.
+	maxInTransaction      = 2 * maxPrepared
+	maxInTransactionBytes = 16 << 20
 	// namePrefix begins each name of a prepared statement at a server.
 	namePrefix = "p"
 	// MaxNameBytes is the length of the longest name of a prepared statement that a server gets.
@@ -47,5 +51,10 @@
 	return len(n.byStatement) >= maxPrepared || (len(n.byStatement) > 0 && n.bytes+len(p.Shape) > maxPreparedBytes)
 }
 
+// exceeded reports whether the session must not get another statement.
+func (n *preparedNames) exceeded(p stmt.Prepared) bool {
+	return len(n.byStatement) >= maxInTransaction || n.bytes+len(p.Shape) > maxInTransactionBytes
+}
+
 // clear forgets all statements, as a reset of the session does at the server.
 func (n *preparedNames) clear() { *n = preparedNames{} }
--- a/io/pooler/names_test.go
+++ b/io/pooler/names_test.go
@@ -25,6 +25,7 @@
 // share a connection, so that callers could accumulate statements there without end.
 var _ = Describe("The names of prepared statements at a server", func() {
 	var conn *scriptedConn
+	var pool *pooler.Pool
 	var run func(*stmt.Order) map[stmt.Op]int
 	BeforeEach(func() {
 		state := stmt.StateIdle
@@ -36,7 +37,7 @@
 			}
 			return stmt.Answer{State: state}, true
 		})
-		pool := newScriptedPool(conn)
+		pool = newScriptedPool(conn)
 		// run runs an order and returns how often each operation was sent for it.
 		run = func(o *stmt.Order) map[stmt.Op]int {
 			before := conn.count()
@@ -86,4 +87,21 @@
 			Expect(run(execute("r", c.shape(c.until)))).To(Equal(map[stmt.Op]int{stmt.OpReset: 1, stmt.OpSet: 1, stmt.OpPrepare: 1, stmt.OpPass: 1}))
 		})
 	}
+
+	// A transaction whose statements were prepared under one name after the other held 200 MiB after 200 of them.
+	for name, c := range map[string]struct{ size, until int }{"too many": {0, 2000}, "too large": {1 << 20, 15}} {
+		It("are bounded in a transaction, too: "+name, func() {
+			shape := func(i int) string { return fmt.Sprintf("%05d", i) + strings.Repeat("x", c.size) }
+			run(inTransaction(execute("b", shape(0)), 7, stmt.OpBegin))
+			for i := range c.until {
+				run(inTransaction(execute(fmt.Sprint("e", i), shape(i)), 7, stmt.OpPass))
+			}
+			before := conn.count()
+			result := pool.Run(clock.Now(), inTransaction(execute("o", shape(c.until)), 7, stmt.OpPass))
+			Expect(result).To(HaveField("NotSent", true))
+			Expect(result.Answer.Code).To(Equal(stmt.CodeTooLarge))
+			Expect(conn.count()).To(Equal(before))
+			Expect(run(inTransaction(execute("a", shape(1)), 7, stmt.OpPass))).To(Equal(map[stmt.Op]int{stmt.OpPass: 1}))
+		})
+	}
 })
--- a/io/pooler/serverconn.go
+++ b/io/pooler/serverconn.go
@@ -196,6 +196,15 @@
 	return false
 }
 
+// takes reports whether the server's session may get what an order of its open transaction needs.
+func (sc *serverConn) takes(order *stmt.Order) bool {
+	if order.Statement.Kind != stmt.KindExecute || sc.tx == (txKey{}) {
+		return true
+	}
+	_, known := sc.prepared.name(order.Prepared)
+	return known || !sc.prepared.exceeded(order.Prepared)
+}
+
 // starts returns the number of commands that an order needs on the connection, or a few more.
 func (sc *serverConn) starts(order *stmt.Order) int {
 	count := 1
