--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -11,6 +11,7 @@
 	"pomelofork/core/stmt"
 	"pomelofork/core/trial"
 	"pomelofork/io/clock"
+	"pomelofork/io/logs"
 )
 
 // run tries servers until one has run the statement or none can in time. It returns the
@@ -75,8 +76,8 @@
 			break
 		}
 		e.config.Meter.Repeated(last.Answer.Code)
-		a.session.log(slog.LevelInfo, "attempt to be repeated", slog.String("request", a.order.Statement.ID), slog.String("server", string(chosen.ID)),
-			slog.String("code", last.Answer.Code.String()), slog.String("reason", last.Answer.Text), slog.String("after", a.order.After.String()))
+		a.session.log(slog.LevelInfo, "attempt to be repeated", slog.String("request", logs.Shortened(a.order.Statement.ID)), slog.String("server", string(chosen.ID)),
+			slog.String("code", last.Answer.Code.String()), slog.String("reason", logs.Shortened(last.Answer.Text)), slog.String("after", a.order.After.String()))
 		a.excluded[chosen.ID] = true
 	}
 	if last.Answer.Code.NotRun() || last.NotSent {
--- a/io/entry/in_transaction.go
+++ b/io/entry/in_transaction.go
@@ -6,6 +6,7 @@
 
 	"pomelofork/core/stmt"
 	"pomelofork/io/clock"
+	"pomelofork/io/logs"
 )
 
 // inTransaction answers a statement of a session with an open transaction.
@@ -23,7 +24,7 @@
 			s.tx = nil
 			answer.State = stmt.StateIdle
 		}
-		s.log(slog.LevelInfo, "statement refused in an aborted transaction", slog.String("request", statement.ID), slog.String("reason", answer.Text))
+		s.log(slog.LevelInfo, "statement refused in an aborted transaction", slog.String("request", logs.Shortened(statement.ID)), slog.String("reason", answer.Text))
 		return answer
 	case s.tx.failed && statement.Kind == stmt.KindCommit:
 		s.rollback()
@@ -137,7 +138,7 @@
 	s.tx.failed, s.tx.aborted = true, reason
 	answer := stmt.Refuse(stmt.CodeAborted, stmt.StateFailed, reason)
 	version, age := s.configStatus(clock.Now())
-	s.log(slog.LevelInfo, "transaction aborted", slog.String("request", statement.ID), slog.Uint64("unit", s.tx.unit), slog.String("reason", reason),
+	s.log(slog.LevelInfo, "transaction aborted", slog.String("request", logs.Shortened(statement.ID)), slog.Uint64("unit", s.tx.unit), slog.String("reason", reason),
 		slog.Uint64("config_version", version), slog.Duration("config_age", age))
 	if statement.Kind == stmt.KindCommit {
 		s.tx = nil
--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -12,6 +12,7 @@
 	"pomelofork/core/stmt"
 	"pomelofork/core/trial"
 	"pomelofork/io/clock"
+	"pomelofork/io/logs"
 )
 
 const (
@@ -115,7 +116,7 @@
 	if refusal != nil {
 		s.entry.config.Meter.Statement(route.Name, refusal.Code, clock.Now().Sub(now))
 		version, age := s.configStatus(now)
-		s.log(slog.LevelInfo, "operation refused", slog.String("request", statement.ID), slog.String("database", s.opening.Database),
+		s.log(slog.LevelInfo, "operation refused", slog.String("request", logs.Shortened(statement.ID)), slog.String("database", logs.Shortened(s.opening.Database)),
 			slog.String("account", string(account)), slog.String("code", refusal.Code.String()), slog.String("reason", refusal.Text),
 			slog.Uint64("config_version", version), slog.Duration("config_age", age))
 	}
@@ -203,9 +204,9 @@
 	took := done.Sub(now)
 	s.entry.config.Meter.Statement(admitted.route.Name, answer.Code, took)
 	version, age := s.configStatus(done)
-	s.log(slog.LevelInfo, "statement answered", slog.String("request", statement.ID), slog.String("route", admitted.route.Name), slog.String("account", string(admitted.account)),
+	s.log(slog.LevelInfo, "statement answered", slog.String("request", logs.Shortened(statement.ID)), slog.String("route", admitted.route.Name), slog.String("account", string(admitted.account)),
 		slog.String("kind", statement.Kind.String()), slog.String("server", string(order.Server)), slog.String("code", answer.Code.String()),
-		slog.String("reason", answer.Text), slog.Bool("not_sent", result.NotSent), slog.Duration("took", took),
+		slog.String("reason", logs.Shortened(answer.Text)), slog.Bool("not_sent", result.NotSent), slog.Duration("took", took),
 		slog.Bool("late", took > admitted.route.TargetLatency), slog.Duration("server_wait", result.Wait),
 		slog.Uint64("unit", order.Unit), slog.String("after", order.After.String()), slog.Bool("proved", order.Prove),
 		slog.String("point", answer.Point.String()), slog.Uint64("config_version", version), slog.Duration("config_age", age))
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -13,6 +13,7 @@
 	"pomelofork/core/plan"
 	"pomelofork/core/stmt"
 	"pomelofork/io/clock"
+	"pomelofork/io/logs"
 )
 
 const (
@@ -105,7 +106,7 @@
 		time.Sleep(firstPlanPause)
 	}
 	if _, _, refusal := s.admit(clock.Now()); refusal != nil {
-		s.log(slog.LevelInfo, "session refused", slog.String("database", opening.Database), slog.String("code", refusal.Code.String()), slog.String("reason", refusal.Text))
+		s.log(slog.LevelInfo, "session refused", slog.String("database", logs.Shortened(opening.Database)), slog.String("code", refusal.Code.String()), slog.String("reason", refusal.Text))
 		s.refuse(*refusal)
 		return false
 	}
@@ -282,7 +283,7 @@
 func (s *session) answer(now time.Time, statement stmt.Statement) stmt.Answer {
 	answer := s.serveStatement(now, statement)
 	if answer.Code == stmt.CodeMalformed || answer.Code == stmt.CodeNoStatement {
-		s.log(slog.LevelInfo, "statement refused in this state of the session", slog.String("request", statement.ID), slog.String("kind", statement.Kind.String()),
+		s.log(slog.LevelInfo, "statement refused in this state of the session", slog.String("request", logs.Shortened(statement.ID)), slog.String("kind", statement.Kind.String()),
 			slog.String("code", answer.Code.String()), slog.String("reason", answer.Text), slog.Bool("in_transaction", s.tx != nil))
 	}
 	return answer
--- a/io/logs/explain.go
+++ b/io/logs/explain.go
@@ -52,7 +52,7 @@
 	names := map[string]bool{}
 	var first, last time.Time
 	for _, l := range all {
-		if l.fields["request"] != request {
+		if !l.names(request) {
 			continue
 		}
 		if first.IsZero() {
@@ -69,7 +69,7 @@
 		return fmt.Errorf("no log line names the request %q", request)
 	}
 	for _, l := range all {
-		own := l.fields["request"] == request
+		own := l.names(request)
 		if !own && (l.at.Before(first.Add(-contextTime)) || l.at.After(last) || !l.concerns(names)) {
 			continue
 		}
@@ -112,6 +112,17 @@
 	return out, scanner.Err()
 }
 
+// names reports whether the line belongs to a request. It holds only the start of a long identifier, which
+// may end inside a character.
+func (l line) names(request string) bool {
+	id, ok := l.fields["request"].(string)
+	if len(request) > maxText {
+		start := strings.TrimRight(id, "\ufffd")
+		return start != "" && strings.HasPrefix(request, start)
+	}
+	return ok && id == request
+}
+
 // concerns reports whether the line reports a state change that concerns one of the names.
 func (l line) concerns(names map[string]bool) bool {
 	if l.fields["request"] != nil || !slices.ContainsFunc(stateChanges, func(part string) bool { return strings.Contains(l.message, part) }) {
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -135,6 +135,14 @@
 		Expect(lines[3]).To(ContainSubstring("statement answered"))
 	})
 
+	It("finds a request by the start of its identifier, which is all that lines hold of a long one", func() {
+		var log, out bytes.Buffer
+		id := strings.Repeat("世", 1000)
+		slog.New(slog.NewJSONHandler(&log, nil)).Info("statement answered", slog.String("request", logs.Shortened(id)))
+		Expect(logs.Explain(&out, id, &log)).To(Succeed())
+		Expect(out.String()).To(HavePrefix("> {"))
+	})
+
 	It("returns an error if no line names the request", func() {
 		Expect(logs.Explain(io.Discard, "r5", strings.NewReader(entryLog))).To(MatchError(ContainSubstring("r5")))
 	})
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -8,6 +8,7 @@
 	"pomelofork/core/model"
 	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
+	"pomelofork/io/logs"
 )
 
 // dispatch rejects the queued requests that can't be served in time, starts those that can
@@ -180,7 +181,7 @@
 	if err := sc.conn.Send(commands); err != nil {
 		// Closing the connection makes its reader fail too, which ends the execution.
 		p.log.LogAttrs(context.Background(), slog.LevelInfo, "sending commands to a server failed",
-			slog.String("request", sc.execution.request.order.Statement.ID), slog.String("server", string(p.server.ID)), slog.String("error", err.Error()))
+			slog.String("request", logs.Shortened(sc.execution.request.order.Statement.ID)), slog.String("server", string(p.server.ID)), slog.String("error", err.Error()))
 		closeConn(sc.conn)
 	}
 }
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -16,6 +16,7 @@
 	"pomelofork/core/stmt"
 	"pomelofork/core/trial"
 	"pomelofork/core/wait"
+	"pomelofork/io/logs"
 )
 
 const (
@@ -251,7 +252,7 @@
 	if !ok {
 		p.countRefusal(refusal)
 		result := p.refusedByQueue(now, "queue is too long", refusal)
-		p.log.LogAttrs(context.Background(), slog.LevelInfo, "statement not queued", slog.String("request", r.order.Statement.ID),
+		p.log.LogAttrs(context.Background(), slog.LevelInfo, "statement not queued", slog.String("request", logs.Shortened(r.order.Statement.ID)),
 			slog.String("server", string(p.server.ID)), slog.Duration("wait", refusal.Wait), slog.Duration("target", r.order.Target),
 			slog.Int("waiting", p.queue.Len()), slog.Int("running", p.running), slog.Duration("cost", p.queue.Cost(r.order.Class)))
 		r.result <- result
--- a/io/pooler/withdraw.go
+++ b/io/pooler/withdraw.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pomelofork/core/stmt"
+	"pomelofork/io/logs"
 )
 
 const (
@@ -85,7 +86,7 @@
 		return result
 	}
 	p.log.LogAttrs(context.Background(), slog.LevelWarn, "answer withheld: the server's appointment as the primary isn't known to be in force",
-		slog.String("request", e.request.order.Statement.ID), slog.String("server", string(p.server.ID)), slog.Uint64("epoch", sc.epoch))
+		slog.String("request", logs.Shortened(e.request.order.Statement.ID)), slog.String("server", string(p.server.ID)), slog.Uint64("epoch", sc.epoch))
 	p.discard(sc)
 	return stmt.Result{Answer: stmt.Refuse(stmt.CodeConnectionLost, stmt.StateIdle, withdrawnText)}
 }
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -11,6 +11,7 @@
 	"pomelofork/core/quota"
 	"pomelofork/core/stmt"
 	"pomelofork/io/clock"
+	"pomelofork/io/logs"
 	"pomelofork/io/relay"
 )
 
@@ -138,7 +139,7 @@
 		n.endLeaseIfRefused(inst, err)
 		return stmt.Result{Answer: stmt.Refuse(stmt.CodeConnectionLimit, stmt.StateIdle, "instance not reached"), NotSent: true}, false
 	default:
-		n.config.Log.LogAttrs(context.Background(), slog.LevelWarn, "instance did not answer an order, which may have run", slog.String("request", order.Statement.ID),
+		n.config.Log.LogAttrs(context.Background(), slog.LevelWarn, "instance did not answer an order, which may have run", slog.String("request", logs.Shortened(order.Statement.ID)),
 			slog.String("instance", string(inst.ID)), slog.String("server", string(order.Server)), slog.String("error", err.Error()))
 		return stmt.Result{Answer: stmt.Refuse(stmt.CodeConnectionLost, stmt.StateIdle, "no answer of the instance in between")}, true
 	}
