--- a/io/view/entries.go
+++ b/io/view/entries.go
@@ -22,6 +22,10 @@
 	copiesPart = "copies/"
 )
 
+// InstanceKeyBytes is the size of the key of an instance's registration, in bytes, without Config.OwnPrefix and
+// the ID.
+const InstanceKeyBytes = len(instancePart)
+
 // instanceEntry is the value of an instance's registration in the store.
 type instanceEntry struct {
 	Address string  `json:"address"`
