io/relay: a large message leaves no large buffer at its connection

The codec of a connection kept a buffer as large as the largest message of either direction for good, up to 8 MiB each. A caller chooses that size: one that sent statements of a mebibyte to servers of several gateways left such buffers at its entry and at each of the gateways. Buffers over 64 KiB are now given up after the message.

The test failed before: 1,048,592 and 1,056,768 bytes were kept.

--- a/io/relay/codec.go
+++ b/io/relay/codec.go
@@ -83,6 +83,11 @@
 // writeMessage encodes the body and writes the message to the connection. It returns ErrTooLarge
 // without writing if the message is too large.
 func (c *codec) writeMessage(body any) error {
+	defer func() {
+		if cap(c.out.buf) > maxKeptBuffer {
+			c.out.buf = nil
+		}
+	}()
 	if m, ok := body.(message); ok {
 		m.fields(&c.out)
 	}
@@ -126,6 +131,11 @@
 
 // decodeBody decodes the body of the message that readHeader read. A nil body discards it.
 func (c *codec) decodeBody(body any) error {
+	defer func() {
+		if c.body.buf = nil; cap(c.buf) > maxKeptBuffer {
+			c.buf = nil
+		}
+	}()
 	m, ok := body.(message)
 	if !ok {
 		return nil
--- a/io/relay/limit.go
+++ b/io/relay/limit.go
@@ -11,6 +11,8 @@
 	// maxMessage bounds one message, in bytes. It leaves room for a statement of one
 	// mebibyte, or for an answer with a few rows of that size, and the other fields.
 	maxMessage = 8 << 20
+	// maxKeptBuffer bounds the buffers that a connection keeps between messages, each in bytes.
+	maxKeptBuffer = 64 << 10
 	// maxHeaderText bounds the method and the error text before the body of a message, each in bytes.
 	maxHeaderText = 1 << 10
 	// otherFields is the room for what an answer has besides its rows, digest and text, in bytes, and
