io/proxy: a bounded number of counters and histograms

The meter kept counters by code and a histogram for the name of each route that was ever configured, and counters for each failure domain that a server's entry ever named, until the process ended. Up to 1,000 routes and 100 domains now have counters of their own and further ones share one, and a name is cut to 200 bytes. Names that callers choose were never counted: a session without a route has no name there.

--- a/io/proxy/meter.go
+++ b/io/proxy/meter.go
@@ -12,6 +12,7 @@
 	"pomelofork/core/level"
 	"pomelofork/core/model"
 	"pomelofork/core/stmt"
+	"pomelofork/io/logs"
 )
 
 // The range of the latency histograms in microseconds, and their precision in decimal
@@ -22,6 +23,16 @@
 	latencyDigits  = 2
 )
 
+const (
+	// maxRoutes and maxDomains bound the routes and the failure domains that have counters of their own. The
+	// configuration changes their names, and what was counted once stays.
+	maxRoutes  = 1000
+	maxDomains = 100
+	// otherRoutes and otherDomains stand for those beyond these bounds.
+	otherRoutes  = "other routes"
+	otherDomains = "other domains"
+)
+
 // meter counts answers, retries and calls to the store, and serves the counts as text.
 type meter struct {
 	mu       sync.Mutex
@@ -41,19 +52,26 @@
 	undecoded map[string]int64
 	// fleetLevel is the level of the fleet, and behind the number of instances that hold it back.
 	fleetLevel, behind int
-	latency            map[string]*hdrhistogram.Histogram
+	// latency has a histogram for each route.
+	latency map[string]*hdrhistogram.Histogram
+	domains map[model.Domain]bool
 }
 
 func newMeter() *meter {
-	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, beliefs: map[string]int64{}, queue: map[string]int64{}, decisions: map[string]int64{}, undecoded: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}}
+	return &meter{answers: map[string]int64{}, repeated: map[string]int64{}, calls: map[string]int64{}, beliefs: map[string]int64{}, queue: map[string]int64{}, decisions: map[string]int64{}, undecoded: map[string]int64{}, latency: map[string]*hdrhistogram.Histogram{}, domains: map[model.Domain]bool{}}
 }
 
 // Statement implements entry.Meter.
 func (m *meter) Statement(route string, code stmt.Code, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.answers[fmt.Sprintf("statements{route=%q,code=%q}", route, code)]++
+	route = logs.Shortened(route)
 	h, ok := m.latency[route]
+	if !ok && len(m.latency) >= maxRoutes {
+		route = otherRoutes
+		h, ok = m.latency[route]
+	}
+	m.answers[fmt.Sprintf("statements{route=%q,code=%q}", route, code)]++
 	if !ok {
 		h = hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)
 		m.latency[route] = h
@@ -123,6 +141,10 @@
 func (m *meter) DomainBelief(domain model.Domain, belief string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if domain = model.Domain(logs.Shortened(string(domain))); !m.domains[domain] && len(m.domains) >= maxDomains {
+		domain = otherDomains
+	}
+	m.domains[domain] = true
 	m.beliefs[fmt.Sprintf("domain_beliefs{domain=%q,belief=%q}", domain, belief)]++
 }
 
