io/view: an entry with a name over 1 KiB names no backend server

The store accepts entries of other writers among those of the backend servers. The name of a service or failure domain in one, up to 1 MiB, went into the CONNECT of each connection and into the entry that records the copies of a service's log. That entry was then over the limit of the store, so the copies were never recorded and a promotion could wait for them. Such an entry is now treated like one that can't be decoded: it is logged and not used, and the others hold.

--- a/io/view/view.go
+++ b/io/view/view.go
@@ -253,7 +253,7 @@
 			v.removeServer(ctx, now, b, id)
 			return
 		}
-		server, _, err := v.config.Decoder.Server(e)
+		server, err := v.decodeServer(e)
 		if err != nil {
 			v.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot decode the entry of a backend server; it is not used", slog.String("server", string(id)), slog.String("error", err.Error()))
 			b.removeServer(id)
--- a/io/view/view_test.go
+++ b/io/view/view_test.go
@@ -149,6 +149,15 @@
 		Eventually(func() int { return len(v.State().Servers) }).WithTimeout(waitTimeout).Should(BeZero())
 	})
 
+	// A name of a mebibyte, left by another writer, went into each CONNECT and into the entry of the copies of a
+	// service's log, which was then over the limit of the store.
+	It("doesn't use servers with names that are too long, and keeps the others", func() {
+		t.Set("server/a", []byte("ready "+strings.Repeat("s", 1<<10)))
+		t.Set("server/b", []byte("ready "+strings.Repeat("s", 1<<10+1)))
+		t.Set("server/c", []byte("ready s"))
+		Eventually(func() map[model.ServerID]plan.Server { return v.State().Servers }).WithTimeout(waitTimeout).Should(And(HaveLen(2), HaveKey(model.ServerID("a")), HaveKey(model.ServerID("c"))))
+	})
+
 	It("keeps the time at which a server started to drain", func() {
 		t.Set("server/a", []byte("draining s"))
 		Eventually(func() int { return len(v.State().Servers) }).WithTimeout(waitTimeout).Should(Equal(1))
