io/proxy: an instance called like the store is another source than the store

Sources are paused after a failure by their names, and the store's is "store". With an instance of that name, its failure also paused the calls to the store, and the reverse. Its name as a source now differs.

The test failed before: two of the four sources had one name.

--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -68,6 +68,19 @@
 		Expect(watchers).To(Equal(map[model.Domain]int{"a": 1, "b": 1, "c": 1}))
 	})
 
+	// A failure of the instance paused the calls to the store, and the reverse.
+	It("have different names, also if an instance is called like the store", func() {
+		for id, domain := range fleet {
+			for _, other := range []model.InstanceID{"a1", "a2", "b1", "b2"} {
+				renamed := maps.Clone(fleet)
+				renamed["store"] = renamed[other]
+				delete(renamed, other)
+				sorted := slices.Sorted(slices.Values(names(node(id, domain), state(renamed))))
+				Expect(slices.Compact(slices.Clone(sorted))).To(Equal(sorted))
+			}
+		}
+	})
+
 	It("begin with the store at a few instances of a large failure domain, which share the others as followers", func() {
 		large := map[model.InstanceID]model.Domain{}
 		for i := range 100 {
--- a/io/proxy/source.go
+++ b/io/proxy/source.go
@@ -122,8 +122,13 @@
 	peer plan.Instance
 }
 
-// Name implements view.Source.
-func (s peerSource) Name() string { return string(s.peer.ID) }
+// Name implements view.Source. It is the instance's ID, unless the store itself has that name.
+func (s peerSource) Name() string {
+	if s.peer.ID == view.StoreName {
+		return "instance " + view.StoreName
+	}
+	return string(s.peer.ID)
+}
 
 // Fetch implements view.Source.
 func (s peerSource) Fetch(_ context.Context, q view.Query) (view.Update, error) {
--- a/io/view/source.go
+++ b/io/view/source.go
@@ -50,6 +50,9 @@
 	Fetch(ctx context.Context, query Query) (Update, error)
 }
 
+// StoreName is the name of the store as a source.
+const StoreName = "store"
+
 // StoreSource reads from the store itself.
 type StoreSource struct {
 	// Table is the client of the store.
@@ -59,7 +62,7 @@
 }
 
 // Name implements Source.
-func (s StoreSource) Name() string { return "store" }
+func (s StoreSource) Name() string { return StoreName }
 
 // Fetch implements Source.
 func (s StoreSource) Fetch(ctx context.Context, query Query) (Update, error) {
