io/logs: a name with a tab or a line end stays in its row of the table of reasons

An operator chooses the names of accounts and routes. A tab or a line end in one made further columns or rows in the table that pomelofork reasons writes. The test failed before: the table had a line more.

--- a/io/logs/reasons.go
+++ b/io/logs/reasons.go
@@ -132,7 +132,7 @@
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	// A write into the table can't fail; Flush returns the errors of out.
 	write := func(name string, counts map[string]int) {
-		_, _ = fmt.Fprintf(table, "%s\t", strings.TrimSpace(name))
+		_, _ = fmt.Fprintf(table, "%s\t", strings.Join(strings.Fields(name), " "))
 		for _, column := range columns {
 			_, _ = fmt.Fprintf(table, "%d\t", counts[column])
 		}
--- a/io/logs/reasons_test.go
+++ b/io/logs/reasons_test.go
@@ -44,6 +44,14 @@
 		})
 	}
 
+	It("keeps a row in its line and its columns, whatever the name of the account", func() {
+		var out strings.Builder
+		Expect(logs.Reasons(&out, logs.ByAccount, strings.NewReader(answerLine("10.1", "statement answered", `a\tb\n9`, "done", "", "false")))).To(Succeed())
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		Expect(lines).To(HaveLen(3))
+		Expect(strings.Join(strings.Fields(lines[1]), " ")).To(Equal("a b 9 1 0 0 0 0 0 0 0 0 0"))
+	})
+
 	It("shows what it can read of a log that is cut, and says what is wrong", func() {
 		var out strings.Builder
 		err := logs.Reasons(&out, logs.ByAccount, strings.NewReader(first+strings.Repeat("x", 2<<20)), strings.NewReader(second[:len(second)/2]))
