--- a/io/view/view_test.go
+++ b/io/view/view_test.go
@@ -151,9 +151,11 @@
 
 	// A name of a mebibyte, left by another writer, went into each CONNECT and into the entry of the copies of a
 	// service's log, which was then over the limit of the store.
-	It("doesn't use servers with names that are too long, and keeps the others", func() {
+	// An empty identifier stands for no server where a primary is appointed.
+	It("doesn't use servers with names that are too long or without an identifier, and keeps the others", func() {
 		t.Set("server/a", []byte("ready "+strings.Repeat("s", 1<<10)))
 		t.Set("server/b", []byte("ready "+strings.Repeat("s", 1<<10+1)))
+		t.Set("server/", []byte("ready s"))
 		t.Set("server/c", []byte("ready s"))
 		Eventually(func() map[model.ServerID]plan.Server { return v.State().Servers }).WithTimeout(waitTimeout).Should(And(HaveLen(2), HaveKey(model.ServerID("a")), HaveKey(model.ServerID("c"))))
 	})
