io/proxy: compressed values of the store are kept for a bounded number of keys

An instance that others follow kept the compressed form of each large value by its key, also after the key was removed. Any writer of the store chooses its keys. At 64 keys the cache now starts anew; the configuration is compressed once more then.

The test failed before: 1,000 keys were kept.

--- a/io/proxy/encoding.go
+++ b/io/proxy/encoding.go
@@ -18,6 +18,9 @@
 	packedValue = 1
 )
 
+// maxEncoded bounds the large values that are kept. The configuration is the usual one.
+const maxEncoded = 64
+
 // encodedValues encodes values for peers that follow the store through this instance. It
 // keeps the large ones, so that each revision is compressed once.
 type encodedValues struct {
@@ -59,6 +62,9 @@
 		// is.
 		return append([]byte{plainValue}, e.Value...)
 	}
+	if len(v.byKey) >= maxEncoded {
+		clear(v.byKey)
+	}
 	v.byKey[e.Key] = encodedValue{e.Revision, append([]byte{packedValue}, value...)}
 	return v.byKey[e.Key].value
 }
