io/peer: an odd record of rights doesn't stop the fleet from following the configuration

Callers would see: withdrawn keys and old limits stay in force on every instance while the entry "rights" in the store can't be read (nested deeply, a number too large, a member without a name), although the configuration beside it can.

Cause: an instance read the configuration only after it had read the record. An unreadable record is no outage of the store, so the configuration is read all the same; the record in use stays, and peers confirm it as before.

Records that were accepted and led to ones that nobody accepts are now rejected: an epoch above 2^63-1 became 0 when it was counted up, and a member without a name is what a peer that asks to join without one would have put there. A joiner without a name is ignored.

Before the change the five cases of "keeps its members and follows the configuration beside a record of rights" failed: no instance had the new version after 5 s.

--- a/core/lease/record.go
+++ b/core/lease/record.go
@@ -25,8 +25,13 @@
 	Before []Member `json:"before,omitempty"`
 }
 
+// maxEpoch is the highest epoch of a record that is accepted, so that epochs can be counted
+// up.
+const maxEpoch = 1<<63 - 1
+
 // ParseRecord decodes the form that Encode writes. It returns an error when the epoch is
-// missing or the members are not sorted by name without duplicates.
+// missing or too large, or the members have no names or are not sorted by name without
+// duplicates.
 func ParseRecord(text string) (Record, error) {
 	var r Record
 	if err := json.Unmarshal([]byte(text), &r); err != nil {
@@ -35,6 +40,12 @@
 	if r.Epoch == 0 {
 		return Record{}, fmt.Errorf("record of rights: epoch is zero or missing")
 	}
+	if r.Epoch > maxEpoch {
+		return Record{}, fmt.Errorf("record of rights: epoch %d is above %d", r.Epoch, uint64(maxEpoch))
+	}
+	if len(r.Members) > 0 && r.Members[0].Instance == "" {
+		return Record{}, fmt.Errorf("record of rights: a member has no name")
+	}
 	for i := 1; i < len(r.Members); i++ {
 		if compareMembers(r.Members[i-1], r.Members[i]) >= 0 {
 			return Record{}, fmt.Errorf("record of rights: member %q is a duplicate or not sorted by name", r.Members[i].Instance)
--- a/core/member/tracker.go
+++ b/core/member/tracker.go
@@ -123,8 +123,12 @@
 	return !ok || o.incarnation != m.Incarnation || now.Sub(o.receivedAt) >= t.suspectAfter
 }
 
-// AddJoiner records that an instance which is not a member asks to become one.
+// AddJoiner records that an instance which is not a member asks to become one. One without a
+// name is ignored, because no record with it would be accepted.
 func (t *Tracker) AddJoiner(now time.Time, m lease.Member) {
+	if m.Instance == "" {
+		return
+	}
 	if j, ok := t.joiners[m.Instance]; ok && j.member.Incarnation > m.Incarnation {
 		return
 	}
--- a/io/peer/fake_test.go
+++ b/io/peer/fake_test.go
@@ -31,6 +31,8 @@
 	loseAnswers bool
 	newerCalls  int
 	getCalls    int
+	// decodeConfig is passed to the instances. Nil means that they don't read the configuration.
+	decodeConfig func(text string) (uint64, []byte, error)
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{entries: map[string]peer.Item{}} }
@@ -130,6 +132,7 @@
 		OnConfig:       func(v uint64, _ []byte) { n.setVersion(v) },
 		Check:          assert.NewChecker(func(i assert.Invariant, text string) { Fail(text) }),
 		Timing:         shortTiming(),
+		DecodeConfig:   store.decodeConfig,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(n.Close)
--- a/io/peer/fleet_test.go
+++ b/io/peer/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,6 +12,7 @@
 
 	"pomelofork/core/limit"
 	"pomelofork/core/model"
+	"pomelofork/io/peer"
 )
 
 var highRate = limit.NewRate(limit.RateConfig{PerSecond: limit.Tokens(1000), Burst: limit.Tokens(300)})
@@ -107,6 +110,35 @@
 		store.update(func(s *fakeStore) { Expect(s.getCalls - getCalls).To(BeNumerically("<", 10)) })
 	})
 
+	// The configuration was read only after the record of rights, so withdrawn keys stayed valid.
+	for name, record := range map[string]string{
+		"nested deeply":            `{"epoch":1,"members":` + strings.Repeat("[", 200_000),
+		"with a number too large":  `{"epoch":18446744073709551616,"members":[]}`,
+		"that can't be counted up": `{"epoch":18446744073709551615,"members":[{"instance":"i0"}]}`,
+		"with a member of no name": `{"epoch":1000,"members":[{"incarnation":-1},{"instance":"i0"}]}`,
+		"with an unnamed member":   `{"epoch":1000,"members":[{"instance":""},{"instance":"i0"}]}`,
+	} {
+		It("keeps its members and follows the configuration beside a record of rights "+name, func() {
+			store := newFakeStore()
+			store.decodeConfig = func(text string) (uint64, []byte, error) {
+				version, err := strconv.ParseUint(text, 10, 64)
+				return version, []byte("document"), err
+			}
+			nodes := startNodes(store, 3, highRate)
+			Eventually(func() bool { return allRanksHeld(nodes) }, "20s", "20ms").Should(BeTrue())
+			store.update(func(s *fakeStore) {
+				s.entries["rights"] = peer.Item{Value: record, Revision: s.revision + 1}
+				s.entries["config"] = peer.Item{Value: "7", Revision: s.revision + 2}
+				s.revision += 2
+			})
+			for _, n := range nodes {
+				Eventually(n.configVersion, "5s", "20ms").Should(Equal(uint64(7)))
+			}
+			Expect(allMembers(nodes)).To(BeTrue())
+			Expect(allRanksHeld(nodes)).To(BeTrue())
+		})
+	}
+
 	It("distributes a configuration version to all instances, and confirms it", func() {
 		nodes := startNodes(newFakeStore(), 5, highRate)
 		before := time.Now()
--- a/io/peer/syncer.go
+++ b/io/peer/syncer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -107,12 +109,16 @@
 		s.config.set(readResult{})
 	}
 	err := s.refreshRights()
-	if err == nil && s.fleet.config.DecodeConfig != nil {
-		err = s.refreshConfig()
+	// An unreadable record says nothing about the configuration.
+	if (err == nil || errors.Is(err, errUnreadableRecord)) && s.fleet.config.DecodeConfig != nil {
+		err = errors.Join(err, s.refreshConfig())
 	}
 	s.logAvailability(err)
 }
 
+// errUnreadableRecord says that the store holds a record of rights that isn't valid.
+var errUnreadableRecord = errors.New("unreadable record of rights")
+
 // fullReadInterval is the number of reads of which one is complete.
 const fullReadInterval = 60
 
@@ -178,7 +184,7 @@
 	r, err := lease.ParseRecord(item.Value)
 	if err != nil {
 		f.log(event.RightRecordUnreadable, slog.String("error", err.Error()))
-		return item, err
+		return item, fmt.Errorf("%w: %w", errUnreadableRecord, err)
 	}
 	f.applyRecord(r)
 	s.rights.set(readResult{revision: item.Revision, epoch: r.Epoch})
