io/group: numbers out of range in a status row don't keep a primary from being replaced

Callers would see: the service stays without a primary after a failure, if a replica reports a very long time since it last heard the primary, for example the largest number for "never".

The time is now at most the longest duration. A term or log position above 2^63-1 is refused as a malformed row: terms are counted up, and after 2^64-1 comes 0, which no server accepts.

--- a/io/group/status.go
+++ b/io/group/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"time"
 
@@ -14,6 +15,12 @@
 // statusColumns is the least number of columns of a status row.
 const statusColumns = 9
 
+// The last columns of a status row.
+const (
+	columnPrimaryHeard = 7
+	columnLeaving      = 8
+)
+
 // readStatus parses a status row, whose columns are server, role, promised, log_term,
 // log_index, applied_term, applied_index, primary_heard_ms and leaving.
 func readStatus(results []*pgconn.Result) (term.Status, error) {
@@ -22,11 +29,15 @@
 	}
 	row := results[0].Rows[0]
 	var numbers [statusColumns]uint64
-	for i := 2; i <= 7; i++ {
+	for i := 2; i <= columnPrimaryHeard; i++ {
 		n, err := strconv.ParseUint(string(row[i]), 10, 64)
 		if err != nil {
 			return term.Status{}, fmt.Errorf("group status: column %d: %w", i+1, err)
 		}
+		// Terms are counted up, so the highest ones can't be used.
+		if i < columnPrimaryHeard && n > math.MaxInt64 {
+			return term.Status{}, fmt.Errorf("group status: column %d: %d is above %d", i+1, n, int64(math.MaxInt64))
+		}
 		numbers[i] = n
 	}
 	return term.Status{
@@ -34,7 +45,12 @@
 		Promised:            model.Term(numbers[2]),
 		Log:                 model.NewPoint(model.Term(numbers[3]), model.Position(numbers[4])),
 		Applied:             model.NewPoint(model.Term(numbers[5]), model.Position(numbers[6])),
-		SincePrimaryContact: time.Duration(numbers[7]) * time.Millisecond,
-		Leaving:             string(row[8]) == "true",
+		SincePrimaryContact: milliseconds(numbers[columnPrimaryHeard]),
+		Leaving:             string(row[columnLeaving]) == "true",
 	}, nil
 }
+
+// milliseconds returns a duration, or the longest one if n is more.
+func milliseconds(n uint64) time.Duration {
+	return time.Duration(min(n, uint64(math.MaxInt64/time.Millisecond))) * time.Millisecond
+}
