io/caller: a timeout of 2^64 ns is refused instead of becoming a short one

The number was compared after its conversion to nanoseconds, which wraps. It is compared in milliseconds now.

Before the change "rejects a timeout: wraps to less than 1 ms" failed.

--- a/io/caller/setting.go
+++ b/io/caller/setting.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("%s%s: want a whole number of milliseconds", settingPrefix, settingTimeout)
 	}
-	if ms < 1 || time.Duration(ms)*time.Millisecond > maxBatchTimeout {
+	if ms < 1 || int64(ms) > maxBatchTimeout.Milliseconds() {
 		return 0, fmt.Errorf("%s%s: want 1 to %d", settingPrefix, settingTimeout, maxBatchTimeout.Milliseconds())
 	}
 	return time.Duration(ms) * time.Millisecond, nil
--- a/io/caller/setting_test.go
+++ b/io/caller/setting_test.go
@@ -62,7 +62,7 @@
 		Expect((&session{}).set("request_id", "7 – ä")).To(BeNil())
 	})
 
-	for name, value := range map[string]string{"zero": "0", "negative": "-1", "not a number": "soon", "too long": "99999999"} {
+	for name, value := range map[string]string{"zero": "0", "negative": "-1", "not a number": "soon", "too long": "99999999", "wraps to less than 1 ms": "18446744073710"} {
 		It("rejects a timeout: "+name, func() {
 			_, err := parseTimeout(value)
 			Expect(err).To(MatchError(ContainSubstring("timeout_ms")))
