io/caller: a NUL in the detail of a refusal doesn't forge the other fields

Callers would see: a refusal with an SQLSTATE and an outcome that nobody gave, if the text behind it has a NUL, as the address of another instance in the store's record of rights may ("link_address": "10.0.0.1\u0000C00000\u0000Dnot run..."): a write whose outcome is unknown is reported as not run.

Cause: texts in PostgreSQL messages end with a NUL and are written as they are. Texts of callers can't hold one, since they come from such messages; those from JSON documents and errors can. It is replaced in both kinds of error messages that the entry makes.

--- a/io/caller/limits_test.go
+++ b/io/caller/limits_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"pomelofork/core/model"
 	"pomelofork/io/wire"
 )
 
@@ -53,3 +54,18 @@
 		})
 	}
 })
+
+// A text of a message can't hold the NUL that ends it. An address from the store may.
+var _ = Describe("a refusal", func() {
+	It("has the same fields for the caller whatever its detail holds", func() {
+		sent := refusalMessage(severityError, model.NewRefusal(model.RefusalConfig{
+			Reason: model.ReasonConnectionLost, Outcome: model.OutcomeUnknown, Detail: "connect to 10.0.0.1\x00C00000\x00Dnot run\x00\n:5432",
+		}))
+		raw, err := sent.Encode(nil)
+		Expect(err).NotTo(HaveOccurred())
+		var got pgproto3.ErrorResponse
+		Expect(got.Decode(raw[5:])).To(Succeed())
+		Expect(got.Code).To(Equal(model.ReasonConnectionLost.SQLState()))
+		Expect(got.Detail).To(HavePrefix("outcome unknown: connect to 10.0.0.1"))
+	})
+})
--- a/io/caller/refusal.go
+++ b/io/caller/refusal.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -30,7 +31,7 @@
 		SeverityUnlocalized: severity,
 		Code:                r.Reason().SQLState(),
 		Message:             r.Reason().String(),
-		Detail:              detail,
+		Detail:              withoutNUL(detail),
 		Hint:                hint,
 	}
 }
@@ -58,7 +59,11 @@
 		Severity:            severityError,
 		SeverityUnlocalized: severityError,
 		Code:                code,
-		Message:             fmt.Sprintf(format, args...),
+		Message:             withoutNUL(fmt.Sprintf(format, args...)),
 		Detail:              model.OutcomeNotRun.String(),
 	}
 }
+
+// withoutNUL replaces the character that ends a text in a message of PostgreSQL. What follows
+// it would be read as further fields.
+func withoutNUL(text string) string { return strings.ReplaceAll(text, "\x00", "\uFFFD") }
