io/link: an outcome that a newer build states isn't read as "not run"

Callers would see: after a refusal of a gateway of a newer build with a reason or an outcome that this build doesn't know, "not run" and no SQLSTATE, although the write may have run. Numbers that aren't known are now taken for a lost connection and an unknown outcome, and a negative retry delay for none. A document that can't be parsed was read so before.

Before the change "takes a reason and an outcome of a newer build for a lost connection and an unknown outcome" failed.

--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -158,6 +158,21 @@
 		Expect(gateway.openedUnits()).To(Equal([]wire.Unit{sent}))
 	})
 
+	// Such an outcome was passed on as "not run", and such a reason without an SQLSTATE.
+	It("takes a reason and an outcome of a newer build for a lost connection and an unknown outcome", func(ctx SpecContext) {
+		gateway := &fakeGateway{run: func(context.Context, wire.Batch, wire.Sink) (wire.Result, error) {
+			return wire.Result{}, model.NewRefusal(model.RefusalConfig{Reason: 200, Outcome: 7, RetryAfter: -time.Second})
+		}}
+		client, _ := connect(gateway)
+		stream, err := client.Open(ctx, unit(model.AccessWrite))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = stream.Run(ctx, query("SELECT 1"), &countingSink{})
+		got := asRefusal(err)
+		Expect(got.Reason()).To(Equal(model.ReasonConnectionLost))
+		Expect(got.Outcome()).To(Equal(model.OutcomeUnknown))
+		Expect(got.RetryAfter()).To(BeZero())
+	})
+
 	It("uses one stream for all batches of a transaction", func(ctx SpecContext) {
 		gateway := &fakeGateway{}
 		gateway.run = func(_ context.Context, batch wire.Batch, _ wire.Sink) (wire.Result, error) {
--- a/io/link/refusal.go
+++ b/io/link/refusal.go
@@ -48,8 +48,15 @@
 	if err := json.Unmarshal([]byte(m.Detail), &text); err != nil {
 		text.Detail = "refusal of another instance can't be read"
 	}
+	// A newer build may have reasons and outcomes that this one doesn't know.
+	if text.Reason.SQLState() == "" {
+		text.Reason = model.ReasonConnectionLost
+	}
+	if text.Outcome != model.OutcomeNotRun {
+		text.Outcome = model.OutcomeUnknown
+	}
 	return model.NewRefusal(model.RefusalConfig{
-		Reason: text.Reason, Outcome: text.Outcome, RetryAfter: text.RetryAfter, Detail: text.Detail,
+		Reason: text.Reason, Outcome: text.Outcome, RetryAfter: max(text.RetryAfter, 0), Detail: text.Detail,
 	}), true
 }
 
