io/store: an odd entry in the platform's list of instances doesn't hide the others

Callers would see: no instance replaces members that were removed while most of the others were lost, and units go on to servers that are leaving, as long as one entry of the list is malformed: of another type, with a number too large, or nested more deeply than encoding/json decodes.

Cause: the list was decoded as one document. It is now read entry by entry, and a value that isn't needed is skipped without a limit of its depth. Of an entry that can't be read the ID is kept, so its instance isn't taken for missing, and a server stays as the last list showed it. If not even the ID can be read, the entry may be that of any member, so no member is taken for ended by that list; the leaving servers are followed.

Before the change "returns the other instances of a list, and the ID of an entry" failed for each of three entries, and "tells a list with an entry or an end without an ID" too.

--- a/io/event/right.go
+++ b/io/event/right.go
@@ -18,6 +18,7 @@
 	RightStoreReachable
 	RightRecordUnreadable
 	RightIncarnationStale
+	RightInstanceUnreadable
 )
 
 var rightKinds = map[ID]Kind{
@@ -58,4 +59,9 @@
 		Text:   "a later incarnation of this instance is already a member",
 		Action: "Two processes use one instance name, or the clock was set back. Stop one of them, or start again once the clock is right.",
 	},
+	RightInstanceUnreadable: {
+		Level:  slog.LevelWarn,
+		Text:   "entry of the platform's list of instances can't be read",
+		Action: "Repair the entry. An instance without a readable ID may be any member, so no member is taken for ended by the list until then.",
+	},
 }
--- a/io/node/leaving.go
+++ b/io/node/leaving.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"sync"
 
 	"pomelofork/core/model"
@@ -15,16 +16,24 @@
 	ids map[model.ServerID]bool
 }
 
-// update replaces the set by the leaving servers of a new list.
-func (l *leavingServers) update(listed []store.ListedInstance) {
+// update replaces the set by the leaving servers of a new list. A server whose entry can't be
+// read stays as it was, and so does each that isn't in a list that isn't complete.
+func (l *leavingServers) update(listed []store.ListedInstance, complete bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	ids := map[model.ServerID]bool{}
+	if !complete {
+		maps.Copy(ids, l.ids)
+	}
 	for _, entry := range listed {
-		if entry.Kind == store.KindBackendServer && entry.State == store.StateLeaving {
-			ids[model.ServerID(entry.ID)] = true
+		id := model.ServerID(entry.ID)
+		switch {
+		case entry.Kind == store.KindBackendServer:
+			ids[id] = entry.State == store.StateLeaving
+		case entry.Kind == "":
+			ids[id] = l.ids[id]
 		}
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.ids = ids
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -88,7 +88,7 @@
 // joinFleet starts the exchange of heartbeats, rights and configurations with the other
 // instances.
 func (n *Node) joinFleet() error {
-	store := platformStore{client: n.client, leavingServers: &n.leavingServers}
+	store := platformStore{client: n.client, leavingServers: &n.leavingServers, logger: n.config.Logger}
 	fleet, err := peer.NewFleet(peer.Config{
 		Self: peer.Member{
 			Instance: n.config.ID, FailureDomain: n.config.Domain,
--- a/io/node/platform.go
+++ b/io/node/platform.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 
 	"pomelofork/core/model"
+	"pomelofork/io/event"
 	"pomelofork/io/peer"
 	"pomelofork/io/store"
 )
@@ -15,6 +17,8 @@
 	client *store.Client
 	// leavingServers is updated with each list of instances.
 	leavingServers *leavingServers
+	// logger receives the event RightInstanceUnreadable.
+	logger *slog.Logger
 }
 
 // Get returns the item under key, or the zero item if there is none.
@@ -47,17 +51,25 @@
 	return item.Revision, nil
 }
 
-// instances returns the instances of this fleet in the platform's list. It also updates the
-// set of leaving backend servers from the list.
+// instances returns the instances of this fleet in the platform's list, and those of which
+// only the ID can be read. It also updates the set of leaving backend servers from the list.
+// It returns an error if an entry has no readable ID, since it may be that of any instance.
 func (p platformStore) instances(ctx context.Context) ([]peer.ListedInstance, error) {
 	all, err := p.client.Instances(ctx)
+	if err != nil && !errors.Is(err, store.ErrUnreadableInstance) {
+		return nil, err
+	}
+	p.leavingServers.update(all, err == nil)
 	if err != nil {
+		event.Log(ctx, p.logger, event.RightInstanceUnreadable, slog.String("error", err.Error()))
 		return nil, err
 	}
-	p.leavingServers.update(all)
 	var listed []peer.ListedInstance
 	for _, entry := range all {
-		if entry.Kind == store.KindEntry {
+		if entry.Kind == "" {
+			event.Log(ctx, p.logger, event.RightInstanceUnreadable, slog.String("instance", entry.ID))
+		}
+		if entry.Kind == store.KindEntry || entry.Kind == "" {
 			listed = append(listed, peer.ListedInstance{Instance: model.InstanceID(entry.ID), Leaving: entry.State == store.StateLeaving})
 		}
 	}
--- a/io/store/call.go
+++ b/io/store/call.go
@@ -88,7 +88,7 @@
 		if into == nil {
 			return nil
 		}
-		if err := json.Unmarshal(text, into); err != nil {
+		if err := unmarshal(text, into); err != nil {
 			return NewUnknownError(fmt.Errorf("decode response of the store: %w", err))
 		}
 		return nil
@@ -107,6 +107,17 @@
 	return NewUnknownError(NewRequestError(status, failureText(text)))
 }
 
+// unmarshal decodes a text into the value that into points to.
+func unmarshal(text []byte, into any) error {
+	list, ok := into.(*instanceResponse)
+	if !ok {
+		return json.Unmarshal(text, into)
+	}
+	var err error
+	list.listed, list.unreadable, err = parseInstances(text)
+	return err
+}
+
 // conflict returns the error for a swap that was refused because of the revision. If the
 // body can't be decoded, the revision in the error is zero; the swap has not taken effect
 // in that case either.
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -98,9 +98,12 @@
 
 // Instances implements Store.
 func (c *Client) Instances(ctx context.Context) ([]ListedInstance, error) {
-	var list InstanceList
+	var list instanceResponse
 	_, err := c.read(ctx, "/v1/instances", &list, 0)
-	return list.Instances, err
+	if err == nil && list.unreadable > 0 {
+		err = fmt.Errorf("%w: %d of %d", ErrUnreadableInstance, list.unreadable, list.unreadable+len(list.listed))
+	}
+	return list.listed, err
 }
 
 // GrantLease implements Store.
--- a/io/store/client_test.go
+++ b/io/store/client_test.go
@@ -33,6 +33,43 @@
 var _ = Describe("Client", func() {
 	ctx := context.Background()
 
+	// One such entry hid all others.
+	for name, entry := range map[string]string{
+		"nested deeply":           `{"id":"i2","address":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
+		"with a number too large": `{"id":"i2","kind":1e999,"address":{"port":99999}}`,
+		"of another type":         `{"x":{"id":"i3"},"id":"i2","state":["live"]}`,
+	} {
+		It("returns the other instances of a list, and the ID of an entry "+name, func() {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(`{"x":[1],"instances":[{"id":"i1","kind":"entry"}, ` + entry + ` ,{"id":"i4","state":"leaving"}]}`))
+			}))
+			DeferCleanup(server.Close)
+			client := store.NewClient(store.ClientConfig{Address: server.URL})
+			DeferCleanup(client.Close)
+			Expect(client.Instances(ctx)).To(Equal([]store.ListedInstance{{ID: "i1", Kind: "entry"}, {ID: "i2"}, {ID: "i4", State: "leaving"}}))
+		})
+	}
+
+	for name, c := range map[string]struct {
+		list string
+		want []store.ListedInstance
+		err  error
+	}{
+		"without an ID":   {`{"instances":[7,{"id":"i1"},{"id":5},[{}]]}`, []store.ListedInstance{{ID: "i1"}}, store.ErrUnreadableInstance},
+		"that is cut":     {`{"instances":[{"id":"i1"},{"id":`, nil, store.ErrUnavailable},
+		"that is no list": {`{"instances":{"id":"i1"}}`, nil, store.ErrUnavailable},
+	} {
+		It("tells a list with an entry or an end "+name, func() {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(c.list)) }))
+			DeferCleanup(server.Close)
+			client := store.NewClient(store.ClientConfig{Address: server.URL})
+			DeferCleanup(client.Close)
+			got, err := client.Instances(ctx)
+			Expect(got).To(Equal(c.want))
+			Expect(err).To(MatchError(c.err))
+		})
+	}
+
 	It("returns UnknownError for a swap whose answer is lost, and ErrUnavailable for a read", func() {
 		server := httptest.NewServer(plat.New(plat.Config{Seed: 1}))
 		DeferCleanup(server.Close)
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -27,7 +27,8 @@
 	// false if that has not happened within wait.
 	Watch(ctx context.Context, key string, afterRevision uint64, wait time.Duration) (Item, bool, error)
 	// Instances returns the platform's list of instances. The list lags behind the actual
-	// state.
+	// state. An entry that can't be read has nothing but its ID. If it has none either, the
+	// error is ErrUnreadableInstance, and the other entries are returned.
 	Instances(ctx context.Context) ([]ListedInstance, error)
 	// GrantLease returns a new lease. Items written with it are removed when it ends.
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
