io/caller, io/link: messages before the login are at most 64 KiB

Operators would see: an instance runs out of memory by connections that never log in. The length that a message announces is allocated before its content arrives. Towards other instances it had no limit before the login, towards callers that of statements, 16 MiB for each session.

--- a/io/caller/config.go
+++ b/io/caller/config.go
@@ -32,6 +32,8 @@
 	// drainIdleTime is how long a session must have been idle before a planned stop closes
 	// it, so that a request on its way doesn't meet a closed connection.
 	drainIdleTime = 300 * time.Millisecond
+	// maxLoginBytes bounds the body of one message before the login.
+	maxLoginBytes = 64 << 10
 	// maxMessageBytes bounds the body of one message of a caller.
 	maxMessageBytes = 16 << 20
 	// maxBatchBytes bounds the messages of one batch, by sizeOf.
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -91,7 +91,7 @@
 	defer s.mu.Unlock()
 	s.conn = conn
 	s.backend = pgproto3.NewBackend(conn, conn)
-	s.backend.SetMaxBodyLen(maxMessageBytes)
+	s.backend.SetMaxBodyLen(maxLoginBytes)
 }
 
 func (s *session) now() time.Time { return s.server.config.Now() }
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -77,6 +77,22 @@
 		})
 	}
 
+	It("refuses a password of a mebibyte before it arrives", func() {
+		conn, err := net.Dial("tcp", ts.address)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }()
+		startup, err := (&pgproto3.StartupMessage{
+			ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "ann", "pomelofork.route": "again"},
+		}).Encode(nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Write(append(startup, 'p', 0, 0x10, 0, 0, 'x'))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		frontend := pgproto3.NewFrontend(conn, conn)
+		Expect(frontend.Receive()).To(BeAssignableToTypeOf(&pgproto3.AuthenticationCleartextPassword{}))
+		Expect(frontend.Receive()).To(HaveField("Code", "08P01"))
+	})
+
 	It("runs a prepared statement on a new stream for each unit", func() {
 		conn := ts.connectAnn(nil)
 		for range 3 {
--- a/io/caller/startup.go
+++ b/io/caller/startup.go
@@ -45,6 +45,7 @@
 			slog.String("account", message.Parameters["user"]), slog.String("reason", refusal.Reason().String()))
 		return s.fatal(refusal)
 	}
+	s.backend.SetMaxBodyLen(maxMessageBytes)
 	// Reload skips sessions that are not authenticated yet, so a configuration that came in
 	// during the authentication has not been checked.
 	s.reload()
--- a/io/link/config.go
+++ b/io/link/config.go
@@ -20,6 +20,8 @@
 	DefaultClientConnections = 256
 	// startupTimeout bounds the time for connecting and logging in.
 	startupTimeout = 5 * time.Second
+	// maxLoginBytes bounds the size of one message before the login.
+	maxLoginBytes = 64 * 1024
 	// maxMessageBytes bounds the size of one message.
 	maxMessageBytes = 32 * 1024 * 1024
 	// flushThresholdBytes is the buffered size at which a part of an answer is sent before
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"strconv"
@@ -340,6 +341,30 @@
 		Eventually(drained, 5*time.Second).Should(Receive(BeNil()))
 	})
 
+	// Such a message took its announced size in memory, without a login.
+	It("refuses a password of a gibibyte before it arrives", func(ctx SpecContext) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := link.NewServer(link.ServerConfig{
+			Listener: listener, Secret: "secret", MaxConnections: 1,
+			Now: func() time.Time { return time.Now().Add(time.Hour) },
+		})
+		DeferCleanup(server.Close)
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		startup, err := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": link.User}}).Encode(nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Write(append(startup, 'p', 0x40, 0, 0, 0, 'x'))
+		Expect(err).NotTo(HaveOccurred())
+		ended := make(chan error, 1)
+		go func() {
+			_, err := io.Copy(io.Discard, conn)
+			ended <- err
+		}()
+		Eventually(ended, 5*time.Second).Should(Receive())
+	})
+
 	It("rejects a login with a wrong secret", func(ctx SpecContext) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/io/link/startup.go
+++ b/io/link/startup.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -24,7 +25,7 @@
 	if err := s.conn.SetDeadline(s.server.config.Now().Add(startupTimeout)); err != nil {
 		return err
 	}
-	s.backend = pgproto3.NewBackend(s.conn, s.conn)
+	s.useConn(s.conn)
 	message, err := s.receiveStartup()
 	if err != nil {
 		return err
@@ -83,11 +84,17 @@
 	if err := s.writeText("S"); err != nil {
 		return err
 	}
-	s.conn = tls.Server(s.conn, s.server.config.TLS)
-	s.backend = pgproto3.NewBackend(s.conn, s.conn)
+	s.useConn(tls.Server(s.conn, s.server.config.TLS))
 	return nil
 }
 
+// useConn sets the connection, on which messages are short until the login.
+func (s *serverConn) useConn(conn net.Conn) {
+	s.conn = conn
+	s.backend = pgproto3.NewBackend(conn, conn)
+	s.backend.SetMaxBodyLen(maxLoginBytes)
+}
+
 // login asks for the password and checks the user and the password.
 func (s *serverConn) login(message *pgproto3.StartupMessage) error {
 	s.backend.Send(&pgproto3.AuthenticationCleartextPassword{})
