io/peer: an instance doesn't start with a name that the record of rights can't hold

Operators would see: an instance whose name isn't UTF-8 never becomes a member, or two such names become one. The record is JSON, in which every invalid byte becomes U+FFFD. The settings are refused at the start now, as empty ones were.

Before the change "doesn't start with a name that the record of rights can't hold" failed.

--- a/io/peer/default.go
+++ b/io/peer/default.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"log/slog"
 	"time"
+	"unicode/utf8"
 
 	"pomelofork/core/lease"
 )
@@ -24,6 +26,8 @@
 	switch {
 	case c.Self.Instance == "" || c.Self.FailureDomain == "":
 		return c, errors.New("fleet configuration: Self needs an instance name and a failure domain")
+	case !utf8.ValidString(string(c.Self.Instance)) || !utf8.ValidString(string(c.Self.FailureDomain)):
+		return c, fmt.Errorf("fleet configuration: instance name %q and failure domain %q must be UTF-8", c.Self.Instance, c.Self.FailureDomain)
 	case c.Store == nil || c.Limits == nil || c.Services == nil || c.ConfigVersion == nil:
 		return c, errors.New("fleet configuration: Store, Limits, Services and ConfigVersion must be set")
 	}
--- a/io/peer/odd_test.go
+++ b/io/peer/odd_test.go
@@ -13,6 +13,20 @@
 	"pomelofork/io/peer"
 )
 
+// All bytes that aren't UTF-8 become one character in the record of rights.
+var _ = Describe("An instance", func() {
+	It("doesn't start with a name that the record of rights can't hold", func() {
+		for _, self := range []peer.Member{{Instance: "i\xff", FailureDomain: "d"}, {Instance: "i", FailureDomain: "d\xff"}} {
+			_, err := peer.NewFleet(peer.Config{
+				Self: self, Store: newFakeStore(), Services: func() []model.ServiceID { return nil },
+				Limits:        func(model.AccountID) (limit.Rate, bool) { return highRate, true },
+				ConfigVersion: func() uint64 { return 0 },
+			})
+			Expect(err).To(MatchError(ContainSubstring("UTF-8")))
+		}
+	})
+})
+
 // A panic in a call of net/rpc ends the process.
 var _ = Describe("An instance that gets messages with values out of range", func() {
 	It("goes on, and grants the tokens of its accounts", func() {
