--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -90,6 +90,9 @@
 	// SyncReplicas is, for each service, the number of replicas that must have received
 	// a commit before it is acknowledged.
 	SyncReplicas map[model.ServiceID]int
+	// InvalidServices are the services whose part of the configuration can't be read, so that their limits
+	// aren't known. No route leads to them.
+	InvalidServices map[model.ServiceID]bool
 	// ColdStarts say, for each service, how much its servers can take after their start.
 	ColdStarts map[model.ServiceID]ColdStart
 	// MaxIdle is the longest time between two statements of a transaction. Zero means no
@@ -159,6 +162,26 @@
 // commit before it is acknowledged.
 func (p *Plan) SyncReplicas(service model.ServiceID) int { return p.contents.SyncReplicas[service] }
 
+// Invalid reports whether the configuration of a service can't be read, so that its limits aren't known.
+func (p *Plan) Invalid(service model.ServiceID) bool { return p.contents.InvalidServices[service] }
+
+// Knows reports whether the configuration names a service and its limits are known. Servers may register
+// themselves for any other one.
+func (p *Plan) Knows(service model.ServiceID) bool {
+	if p.Invalid(service) {
+		return false
+	}
+	if _, ok := p.contents.Connections[service]; ok {
+		return true
+	}
+	for _, r := range p.contents.Routes {
+		if r.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // ColdStart returns how much the servers of a service can take after their start.
 func (p *Plan) ColdStart(service model.ServiceID) ColdStart { return p.contents.ColdStarts[service] }
 
--- a/io/lead/cluster_test.go
+++ b/io/lead/cluster_test.go
@@ -57,6 +57,8 @@
 	// points is the number of points that the monitor has reported.
 	points       int
 	syncReplicas int
+	// invalid says that the configuration of the service can't be read.
+	invalid bool
 	// appointed is the server that was appointed last, and withdrawals counts the appointments
 	// of none.
 	appointed model.ServerID
@@ -235,7 +237,7 @@
 
 // Plan, Server, ServerID and ServerKey implement view.Decoder.
 func (s *testCluster) Plan(e store.Entry) (*plan.Plan, bool, error) {
-	return plan.New(plan.Config{Version: 1, SyncReplicas: map[model.ServiceID]int{"s": s.syncReplicas}}), e.Key == "plan", nil
+	return plan.New(plan.Config{Version: 1, SyncReplicas: map[model.ServiceID]int{"s": s.syncReplicas}, InvalidServices: map[model.ServiceID]bool{"s": s.invalid}}), e.Key == "plan", nil
 }
 
 func (s *testCluster) Server(e store.Entry) (plan.Server, bool, error) {
--- a/io/lead/copies.go
+++ b/io/lead/copies.go
@@ -24,10 +24,10 @@
 )
 
 // syncReplicas returns the number of replicas that must have received a commit before it is
-// acknowledged, and false while the configuration isn't known.
+// acknowledged, and false while the configuration of the service isn't known.
 func (m *Monitor) syncReplicas() (int, bool) {
 	p := m.config.View.State().Plan
-	if p == nil {
+	if p == nil || p.Invalid(m.config.Service) {
 		return 0, false
 	}
 	return p.SyncReplicas(m.config.Service), true
--- a/io/lead/copies_test.go
+++ b/io/lead/copies_test.go
@@ -93,6 +93,17 @@
 	})
 })
 
+// Guards against a service that counts as one without synchronous replicas because its configuration can't be read.
+var _ = Describe("A promotion while the configuration of the service can't be read", func() {
+	It("waits", func() {
+		s := &testCluster{group: newGroup(0), stopped: true, bound: time.Hour, invalid: true}
+		s.monitor()
+		Eventually(s.confirmed).WithTimeout(waitTimeout).Should(BeTrue())
+		s.group.Server("p").SetDown(true)
+		Consistently(s.fences, 2500*time.Millisecond).Should(BeEmpty())
+	})
+})
+
 // Guards against promotions that wait for ever for a server whose process has ended.
 var _ = Describe("The recorded copies of a service's log", func() {
 	It("lose an ended run only once the replicas have what it may have acknowledged", func() {
