platform, io/view: an odd entry among those of the servers names no server, and is logged once

A writer that wrote such an entry again and again filled the log, with up to a mebibyte a line.

The view logs an entry that can't be decoded once until a valid one follows; this also holds for the entries of the instances themselves. What is known of the server stays for its return: its cold time, and since when it drains, which began anew before.

--- a/io/view/copies.go
+++ b/io/view/copies.go
@@ -51,7 +51,7 @@
 func (v *View) applyCopies(ctx context.Context, b *stateBuilder, service model.ServiceID, e store.Entry) {
 	var entry copiesEntry
 	if err := json.Unmarshal(e.Value, &entry); err != nil {
-		v.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot decode the copies of a service's log; what was known before stays", slog.String("service", string(service)), slog.String("error", err.Error()))
+		v.noteOdd(ctx, slog.LevelWarn, e, "cannot decode the copies of a service's log; what was known before stays", err, slog.String("service", string(service)))
 		return
 	}
 	config := promo.CopySetConfig{SyncReplicas: entry.SyncReplicas, Settled: entry.Settled}
--- a/io/view/entries.go
+++ b/io/view/entries.go
@@ -124,7 +124,7 @@
 	}
 	var entry instanceEntry
 	if err := json.Unmarshal(e.Value, &entry); err != nil {
-		v.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot decode the registration of an instance", slog.String("instance", string(id)), slog.String("error", err.Error()))
+		v.noteOdd(ctx, slog.LevelWarn, e, "cannot decode the registration of an instance", err, slog.String("instance", string(id)))
 		return
 	}
 	revision, former := writtenAt(e, entry.Era)
@@ -158,7 +158,7 @@
 	}
 	var entry rightEntry
 	if err := json.Unmarshal(e.Value, &entry); err != nil {
-		v.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot decode the holder of a right", slog.String("right", name), slog.String("error", err.Error()))
+		v.noteOdd(ctx, slog.LevelWarn, e, "cannot decode the holder of a right", err, slog.String("right", name))
 		return
 	}
 	next := Right{Instance: model.InstanceID(entry.Instance), Revision: e.Revision, Lease: e.Lease}
@@ -210,7 +210,7 @@
 func (v *View) applyAppointment(ctx context.Context, b *stateBuilder, service model.ServiceID, e store.Entry) {
 	var entry appointmentEntry
 	if err := json.Unmarshal(e.Value, &entry); err != nil {
-		v.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot decode the appointment of a primary", slog.String("service", string(service)), slog.String("error", err.Error()))
+		v.noteOdd(ctx, slog.LevelWarn, e, "cannot decode the appointment of a primary", err, slog.String("service", string(service)))
 		return
 	}
 	epoch, _ := writtenAt(e, entry.Era)
--- a/io/view/restore.go
+++ b/io/view/restore.go
@@ -53,8 +53,8 @@
 type goneServer struct {
 	report plan.Report
 	at     time.Time
-	// coldUntil is the time until which the server was cold.
-	coldUntil time.Time
+	// coldUntil is the time until which the server was cold, and drainingSince that since which it drained.
+	coldUntil, drainingSince time.Time
 }
 
 // Era returns the era of the store's history that the state belongs to.
@@ -161,7 +161,7 @@
 	if v.restore.gone == nil {
 		v.restore.gone = map[model.ServerID]goneServer{}
 	}
-	v.restore.gone[server.ID] = goneServer{server.Report, now, server.ColdUntil}
+	v.restore.gone[server.ID] = goneServer{server.Report, now, server.ColdUntil, server.DrainingSince}
 }
 
 // isOutdated reports whether the entry of a server in a restored store is older than what was known
--- a/io/view/servers.go
+++ b/io/view/servers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pomelofork/core/model"
+	"pomelofork/core/plan"
 	"pomelofork/io/clock"
 )
 
@@ -44,3 +45,12 @@
 	v.state.Store(&b.next)
 	v.config.Changed(b.next)
 }
+
+// drainingSince returns since when a server drains that wasn't known as draining: an entry that couldn't be
+// decoded, or the loss of one, doesn't begin the time anew.
+func (v *View) drainingSince(now time.Time, server plan.Server) time.Time {
+	if gone, ok := v.restore.gone[server.ID]; ok && !gone.drainingSince.IsZero() && gone.report.StartedAt.Equal(server.Report.StartedAt) {
+		return gone.drainingSince
+	}
+	return now
+}
--- a/io/view/state.go
+++ b/io/view/state.go
@@ -46,6 +46,8 @@
 	// Appointments is the count of the map of the same name. A change of an appointment also
 	// changes the servers of its service.
 	Appointments uint64
+	// Plan counts the configurations that came into force.
+	Plan uint64
 }
 
 // State is the content of the store as known at one time. It must not be changed.
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -98,6 +98,7 @@
 	lastFailure time.Time
 	restore     restore
 	feed        feed
+	odd         oddEntries
 	// lastSource is the source that answered last.
 	lastSource Source
 }
@@ -215,6 +216,7 @@
 	for _, e := range update.Entries {
 		present[e.Key] = !e.Removed
 		v.applyEntry(ctx, now, b, e)
+		v.forgetOdd(e)
 	}
 	if update.All {
 		v.removeMissing(ctx, now, b, present)
@@ -255,8 +257,11 @@
 		}
 		server, _, err := v.config.Decoder.Server(e)
 		if err != nil {
-			v.config.Log.LogAttrs(ctx, slog.LevelWarn, "cannot decode the entry of a backend server; it is not used", slog.String("server", string(id)), slog.String("error", err.Error()))
-			b.removeServer(id)
+			v.noteOdd(ctx, slog.LevelWarn, e, "cannot decode the entry of a backend server; it is not used", err, slog.String("server", string(id)))
+			if known, ok := b.next.Servers[id]; ok {
+				v.rememberGone(now, known)
+				b.removeServer(id)
+			}
 			return
 		}
 		if b.restored && v.isOutdated(b, server) {
@@ -268,7 +273,7 @@
 		if previous, ok := b.next.Servers[id]; ok && previous.Draining {
 			server.DrainingSince = previous.DrainingSince
 		} else if server.Draining {
-			server.DrainingSince = now
+			server.DrainingSince = v.drainingSince(now, server)
 		}
 		server.EvacuatedSince = b.next.Evacuations[server.Domain].Since
 		server.ColdUntil = v.coldUntil(ctx, b, server)
@@ -286,13 +291,14 @@
 	switch {
 	case !ok:
 	case err != nil:
-		v.config.Log.LogAttrs(ctx, slog.LevelError, "cannot decode the configuration; the former one stays", slog.Uint64("revision", e.Revision), slog.String("error", err.Error()))
+		v.noteOdd(ctx, slog.LevelError, e, "cannot decode the configuration; the former one stays", err)
 	case b.next.Plan != nil && next.Version() <= b.next.Plan.Version():
 		v.restore.planWritten = v.restore.planWritten || (!b.listing && next.Version() == b.next.Plan.Version())
 	default:
 		v.restore.planWritten = true
 		v.config.Log.LogAttrs(ctx, slog.LevelInfo, "configuration in force", slog.Uint64("version", next.Version()), slog.Uint64("revision", e.Revision))
 		b.next.Plan = next
+		b.next.ChangeCounts.Plan++
 	}
 }
 
@@ -320,6 +326,7 @@
 			v.endMissingEvacuation(ctx, b, domain)
 		}
 	}
+	maps.DeleteFunc(v.odd, func(key string, _ uint64) bool { return !present[key] })
 	b.next.StaleRights = maps.Clone(b.next.StaleRights)
 	maps.DeleteFunc(b.next.StaleRights, func(name string, _ uint64) bool { return !present[v.RightKey(name)] })
 }
--- a/io/view/view_test.go
+++ b/io/view/view_test.go
@@ -157,6 +157,11 @@
 		revision := t.Set("server/a", []byte("draining s"))
 		Eventually(func() uint64 { return v.State().Servers["a"].Revision }).WithTimeout(waitTimeout).Should(Equal(revision))
 		Expect(v.State().Servers["a"].DrainingSince).To(Equal(since))
+		t.Set("server/a", []byte("bad"))
+		Eventually(func() int { return len(v.State().Servers) }).WithTimeout(waitTimeout).Should(BeZero())
+		t.Set("server/a", []byte("draining s"))
+		Eventually(func() int { return len(v.State().Servers) }).WithTimeout(waitTimeout).Should(Equal(1))
+		Expect(v.State().Servers["a"].DrainingSince).To(Equal(since), "an entry that can't be decoded in between changes nothing")
 	})
 
 	It("decodes instances and rights", func() {
