--- a/io/entry/settings.go
+++ b/io/entry/settings.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// maxValueBytes bounds the session values of one session, names and contents together. An order carries all of
-	// them to the gateway, beside a statement and the shape that it executes.
+	// maxValues and maxValueBytes bound the session values of one session, by their number and by the bytes of their
+	// names and contents. An order carries all of them to the gateway, beside a statement and the shape that it
+	// executes, and the gateway compares them with those of its connections.
+	maxValues     = 1000
 	maxValueBytes = 2 << 20
 	// maxPrepared and maxShapeBytes bound the prepared statements of one session, by their number and by the bytes of
 	// their names and shapes.
@@ -27,15 +29,16 @@
 	shapeBytes int
 }
 
-// set sets a session value. It returns false, and changes nothing, if the values would be too large, or those of
-// all sessions.
+// set sets a session value. It returns false, and changes nothing, if there would be too many of them, or those of
+// all sessions would be too large.
 func (s *settings) set(v stmt.Value) bool {
 	i := slices.IndexFunc(s.values, func(other stmt.Value) bool { return other.Name == v.Name })
-	size := s.valueBytes + len(v.Name) + len(v.Content)
+	size, count := s.valueBytes+len(v.Name)+len(v.Content), len(s.values)+1
 	if i >= 0 {
 		size -= len(v.Name) + len(s.values[i].Content)
+		count--
 	}
-	if size > maxValueBytes || !s.budget.resize(size-s.valueBytes) {
+	if size > maxValueBytes || count > maxValues || !s.budget.resize(size-s.valueBytes) {
 		return false
 	}
 	s.valueBytes = size
