--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"strconv"
@@ -158,6 +159,21 @@
 		Expect(gateway.openedUnits()).To(Equal([]wire.Unit{sent}))
 	})
 
+	// Such an outcome was passed on as "not run", and such a reason without an SQLSTATE.
+	It("takes a reason and an outcome of a newer build for a lost connection and an unknown outcome", func(ctx SpecContext) {
+		gateway := &fakeGateway{run: func(context.Context, wire.Batch, wire.Sink) (wire.Result, error) {
+			return wire.Result{}, model.NewRefusal(model.RefusalConfig{Reason: 200, Outcome: 7, RetryAfter: -time.Second})
+		}}
+		client, _ := connect(gateway)
+		stream, err := client.Open(ctx, unit(model.AccessWrite))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = stream.Run(ctx, query("SELECT 1"), &countingSink{})
+		got := asRefusal(err)
+		Expect(got.Reason()).To(Equal(model.ReasonConnectionLost))
+		Expect(got.Outcome()).To(Equal(model.OutcomeUnknown))
+		Expect(got.RetryAfter()).To(BeZero())
+	})
+
 	It("uses one stream for all batches of a transaction", func(ctx SpecContext) {
 		gateway := &fakeGateway{}
 		gateway.run = func(_ context.Context, batch wire.Batch, _ wire.Sink) (wire.Result, error) {
@@ -325,6 +341,30 @@
 		Eventually(drained, 5*time.Second).Should(Receive(BeNil()))
 	})
 
+	// Such a message took its announced size in memory, without a login.
+	It("refuses a password of a gibibyte before it arrives", func(ctx SpecContext) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := link.NewServer(link.ServerConfig{
+			Listener: listener, Secret: "secret", MaxConnections: 1,
+			Now: func() time.Time { return time.Now().Add(time.Hour) },
+		})
+		DeferCleanup(server.Close)
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		startup, err := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": link.User}}).Encode(nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Write(append(startup, 'p', 0x40, 0, 0, 0, 'x'))
+		Expect(err).NotTo(HaveOccurred())
+		ended := make(chan error, 1)
+		go func() {
+			_, err := io.Copy(io.Discard, conn)
+			ended <- err
+		}()
+		Eventually(ended, 5*time.Second).Should(Receive())
+	})
+
 	It("rejects a login with a wrong secret", func(ctx SpecContext) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -8,6 +8,7 @@
 	"pomelofork/core/model"
 	"pomelofork/core/ramp"
 	"pomelofork/core/stmt"
+	"pomelofork/io/logs"
 )
 
 // dispatch rejects the queued requests that can't be served in time, starts those that can
@@ -141,6 +142,10 @@
 		r.result <- stmt.Result{Answer: stmt.Answer{Code: stmt.CodeDone}}
 		return
 	}
+	if !sc.takes(r.order) {
+		r.result <- refused(stmt.CodeTooLarge, "prepared statements of the transaction are too large", 0)
+		return
+	}
 	setup, main := sc.commands(r.order)
 	if !r.continuesTransaction() {
 		sc.usesPrimary, sc.epoch = r.order.NeedsPrimary(), r.order.Epoch
@@ -180,7 +185,7 @@
 	if err := sc.conn.Send(commands); err != nil {
 		// Closing the connection makes its reader fail too, which ends the execution.
 		p.log.LogAttrs(context.Background(), slog.LevelInfo, "sending commands to a server failed",
-			slog.String("request", sc.execution.request.order.Statement.ID), slog.String("server", string(p.server.ID)), slog.String("error", err.Error()))
+			slog.String("request", logs.Shortened(sc.execution.request.order.Statement.ID)), slog.String("server", string(p.server.ID)), slog.String("error", err.Error()))
 		closeConn(sc.conn)
 	}
 }
