--- a/io/store/restorable.go
+++ b/io/store/restorable.go
@@ -79,9 +79,13 @@
 	}
 }
 
-// entriesOf gives raw entries the revisions of an era, in place.
-func entriesOf(era uint64, entries []Entry) []Entry {
+// entriesOf gives raw entries the revisions of an era, in place. The revision of an entry is at most that of
+// the answer, so that one that is too large is taken for it.
+func entriesOf(era uint64, entries []Entry, answered uint64) []Entry {
 	for i := range entries {
+		if entries[i].Revision > maxNumber {
+			entries[i].Revision = answered
+		}
 		entries[i].Revision = Revision(era, entries[i].Revision)
 	}
 	return entries
@@ -112,7 +116,7 @@
 	case revision > maxNumber:
 		return nil, 0, fmt.Errorf("%w: revision %d is too large", ErrUnavailable, revision)
 	}
-	return entriesOf(era, entries), Revision(era, revision), nil
+	return entriesOf(era, entries, revision), Revision(era, revision), nil
 }
 
 // Changes implements Table. It returns ErrCompacted if the revision is of a former era.
@@ -128,8 +132,10 @@
 		return nil, 0, err
 	case !ok || era != sent:
 		return nil, 0, ErrCompacted
+	case revision > maxNumber:
+		return nil, 0, fmt.Errorf("%w: revision %d is too large", ErrUnavailable, revision)
 	}
-	return entriesOf(era, entries), Revision(era, revision), nil
+	return entriesOf(era, entries, revision), Revision(era, revision), nil
 }
 
 // Commit implements Table. If the store was restored while the call was under way, the change may
@@ -149,6 +155,8 @@
 		return 0, err
 	case !ok || era != sent:
 		return 0, NewUnknownError(ErrRestored)
+	case revision > maxNumber:
+		return 0, NewUnknownError(fmt.Errorf("revision %d is too large", revision))
 	}
 	return Revision(era, revision), nil
 }
--- a/io/store/restorable_test.go
+++ b/io/store/restorable_test.go
@@ -32,6 +32,14 @@
 	return nil, 1 << 41, t.era, nil
 }
 
+func (t *eraTable) Changes(_ context.Context, _ string, after uint64, _ time.Duration) ([]store.Entry, uint64, uint64, error) {
+	return []store.Entry{{Key: "k", Revision: 1 << 41}}, after, t.era, nil
+}
+
+func (t *eraTable) Commit(context.Context, store.Txn) (uint64, uint64, error) {
+	return 1 << 41, t.era, nil
+}
+
 func (t *eraTable) Renew(context.Context, store.LeaseID) (uint64, error) { return t.era, nil }
 
 var _ = Describe("A store that is restored from an older copy", func() {
@@ -127,5 +135,17 @@
 	It("reports a revision that is too large", func() {
 		_, _, err := store.NewRestorable(&eraTable{}, log).List(ctx, "")
 		Expect(err).To(MatchError(store.ErrUnavailable))
+		_, _, err = store.NewRestorable(&eraTable{}, log).Changes(ctx, "", 1<<41, time.Second)
+		Expect(err).To(HaveOccurred())
+		_, err = store.NewRestorable(&eraTable{}, log).Commit(ctx, store.Txn{})
+		Expect(store.Outcome(err)).To(Equal("unknown"))
+	})
+
+	// The bits of such a revision above the number would name another era.
+	It("takes a revision of an entry that is too large for that of the answer", func() {
+		entries, revision, err := store.NewRestorable(&eraTable{}, log).Changes(ctx, "", 7, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(revision).To(Equal(uint64(7)))
+		Expect(entries[0].Revision).To(Equal(uint64(7)))
 	})
 })
