--- a/io/relay/limit_test.go
+++ b/io/relay/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"strconv"
 	"strings"
 	"time"
 
@@ -17,7 +18,7 @@
 
 const mebibyte = 1 << 20
 
-// largeHandler answers Run with rows, and Look of the service "long" with a long error.
+// largeHandler answers Run with rows, and Look of a service that is a number with an error of that many bytes.
 type largeHandler struct {
 	handler
 	rows []string
@@ -36,8 +37,8 @@
 }
 
 func (h *largeHandler) Look(args *relay.LookRequest, result *relay.LookResponse) error {
-	if args.Service == "long" {
-		return errors.New(strings.Repeat("x\n", 10*mebibyte))
+	if size, err := strconv.Atoi(string(args.Service)); err == nil {
+		return errors.New(strings.Repeat("x\n", size/2))
 	}
 	return h.handler.Look(args, result)
 }
@@ -118,9 +119,11 @@
 	}
 
 	It("is not what becomes of a long error", func() {
-		_, err := peer.Look(clock.Now(), "long", 15*time.Second)
-		Expect(err).To(HaveOccurred())
-		Expect(err).NotTo(Or(MatchError(relay.ErrNoAnswer), MatchError(relay.ErrNotSent)))
-		Expect(len(err.Error())).To(BeNumerically("<", 2000))
+		for _, size := range []int{20 * mebibyte, mebibyte} {
+			_, err := peer.Look(clock.Now(), model.ServiceID(strconv.Itoa(size)), 15*time.Second)
+			Expect(err).To(MatchError(ContainSubstring("x\nx")))
+			Expect(err).NotTo(Or(MatchError(relay.ErrNoAnswer), MatchError(relay.ErrNotSent)))
+			Expect(len(err.Error())).To(BeNumerically("<", 2000))
+		}
 	})
 })
