core/limit: a hand-over with an amount out of range changes neither level nor burst

Callers would see: an account gets no tokens of a share for years, or more than its burst, after a peer handed the share over with a negative amount or one near the largest number. The amounts were added as they came, and the sum wrapped.

--- a/core/limit/issuer.go
+++ b/core/limit/issuer.go
@@ -71,8 +71,8 @@
 // Resume continues the bucket that a former holder handed over.
 func (i *Issuer) Resume(now time.Time, h Handover) {
 	i.fill(now)
-	i.outstanding.inherit(h.Outstanding, now.Add(withMargin(i.validity)))
-	i.level = min(i.level+h.Level, i.room())
+	i.outstanding.inherit(inRange(h.Outstanding), now.Add(withMargin(i.validity)))
+	i.level = min(i.level+inRange(h.Level), i.room())
 	i.verify()
 }
 
--- a/core/limit/issuer_test.go
+++ b/core/limit/issuer_test.go
@@ -1,6 +1,7 @@
 package limit_test
 
 import (
+	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -49,6 +50,22 @@
 		Expect(i.Level(start.Add(1200 * time.Millisecond))).To(Equal(limit.Tokens(1)))
 	})
 
+	// A negative sum of outstanding grants raised the burst, and an overflow left no tokens.
+	for name, amount := range map[string]limit.MicroTokens{"negative": math.MinInt64, "the largest": math.MaxInt64} {
+		It("keeps its burst after a hand-over of an amount that is "+name, func() {
+			for _, handover := range []limit.Handover{{Level: amount}, {Outstanding: amount}, {Level: amount, Outstanding: amount}} {
+				i := newIssuer(1, full)
+				i.Draw(start, need(5))
+				i.Resume(start, handover)
+				for at := start; at.Before(start.Add(3 * time.Second)); at = at.Add(100 * time.Millisecond) {
+					Expect(i.Level(at)).To(BeNumerically(">=", 0))
+					Expect(i.Level(at)).To(BeNumerically("<=", limit.Tokens(10)))
+				}
+				Expect(i.Level(start.Add(3 * time.Second))).To(Equal(limit.Tokens(10)))
+			}
+		})
+	}
+
 	It("accrues again as soon as tokens are reported as spent", func() {
 		i := newIssuer(1, full)
 		grant := i.Draw(start, need(10)).Grant
