io/proxy: servers of a service that the configuration doesn't name are not monitored

What operators would see: the entry of a server with a service that no configuration names had a right for it acquired, a monitor started that asked the server, and once that didn't answer, promotions called for, out of the calls that the platform accepts from all instances. Entries with many such services took as many rights, and their failure domains counted where issuers are preferred.

The wanted rights follow from the servers of services that the configuration names in its services or routes and whose limits are known, and are computed again with each configuration. A right that is held stays: nothing ends when a service is removed.

Evidence: the new spec fails without the check. The stand-in configurations of the tests in io/proxy named no services, and now do.

--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -28,7 +28,11 @@
 type planDecoder struct{}
 
 func (planDecoder) Plan(e store.Entry) (*plan.Plan, bool, error) {
-	return plan.New(plan.Config{Version: 1}), e.Key == "config", nil
+	services := map[model.ServiceID]int{}
+	for i := range 12 {
+		services[model.ServiceID(fmt.Sprint("s", i))] = 0
+	}
+	return plan.New(plan.Config{Version: 1, Connections: services}), e.Key == "config", nil
 }
 func (planDecoder) Server(store.Entry) (plan.Server, bool, error) { return plan.Server{}, false, nil }
 func (planDecoder) ServerID(string) (model.ServerID, bool)        { return "", false }
--- a/io/proxy/proxy_test.go
+++ b/io/proxy/proxy_test.go
@@ -31,7 +31,7 @@
 
 // state returns a state with instances, given by ID and failure domain.
 func state(instances map[model.InstanceID]model.Domain) *view.State {
-	s := &view.State{Instances: map[model.InstanceID]plan.Instance{}}
+	s := &view.State{Instances: map[model.InstanceID]plan.Instance{}, Plan: plan.New(plan.Config{Connections: map[model.ServiceID]int{"s": 0, "alone": 0}})}
 	for id, domain := range instances {
 		s.Instances[id] = plan.Instance{ID: id, Domain: domain, Weight: 1}
 	}
@@ -183,6 +183,23 @@
 		Expect(domains[monitorRight("alone")]).To(Equal(model.Domain("d")))
 	})
 
+	// Such an entry had its service monitored, and promotions called for.
+	It("don't concern servers of services that the configuration doesn't name", func() {
+		s := state(nil)
+		s.Servers = map[model.ServerID]plan.Server{"1": {ID: "1", Service: "other", Domain: "a", Primary: true}, "2": {ID: "2", Service: "s", Domain: "b"}}
+		n := &Node{}
+		var monitors []string
+		for _, spec := range n.wantedRights(s) {
+			Expect(spec.Domain).To(Equal(model.Domain("b")))
+			if strings.HasPrefix(spec.Name, monitorRightPrefix) {
+				monitors = append(monitors, spec.Name)
+			}
+		}
+		Expect(monitors).To(Equal([]string{monitorRight("s")}))
+		s.Plan, s.ChangeCounts.Plan = plan.New(plan.Config{Routes: map[string]plan.Route{"h": {Service: "other"}}}), 1
+		Expect(n.wantedRights(s)).To(ContainElement(HaveField("Name", monitorRight("other"))), "the next configuration names it")
+	})
+
 	for name, c := range map[string]struct {
 		evacuated, issuers []model.Domain
 		// apart is where the monitor is preferred if the loss of a domain has to be borne.
--- a/io/proxy/wanted_rights.go
+++ b/io/proxy/wanted_rights.go
@@ -14,7 +14,7 @@
 
 // wantedRights returns the rights that some instance should hold.
 func (n *Node) wantedRights(s *view.State) []right.Spec {
-	return n.rightsCache.get(s.ChangeCounts.Servers, func() []right.Spec { return findWantedRights(s, n.config.ToleratedDomains > 0) })
+	return n.rightsCache.get(s.ChangeCounts.Servers+s.ChangeCounts.Plan, func() []right.Spec { return findWantedRights(s, n.config.ToleratedDomains > 0) })
 }
 
 // findWantedRights computes the result of wantedRights. apart says that rights have to be kept apart
@@ -22,7 +22,8 @@
 func findWantedRights(s *view.State, apart bool) []right.Spec {
 	var wanted []right.Spec
 	domains := map[model.Domain]bool{}
-	for _, server := range s.Servers {
+	servers := knownServers(s)
+	for _, server := range servers {
 		domains[server.Domain] = true
 	}
 	removeEvacuated(domains, s)
@@ -40,7 +41,7 @@
 	// instance that is cut off together with the primary could not have another server
 	// promoted.
 	first := map[model.ServiceID]plan.Server{}
-	for _, server := range s.Servers {
+	for _, server := range servers {
 		chosen, ok := first[server.Service]
 		if !ok || monitoredBefore(server, chosen) {
 			first[server.Service] = server
@@ -56,6 +57,21 @@
 	return wanted
 }
 
+// knownServers returns the servers of the services that the configuration names. The entry of another one
+// would otherwise have its service monitored, and promotions called for.
+func knownServers(s *view.State) []plan.Server {
+	known, servers := map[model.ServiceID]bool{}, make([]plan.Server, 0, len(s.Servers))
+	for _, server := range s.Servers {
+		if _, ok := known[server.Service]; !ok {
+			known[server.Service] = s.Plan != nil && s.Plan.Knows(server.Service)
+		}
+		if known[server.Service] {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
 // monitorRightPrefix is the prefix of the names of the rights to monitor a primary.
 const monitorRightPrefix = "lead-"
 
