io/relay: values of a message that are out of range are not used

What callers would see: a statement of a kind that this build doesn't know ended the process when it was logged, since Kind.String indexes an array. A negative need of a draw added tokens to the account's bucket. A negative age made a peer's configuration, and with it keys, or a point of the log, newer than they are; the smallest one, or a wait of centuries, exceeds the range of times.

After decoding, a request of an unknown kind isn't run and is answered as one that couldn't be decoded; an answer with an unknown code or state counts as none, so that the statement may have run; durations, counts and priorities are brought into their ranges. A grant is at most what was asked for.

--- a/io/proxy/draw.go
+++ b/io/proxy/draw.go
@@ -138,7 +138,7 @@
 		n.peerUnresponsive.Store(true)
 		return quota.Grant{}, unresponsivePause, false
 	}
-	return quota.Grant{Tokens: response.Tokens, Delay: response.Delay, RetryAfter: response.RetryAfter}, vacantPause, response.Holds
+	return quota.Grant{Tokens: min(response.Tokens, request.Need+request.Ahead), Delay: response.Delay, RetryAfter: response.RetryAfter}, vacantPause, response.Holds
 }
 
 // drawLocally draws from this instance. It returns false if this instance doesn't hold
--- a/io/relay/codec.go
+++ b/io/relay/codec.go
@@ -132,7 +132,13 @@
 	if run, ok := m.(*RunRequest); ok {
 		c.entry = run.Order.Entry
 	}
-	return c.body.end()
+	if err := c.body.end(); err != nil {
+		return err
+	}
+	if b, ok := m.(bounded); ok {
+		return b.bound()
+	}
+	return nil
 }
 
 // Close implements rpc.ClientCodec and rpc.ServerCodec.
--- a/io/relay/fuzz_test.go
+++ b/io/relay/fuzz_test.go
@@ -5,8 +5,48 @@
 	"bytes"
 	"reflect"
 	"testing"
+	"time"
 )
 
+// use does with a message what its receivers do.
+func use(t *testing.T, m message) {
+	now := time.Now()
+	for _, at := range usedTimes(now, m) {
+		if at.After(now.Add(maxSpan)) || at.Before(now.Add(-maxSpan)) {
+			t.Fatalf("%T leads to the time %v", m, at)
+		}
+	}
+	switch m := m.(type) {
+	case *RunRequest:
+		_ = m.Order.Statement.Kind.String() + m.Order.After.String()
+	case *RunResponse:
+		_ = m.Result.Answer.Code.String() + m.Result.Answer.Point.String()
+		if m.Result.OpeningShare < 0 || m.Result.OpeningShare > 1 {
+			t.Fatalf("share of %v", m.Result.OpeningShare)
+		}
+	case *DrawRequest:
+		if m.Need < 0 || m.Ahead < 0 || m.Need+m.Ahead < 0 {
+			t.Fatalf("draw of %d and %d tokens", m.Need, m.Ahead)
+		}
+	}
+}
+
+// usedTimes returns the times that follow from the durations in a message.
+func usedTimes(now time.Time, m message) []time.Time {
+	switch m := m.(type) {
+	case *RunRequest:
+		return []time.Time{now.Add(m.Order.Target), now.Add(m.Order.Timeout)}
+	case *RunResponse:
+		return []time.Time{now.Add(m.Result.Wait), now.Add(m.Result.RetryAfter), now.Add(-m.Result.LatestAge)}
+	case *FollowResponse:
+		return []time.Time{now.Add(-m.Age)}
+	case *LookResponse:
+		return []time.Time{now.Add(-m.Age), now.Add(-m.ConfigAge)}
+	default:
+		return nil
+	}
+}
+
 // FuzzMessages decodes each type of message from random bytes in both forms. Decoding must not panic,
 // and a message that was decoded without an error must be unchanged after encoding and decoding.
 func FuzzMessages(f *testing.F) {
@@ -25,6 +65,9 @@
 				if decodeFrom(form, m, in) != nil {
 					continue
 				}
+				if b, ok := m.(bounded); ok && b.bound() == nil {
+					use(t, m)
+				}
 				first := encodeIn(form, m)
 				err := decodeFrom(form, m, first)
 				if second := encodeIn(form, m); err != nil || !bytes.Equal(first, second) {
