--- a/io/pooler/pooler_test.go
+++ b/io/pooler/pooler_test.go
@@ -43,6 +43,7 @@
 	f := &fixture{group: group.New(c)}
 	f.dialer.Dialer = group.Dialer{f.group}
 	f.pool = f.newPool("p", c.Connections)
+	DeferCleanup(func() { Expect(f.group.Violations()).To(BeEmpty()) })
 	return f
 }
 
