io/view, io/right: entries of instances with numbers out of range, and rights that name nobody

What callers would see: a registration with a permit of centuries, by another writer or a faulty build, had the monitor wait that long for the withdrawal of a primary, and one with such a lease kept rights from being used after a restore of the store. An appointment with an epoch above all others stayed for ever. A negative number of synchronous replicas in the recorded copies had a promotion need fewer answers. An entry of a right that names nobody left the former holder in the view, which went on, while its conditional writes failed, and nobody could acquire the right.

A number out of range counts like an entry that can't be decoded: what was known stays. A right whose entry names nobody is held by nobody, its holder drops it, and it can be acquired at the revision of that entry. An entry of another era than the hold is left to the restore, as before.

--- a/io/right/adopt_test.go
+++ b/io/right/adopt_test.go
@@ -44,3 +44,21 @@
 		Eventually(a.holds).WithTimeout(waitTimeout).Should(BeFalse())
 	})
 })
+
+// Another writer left an entry without a holder. Nobody could acquire the right, and its holder went on.
+var _ = Describe("A right whose entry names nobody", func() {
+	for name, value := range map[string]string{"null": "null", "no holder": "{}", "another type": `{"instance":7}`, "no text": "\xff", "empty": ""} {
+		It("is lost and acquired again: "+name, func() {
+			t := kvsim.New()
+			t.Set("config", nil)
+			t.Set("own/right/r", []byte(value))
+			a := join(t, "a")
+			onlyHolder(a)
+			odd := t.Set("own/right/r", []byte(value))
+			Eventually(func() bool {
+				e, _ := t.Get("own/right/r")
+				return e.Revision > odd && a.holds()
+			}).WithTimeout(waitTimeout).Should(BeTrue())
+		})
+	}
+})
--- a/io/right/takeover.go
+++ b/io/right/takeover.go
@@ -71,6 +71,8 @@
 		right, held := state.Rights[spec.Name]
 		if held {
 			mgr.applyHolder(ctx, now, spec, right, lease)
+		} else {
+			mgr.applyStale(ctx, spec.Name, state.StaleRights[spec.Name])
 		}
 		misplaced := held && !right.Restored && right.Instance == mgr.config.Self.ID && right.Lease != lease
 		if held && !misplaced {
@@ -163,6 +165,18 @@
 	}
 }
 
+// applyStale updates whether this instance holds a right whose entry, at a revision, names nobody: another
+// writer has overwritten it. An entry of another era than the hold says nothing about it.
+func (mgr *Manager) applyStale(ctx context.Context, name string, revision uint64) {
+	mgr.mu.Lock()
+	defer mgr.mu.Unlock()
+	if h, ok := mgr.held[name]; ok && revision > h.revision && store.Era(revision) == store.Era(h.revision) {
+		mgr.config.Log.LogAttrs(ctx, slog.LevelWarn, "right lost: its entry names nobody", slog.String("right", name), slog.Uint64("revision", revision))
+		delete(mgr.held, name)
+		mgr.reported = false
+	}
+}
+
 // expectedRevision returns the revision that the entry of a right has which this instance may
 // acquire, or zero if there is no entry. The entry of a free right may be an older copy.
 func expectedRevision(state *view.State, f freeRight) uint64 {
--- a/io/view/copies.go
+++ b/io/view/copies.go
@@ -12,6 +12,9 @@
 	"pomelofork/io/store"
 )
 
+// maxReplicas is by how many the synchronous replicas of a service may outnumber its recorded copies.
+const maxReplicas = 1000
+
 // copiesEntry is the value of the entry that names the servers which may hold acknowledged commits of
 // a service. Instances of builds before it neither write nor read it.
 type copiesEntry struct {
@@ -50,7 +53,11 @@
 // nothing was known, the set isn't settled.
 func (v *View) applyCopies(ctx context.Context, b *stateBuilder, service model.ServiceID, e store.Entry) {
 	var entry copiesEntry
-	if err := json.Unmarshal(e.Value, &entry); err != nil {
+	err := json.Unmarshal(e.Value, &entry)
+	if err == nil && (entry.SyncReplicas < 0 || entry.SyncReplicas > len(entry.Copies)+maxReplicas) {
+		err = errRange
+	}
+	if err != nil {
 		v.noteOdd(ctx, slog.LevelWarn, e, "cannot decode the copies of a service's log; what was known before stays", err, slog.String("service", string(service)))
 		return
 	}
--- a/io/view/entries.go
+++ b/io/view/entries.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"log/slog"
 	"strings"
 	"time"
@@ -55,6 +57,30 @@
 	Epoch uint64 `json:"epoch,omitempty"`
 }
 
+// Ranges of the numbers in a registration. The platform grants no lease for longer.
+const (
+	maxLife   = 10 * time.Minute
+	maxWeight = 1e6
+)
+
+// Errors of entries.
+var (
+	errNoHolder = errors.New("no instance is named")
+	errRange    = errors.New("a number is out of range")
+)
+
+// decode decodes a registration. Its lifetimes are waited for, so that one out of range is an error.
+func (i *instanceEntry) decode(value []byte) error {
+	if err := json.Unmarshal(value, i); err != nil {
+		return err
+	}
+	if i.Weight < 0 || i.Weight > maxWeight || i.BandwidthMbps < 0 || i.Level < 0 ||
+		i.LeaseMs < 0 || i.LeaseMs > maxLife.Milliseconds() || i.PermitMs < 0 || i.PermitMs > maxLife.Milliseconds() {
+		return errRange
+	}
+	return nil
+}
+
 // AppointmentKey returns the store's key of the appointment of a service's primary.
 func (v *View) AppointmentKey(service model.ServiceID) string {
 	return v.config.OwnPrefix + appointmentPart + string(service)
@@ -123,7 +149,7 @@
 		return
 	}
 	var entry instanceEntry
-	if err := json.Unmarshal(e.Value, &entry); err != nil {
+	if err := entry.decode(e.Value); err != nil {
 		v.noteOdd(ctx, slog.LevelWarn, e, "cannot decode the registration of an instance", err, slog.String("instance", string(id)))
 		return
 	}
@@ -157,8 +183,15 @@
 		return
 	}
 	var entry rightEntry
-	if err := json.Unmarshal(e.Value, &entry); err != nil {
+	err := json.Unmarshal(e.Value, &entry)
+	if err == nil && entry.Instance == "" {
+		err = errNoHolder
+	}
+	if err != nil {
+		// Nobody holds it, so that it can be acquired.
 		v.noteOdd(ctx, slog.LevelWarn, e, "cannot decode the holder of a right", err, slog.String("right", name))
+		b.removeRight(name)
+		b.setStaleRight(name, e.Revision)
 		return
 	}
 	next := Right{Instance: model.InstanceID(entry.Instance), Revision: e.Revision, Lease: e.Lease}
@@ -209,7 +242,11 @@
 // older than the known one is passed over.
 func (v *View) applyAppointment(ctx context.Context, b *stateBuilder, service model.ServiceID, e store.Entry) {
 	var entry appointmentEntry
-	if err := json.Unmarshal(e.Value, &entry); err != nil {
+	err := json.Unmarshal(e.Value, &entry)
+	if err == nil && entry.Epoch > e.Revision {
+		err = fmt.Errorf("epoch %d is later than the entry", entry.Epoch)
+	}
+	if err != nil {
 		v.noteOdd(ctx, slog.LevelWarn, e, "cannot decode the appointment of a primary", err, slog.String("service", string(service)))
 		return
 	}
--- a/io/view/view_test.go
+++ b/io/view/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"strings"
 	"sync"
@@ -178,6 +179,33 @@
 		Eventually(func() int { return len(v.State().Instances) + len(v.State().Rights) }).WithTimeout(waitTimeout).Should(BeZero())
 	})
 
+	// A lifetime that is out of range is waited for, and an epoch that is too late stays for ever.
+	It("passes over entries of instances with numbers out of range, and keeps what was known", func() {
+		t.Set(v.AppointmentKey("s"), []byte(`{"server":"p"}`))
+		t.Set(v.CopiesKey("s"), []byte(`{"copies":[{"server":"p"}],"sync_replicas":1}`))
+		t.Set(v.InstanceKey("i"), []byte(`{"address":"h:1","weight":1}`))
+		Eventually(func() int { return len(v.State().Instances) }).WithTimeout(waitTimeout).Should(Equal(1))
+		for i, odd := range []string{
+			`{"address":"h:1","permit_ms":9223372036854775807}`, `{"address":"h:1","lease_ms":-1}`, `{"address":"h:1","lease_ms":1e18}`, `{"address":"h:1","weight":1e300}`, `{"address":"h:1","weight":-1}`,
+			`{"address":"h:1","level":-1}`, strings.Repeat("[", 100_000), ``,
+		} {
+			t.Set(v.InstanceKey(model.InstanceID(fmt.Sprint("odd", i))), []byte(odd))
+			t.Set(v.InstanceKey("i"), []byte(odd))
+		}
+		for _, odd := range []string{`{"server":"q","epoch":18446744073709551615}`, `{"server":7}`, strings.Repeat("[", 100_000)} {
+			t.Set(v.AppointmentKey("s"), []byte(odd))
+		}
+		for _, odd := range []string{`{"sync_replicas":-1}`, `{"sync_replicas":9000000000000000000}`, `{"copies":7}`} {
+			t.Set(v.CopiesKey("s"), []byte(odd))
+		}
+		t.Set("config", []byte{2})
+		Eventually(version(v)).WithTimeout(waitTimeout).Should(Equal(uint64(2)))
+		Expect(v.State().Instances).To(HaveLen(1))
+		Expect(v.State().Instances["i"].Weight).To(Equal(1.0))
+		Expect(v.State().Appointments["s"].Server).To(Equal(model.ServerID("p")))
+		Expect(v.State().Copies["s"].SyncReplicas()).To(Equal(1))
+	})
+
 	// Fleets consist of two builds while they are upgraded. The texts are those that the builds write.
 	for name, c := range map[string]struct {
 		entry string
