io/entry: a write whose answer was too large is in doubt

A single write that ran, and whose answer has more rows than are passed on, was answered TOOLARGE, with which a statement is refused before it is sent. The same answer through another instance is INDOUBT (io/relay RunResponse.Limit). Both are INDOUBT now; TOOLARGE of a write means that it was not sent.

The spec "is in doubt if it is a write whose answer was too large" fails before.

--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -180,7 +180,8 @@
 	if answer.Code == stmt.CodeDone && s.writes(statement) {
 		s.recordCommit(route.Service, answer.Point)
 	}
-	if s.writes(statement) && (answer.Code == stmt.CodeConnectionLost || (answer.Code == stmt.CodeTimeout && !result.NotSent)) {
+	noAnswer := !result.NotSent && (answer.Code == stmt.CodeTimeout || answer.Code == stmt.CodeTooLarge)
+	if s.writes(statement) && (answer.Code == stmt.CodeConnectionLost || noAnswer) {
 		answer = stmt.Refuse(stmt.CodeInDoubt, stmt.StateIdle, "the write may have taken effect")
 	} else if answer.Code == stmt.CodeConnectionLost {
 		answer = stmt.Refuse(stmt.CodeAborted, stmt.StateIdle, "the read got no answer")
--- a/io/entry/size_test.go
+++ b/io/entry/size_test.go
@@ -5,6 +5,7 @@
 	. "github.com/onsi/gomega"
 
 	"pomelofork/core/plan"
+	"pomelofork/core/quota"
 	"pomelofork/core/stmt"
 	"pomelofork/io/entry"
 )
@@ -25,4 +26,14 @@
 		Expect(f.connect().send(stmt.Statement{ID: "e", Kind: stmt.KindOversized})).To(HaveField("Code", stmt.CodeTooLarge))
 		Expect(f.fleet.sent()).To(BeEmpty())
 	})
+
+	// Before, the caller was told that a write was refused which had run.
+	It("is in doubt if it is a write whose answer was too large", func() {
+		f := newFixture([]plan.Server{{ID: "p", Service: "s", Primary: true}}, func(*entry.Config, *plan.Config) {})
+		caller := f.connect()
+		f.fleet.set(quota.Grant{Tokens: 1}, stmt.Result{Answer: stmt.Answer{Code: stmt.CodeTooLarge}})
+		Expect(caller.ask("WRITE x y", stmt.KindWrite).Code).To(Equal(stmt.CodeInDoubt))
+		f.fleet.set(quota.Grant{Tokens: 1}, stmt.Result{Answer: stmt.Answer{Code: stmt.CodeTooLarge}, NotSent: true})
+		Expect(caller.ask("WRITE x z", stmt.KindWrite).Code).NotTo(Equal(stmt.CodeInDoubt))
+	})
 })
