io/right: the test of a leaving holder waits until that knows the other instance

It failed once beside load (load average 40), "the right is never free": it gave the view of the leaving instance 200 ms to show the other one.

--- a/io/right/manager_test.go
+++ b/io/right/manager_test.go
@@ -40,6 +40,7 @@
 // member is one instance with its own client of the store.
 type member struct {
 	client  *kvsim.Client
+	view    *view.View
 	manager *right.Manager
 	stop    context.CancelFunc
 }
@@ -74,7 +75,7 @@
 		OwnPrefix: "own/", Established: true, Decoder: decoder{}, Changed: func(view.State) {}, Log: log,
 		Sources: func(*view.State) []view.Source { return []view.Source{view.StoreSource{Table: client}} },
 	})
-	return &member{client, right.NewManager(ctx, right.Config{
+	return &member{client, v, right.NewManager(ctx, right.Config{
 		Table: client, View: v, Self: plan.Instance{ID: id, Domain: domain, Weight: 1}, Log: log,
 		Wanted: func(*view.State) []right.Spec { return wanted() },
 		Usable: func(inst plan.Instance) bool { return suspected == "" || inst.Domain != suspected },
@@ -150,8 +151,10 @@
 			_, ok := t.Get("own/instance/" + string(next))
 			return ok
 		}).WithTimeout(waitTimeout).Should(BeTrue())
-		// Gives the view of the leaving instance the time to show the next one as well.
-		time.Sleep(200 * time.Millisecond)
+		Eventually(func() bool {
+			_, ok := holder.view.State().Instances[next]
+			return ok
+		}).WithTimeout(waitTimeout).Should(BeTrue(), "the leaving instance knows the next one")
 		before, _ := t.Get("own/right/r")
 		holder.manager.Leave(context.Background())
 		after, ok := t.Get("own/right/r")
