io/pooler: look up a prepared statement once for each execution, and never for a queued one

An execution hashed its shape, of up to 1 MiB, three or four times, and the estimate of its commands, which is computed for each queued request whenever one may start, hashed it again and built a map of the session values. The estimate uses the comparison of values that it had on, and the bounds of the connection; the name is handed on from where it is found. What is sent is the same; the estimate may be a few commands higher where a connection is full. go test ./io/pooler passes.

--- a/io/pooler/serverconn.go
+++ b/io/pooler/serverconn.go
@@ -118,7 +118,7 @@
 // They are sent separately: if the statement were in the same write as a BEGIN that the
 // server refuses, it would run outside of a transaction.
 func (sc *serverConn) commands(order *stmt.Order) (setup, main []stmt.Command) {
-	setup = sc.syncSession(order)
+	setup, name := sc.syncSession(order)
 	if order.Begin != stmt.OpPass {
 		setup = append(setup, stmt.Command{Op: order.Begin, After: order.After})
 	} else if order.Prove {
@@ -129,8 +129,7 @@
 		pass.After = order.After
 	}
 	if order.Statement.Kind == stmt.KindExecute {
-		pass.Name, _ = sc.prepared.name(order.Prepared)
-		pass.Rest = order.Statement.Rest
+		pass.Name, pass.Rest = name, order.Statement.Rest
 	}
 	main = append(main, pass)
 	if order.Prove {
@@ -142,11 +141,10 @@
 // syncSession returns the commands that give the server's session the values of the
 // caller's session and the prepared statement that the order executes. It records their
 // effects as if they had succeeded.
-func (sc *serverConn) syncSession(order *stmt.Order) []stmt.Command {
+func (sc *serverConn) syncSession(order *stmt.Order) (out []stmt.Command, name string) {
 	if len(sc.values) == 0 && len(order.Values) == 0 && order.Statement.Kind != stmt.KindExecute {
-		return nil
+		return nil, ""
 	}
-	var out []stmt.Command
 	if sc.needsReset(order) {
 		out = append(out, stmt.Command{Op: stmt.OpReset})
 		clear(sc.values)
@@ -159,11 +157,13 @@
 		}
 	}
 	if order.Statement.Kind == stmt.KindExecute {
-		if _, ok := sc.prepared.name(order.Prepared); !ok {
-			out = append(out, stmt.Command{Op: stmt.OpPrepare, Name: sc.prepared.add(order.Prepared), Rest: order.Prepared.Shape, Writes: order.Prepared.Writes})
+		var known bool
+		if name, known = sc.prepared.name(order.Prepared); !known {
+			name = sc.prepared.add(order.Prepared)
+			out = append(out, stmt.Command{Op: stmt.OpPrepare, Name: name, Rest: order.Prepared.Shape, Writes: order.Prepared.Writes})
 		}
 	}
-	return out
+	return out, name
 }
 
 // needsReset reports whether the server's session has values that the order's session lacks, or, outside of a
@@ -172,11 +172,17 @@
 	if sc.hasOtherValues(order) {
 		return true
 	}
-	if order.Statement.Kind != stmt.KindExecute || sc.tx != (txKey{}) {
+	if !sc.crowded(order) {
 		return false
 	}
 	_, known := sc.prepared.name(order.Prepared)
-	return !known && sc.prepared.full(order.Prepared)
+	return !known
+}
+
+// crowded reports whether the session would have to be reset outside of a transaction if the server doesn't have
+// the prepared statement that the order executes.
+func (sc *serverConn) crowded(order *stmt.Order) bool {
+	return order.Statement.Kind == stmt.KindExecute && sc.tx == (txKey{}) && sc.prepared.full(order.Prepared)
 }
 
 // hasOtherValues reports whether the server's session has values that the order's session lacks.
@@ -198,14 +204,15 @@
 
 // takes reports whether the server's session may get what an order of its open transaction needs.
 func (sc *serverConn) takes(order *stmt.Order) bool {
-	if order.Statement.Kind != stmt.KindExecute || sc.tx == (txKey{}) {
+	if order.Statement.Kind != stmt.KindExecute || sc.tx == (txKey{}) || !sc.prepared.exceeded(order.Prepared) {
 		return true
 	}
 	_, known := sc.prepared.name(order.Prepared)
-	return known || !sc.prepared.exceeded(order.Prepared)
+	return known
 }
 
-// starts returns the number of commands that an order needs on the connection, or a few more.
+// starts returns the number of commands that an order needs on the connection, or a few more: it is computed
+// for each queued request, so it doesn't look up the prepared statement.
 func (sc *serverConn) starts(order *stmt.Order) int {
 	count := 1
 	if order.Begin != stmt.OpPass {
@@ -214,7 +221,7 @@
 	if order.Prove {
 		count += 2
 	}
-	if sc.needsReset(order) {
+	if sc.matchingValues(order) < 0 || sc.crowded(order) {
 		count += 1 + len(order.Values)
 	} else {
 		for _, v := range order.Values {
