io/lead: have the step-down spec wait for a promoted replica

The spec read the primary as soon as it wasn't p any more. It now waits until r1 or r2 is the primary. What it checks is unchanged: two promotions, and no promotion while the former primary writes.

--- a/io/lead/promotion_test.go
+++ b/io/lead/promotion_test.go
@@ -56,7 +56,8 @@
 	It("has a primary step down whose log has no commit of its term yet", func() {
 		s.write()
 		s.drain()
-		Eventually(s.primary).WithTimeout(waitTimeout).ShouldNot(Equal(model.ServerID("p")))
+		// Between the step-down and the promotion the group has no primary.
+		Eventually(s.primary).WithTimeout(waitTimeout).Should(BeElementOf(model.ServerID("r1"), model.ServerID("r2")))
 		former, writing := s.primary(), false
 		s.set(func(s *testCluster) {
 			s.draining = former
