core/bound: bound what instances remember of services, servers and accounts

Histories of log points, results of servers, gaps without a primary, beliefs about connections, tokens, buckets and the issuers' states were kept in maps by name for as long as the process ran. They are kept in a bound.Map now: above 1,000 keys, those unused for a minute go. All of it may be forgotten: a read asks for a point again, and a bucket that nobody drew from for a minute is full anyway. serve keeps the token caches of its accounts in the same type. /metrics shows the sizes as pomelofork_remembered and the bytes that sessions hold as pomelofork_session_bytes.

Paths that failed recently are removed once their pause is over.

--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -160,7 +160,7 @@
 		if !e.mayPlace(now, required, server, s) {
 			continue
 		}
-		stats := e.stats(id)
+		stats := e.stats(now, id)
 		if !required.Primary && e.passOver(now, stats) {
 			passedOver = earlier(passedOver, stats.passedOverUntil)
 			continue
@@ -176,7 +176,7 @@
 		})
 	}
 	if !required.Primary && !e.config.Disabled.Has(trial.UsualReplica) {
-		place.MarkUsual(a.order.Account, e.openingCost(a.route.Service, candidates), candidates)
+		place.MarkUsual(a.order.Account, e.openingCost(now, a.route.Service, candidates), candidates)
 	}
 	a.look(now, required, candidates)
 	e.mu.Unlock()
@@ -236,7 +236,7 @@
 	e := a.session.entry
 	since := a.received.Add(ageMargin - a.route.MaxAge)
 	e.mu.Lock()
-	point, ok := e.history(a.route.Service).OldestCovering(since)
+	point, ok := e.history(now, a.route.Service).OldestCovering(since)
 	e.mu.Unlock()
 	if !ok {
 		newest := e.askNewestPoint(now, a.route.Service)
--- a/io/entry/contention.go
+++ b/io/entry/contention.go
@@ -41,7 +41,7 @@
 			slog.String("server", string(server.ID)), slog.Duration("wait", result.Wait), slog.Any("waits", result.Waits))
 	}
 	if point := result.Answer.Point; !point.IsZero() && !server.Primary {
-		if covered, ok := e.history(server.Service).CoveredUntil(point); ok {
+		if covered, ok := e.history(now, server.Service).CoveredUntil(point); ok {
 			e.picker.Observe(now, server.ID, covered)
 		}
 	}
@@ -53,7 +53,7 @@
 	if e.picker == nil {
 		return
 	}
-	wanted, ok := e.history(a.route.Service).ReachedAt(required.After)
+	wanted, ok := e.history(now, a.route.Service).ReachedAt(required.After)
 	if !ok {
 		wanted = now
 	}
--- a/io/entry/draw.go
+++ b/io/entry/draw.go
@@ -20,11 +20,7 @@
 // false, refusal is the text for the caller and says when to retry.
 func (e *Entry) drawToken(now time.Time, account model.AccountID, until time.Time) (token quota.Token, refusal string, ok bool) {
 	e.mu.Lock()
-	tokens, found := e.accountTokens[account]
-	if !found {
-		tokens = &accountTokens{}
-		e.accountTokens[account] = tokens
-	}
+	tokens := e.accountTokens.Get(now, account)
 	cache := &tokens.cache
 	if token, ok := cache.Spend(now); ok {
 		e.mu.Unlock()
@@ -72,7 +68,7 @@
 func (e *Entry) returnToken(now time.Time, account model.AccountID, token quota.Token) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if tokens, ok := e.accountTokens[account]; ok && !e.config.Disabled.Has(trial.ReturnedTokens) {
+	if tokens, ok := e.accountTokens.Find(account); ok && !e.config.Disabled.Has(trial.ReturnedTokens) {
 		tokens.cache.Return(now, token)
 	}
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -17,10 +17,10 @@
 	"pomelofork/core/evac"
 	"pomelofork/core/fresh"
 	"pomelofork/core/home"
-	"pomelofork/core/keep"
 	"pomelofork/core/model"
 	"pomelofork/core/pick"
 	"pomelofork/core/trial"
+	"pomelofork/io/clock"
 	"pomelofork/io/sock"
 	"pomelofork/io/view"
 )
@@ -86,13 +86,9 @@
 	schedule                  atomic.Pointer[drain.Stop]
 	stopRefused, stopNotified atomic.Int64
 
-	mu            sync.Mutex
-	sessions      map[*session]struct{}
-	accountTokens map[model.AccountID]*accountTokens
-	histories     map[model.ServiceID]*fresh.History
-	servers       map[model.ServerID]*serverStats
-	gaps          map[model.ServiceID]*primaryGap
-	scarcities    map[model.ServiceID]*keep.Scarcity
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+	remembered
 	// vacancies are those of the last state. stateChanged is closed and replaced with each state.
 	vacancies    map[model.ServiceID]view.Vacancy
 	stateChanged chan struct{}
@@ -139,9 +135,7 @@
 // New returns an entry that serves no callers yet.
 func New(c Config) *Entry {
 	return &Entry{
-		config: c, sessions: map[*session]struct{}{}, accountTokens: map[model.AccountID]*accountTokens{},
-		histories: map[model.ServiceID]*fresh.History{}, servers: map[model.ServerID]*serverStats{},
-		gaps: map[model.ServiceID]*primaryGap{}, scarcities: map[model.ServiceID]*keep.Scarcity{}, stateChanged: make(chan struct{}),
+		config: c, sessions: map[*session]struct{}{}, remembered: newRemembered(), stateChanged: make(chan struct{}),
 		picker: newPicker(c), settings: budget{limit: c.MaxSettingsBytes},
 	}
 }
@@ -204,7 +198,7 @@
 func (e *Entry) Observe(service model.ServiceID, at time.Time, point model.Point) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.history(service).Add(at, point)
+	e.history(clock.Now(), service).Add(at, point)
 }
 
 // Latest returns the newest point known for the service, and the time before which every
@@ -212,17 +206,12 @@
 func (e *Entry) Latest(service model.ServiceID) (time.Time, model.Point, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.history(service).Newest()
+	return e.history(clock.Now(), service).Newest()
 }
 
 // history returns the known points of a service. The caller holds the lock.
-func (e *Entry) history(service model.ServiceID) *fresh.History {
-	h, ok := e.histories[service]
-	if !ok {
-		h = &fresh.History{}
-		e.histories[service] = h
-	}
-	return h
+func (e *Entry) history(now time.Time, service model.ServiceID) *fresh.History {
+	return e.histories.Get(now, service)
 }
 
 // keysUsable reports whether callers' keys may be accepted: the configuration was
--- a/io/entry/hold.go
+++ b/io/entry/hold.go
@@ -17,18 +17,15 @@
 
 // primaryGap is what the entry knows of the times without a primary of one service.
 type primaryGap struct {
+	// waiting is the number of statements in the line.
+	waiting  int
 	forecast hold.Forecast
 	line     hold.Line
 }
 
 // gap returns what is known of a service's gaps. The caller holds the lock.
-func (e *Entry) gap(service model.ServiceID) *primaryGap {
-	g, ok := e.gaps[service]
-	if !ok {
-		g = &primaryGap{}
-		e.gaps[service] = g
-	}
-	return g
+func (e *Entry) gap(now time.Time, service model.ServiceID) *primaryGap {
+	return e.gaps.Get(now, service)
 }
 
 // gapOf converts a vacancy.
@@ -45,7 +42,7 @@
 		if vacant && present == former {
 			continue
 		}
-		g := e.gap(service)
+		g := e.gap(now, service)
 		if !vacant {
 			g.line.GapEnded()
 		}
@@ -79,14 +76,16 @@
 	}
 	request := hold.Request{Received: a.received, Timeout: a.deadline().Sub(a.received), Slots: slots(servers), Instances: len(state.Instances)}
 	e.mu.Lock()
-	g := e.gap(a.route.Service)
+	g := e.gap(now, a.route.Service)
 	end := g.forecast.End(now, gapOf(vacancy))
 	var ok bool
 	if a.waits {
 		ok = g.line.Stays(end, request)
 	} else {
 		a.retryAfter, ok = g.line.Enter(now, end, request)
-		a.waits = ok
+		if a.waits = ok; ok {
+			g.waiting++
+		}
 	}
 	changed := e.stateChanged
 	e.mu.Unlock()
@@ -111,7 +110,9 @@
 	e := a.session.entry
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.gap(a.route.Service).line.Leave()
+	g := e.gap(clock.Now(), a.route.Service)
+	g.waiting--
+	g.line.Leave()
 }
 
 // slots returns the smallest number of slots of a service's servers, any of which may be the next
@@ -129,8 +130,9 @@
 // recordWork records about how long a statement used a slot of a primary: the time until its answer,
 // less the wait that the server reported with it.
 func (e *Entry) recordWork(service model.ServiceID, sent time.Time, wait time.Duration) {
-	took := clock.Now().Sub(sent) - wait
+	now := clock.Now()
+	took := now.Sub(sent) - wait
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.gap(service).line.Measure(max(took, 0))
+	e.gap(now, service).line.Measure(max(took, 0))
 }
--- a/io/entry/server_stats.go
+++ b/io/entry/server_stats.go
@@ -10,26 +10,19 @@
 )
 
 // stats returns what is known of a server. The caller holds the lock.
-func (e *Entry) stats(id model.ServerID) *serverStats {
-	s, ok := e.servers[id]
-	if !ok {
-		s = &serverStats{}
-		e.servers[id] = s
-	}
-	return s
-}
+func (e *Entry) stats(now time.Time, id model.ServerID) *serverStats { return e.servers.Get(now, id) }
 
 // runOrder runs an order and updates what is known of the server from the result.
 func (e *Entry) runOrder(now time.Time, server plan.Server, order *stmt.Order) stmt.Result {
 	e.mu.Lock()
-	e.stats(server.ID).inFlight++
+	e.stats(now, server.ID).inFlight++
 	sent := e.sent(now, server, order)
 	e.mu.Unlock()
 	result := e.config.Fleet.Run(now, server, order)
 	done := clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	stats := e.stats(server.ID)
+	stats := e.stats(done, server.ID)
 	stats.inFlight--
 	stats.wait, stats.waitAt = result.Wait, done
 	if !result.NotSent {
@@ -61,7 +54,7 @@
 		stats.laggingUntil = done.Add(laggingMemory)
 	}
 	if !result.Latest.IsZero() {
-		e.history(server.Service).Add(now.Add(-result.LatestAge), result.Latest)
+		e.history(done, server.Service).Add(now.Add(-result.LatestAge), result.Latest)
 	}
 	return result
 }
--- a/io/peer/account_cache.go
+++ b/io/peer/account_cache.go
@@ -47,6 +47,13 @@
 	noIssuerRetryAfter = 100 * time.Millisecond
 )
 
+// busy reports whether the cache has tokens or requests that wait for some.
+func (c *accountCache) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cache.Busy()
+}
+
 // deliver sends decisions to the requests that wait for them. The caller holds mu.
 func (c *accountCache) deliver(decisions []limit.Decision) {
 	for _, d := range decisions {
--- a/io/peer/account_caches.go
+++ b/io/peer/account_caches.go
@@ -5,13 +5,20 @@
 	"sync"
 	"time"
 
+	"pomelofork/core/bound"
 	"pomelofork/core/lease"
 	"pomelofork/core/limit"
 	"pomelofork/core/model"
 )
 
-// tickInterval is the time between two calls of tick.
-const tickInterval = 25 * time.Millisecond
+const (
+	// tickInterval is the time between two calls of tick.
+	tickInterval = 25 * time.Millisecond
+	// maxAccounts is the number of accounts up to which the token cache of none is dropped.
+	maxAccounts = 1000
+	// accountUnused is the time without a request of an account from which it may be.
+	accountUnused = time.Minute
+)
 
 // accountCaches draws tokens from their issuers and spends them for the callers of this
 // instance. It has one token cache for each account.
@@ -19,33 +26,28 @@
 	fleet *Fleet
 
 	mu        sync.Mutex
-	byAccount map[model.AccountID]*accountCache
+	byAccount *bound.Map[model.AccountID, *accountCache]
 	// active are the caches that may have grants or waiting requests, so that tick need not
 	// visit all of them.
 	active map[*accountCache]bool
 }
 
 func newAccountCaches(f *Fleet) *accountCaches {
-	return &accountCaches{fleet: f, byAccount: map[model.AccountID]*accountCache{}, active: map[*accountCache]bool{}}
+	return &accountCaches{fleet: f, active: map[*accountCache]bool{}, byAccount: bound.NewMap(bound.Config[model.AccountID, *accountCache]{
+		Limit: maxAccounts, Unused: accountUnused, InUse: (*accountCache).busy,
+		New: func(account model.AccountID) *accountCache {
+			cache := limit.NewTokenCache(limit.TokenCacheConfig{Validity: f.config.Timing.Lease.GrantValidity})
+			return &accountCache{account: account, waiting: map[uint64]chan limit.Decision{}, cache: cache}
+		},
+	})}
 }
 
 // forAccount returns the token cache of an account, and adds an empty one if there is
-// none. The rate is used for a new cache only.
-func (a *accountCaches) forAccount(account model.AccountID, rate limit.Rate) *accountCache {
+// none.
+func (a *accountCaches) forAccount(account model.AccountID) *accountCache {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c, ok := a.byAccount[account]
-	if !ok {
-		c = &accountCache{
-			account: account,
-			waiting: map[uint64]chan limit.Decision{},
-			cache: limit.NewTokenCache(limit.TokenCacheConfig{
-				Rate: rate, Validity: a.fleet.config.Timing.Lease.GrantValidity,
-			}),
-		}
-		a.byAccount[account] = c
-	}
-	return c
+	return a.byAccount.Get(a.fleet.config.Now(), account)
 }
 
 // send carries out draws. If this instance holds the share itself, the draw is handled at
--- a/io/peer/take.go
+++ b/io/peer/take.go
@@ -15,7 +15,7 @@
 	if !ok {
 		return model.NewRefusal(model.RefusalConfig{Reason: model.ReasonUnknownAccount})
 	}
-	c := f.caches.forAccount(account, rate)
+	c := f.caches.forAccount(account)
 	id, waiting, decision := f.caches.take(c, rate)
 	if waiting == nil {
 		return c.refusal(f.config.Now(), decision)
--- a/io/proxy/draw.go
+++ b/io/proxy/draw.go
@@ -63,10 +63,7 @@
 	}
 	d := tokenDraw{node: n, account: account, count: n.issuerCount(limits)}
 	n.mu.Lock()
-	if d.issuers = n.issuers[account]; d.issuers == nil {
-		d.issuers = &quota.IssuerStatus{}
-		n.issuers[account] = d.issuers
-	}
+	d.issuers = n.issuers.Get(now, account)
 	candidates := d.issuers.Candidates(now, d.count, n.firstIssuer(account, d.count))
 	n.mu.Unlock()
 	for _, issuer := range candidates {
@@ -188,14 +185,13 @@
 func (n *Node) issuerBucket(now time.Time, limits plan.Account, issuer int, since time.Time) *quota.Bucket {
 	perSecond, burst := n.issuerShare(limits)
 	key := issuerKey{limits.ID, issuer}
-	b, ok := n.buckets[key]
-	if !ok || !b.since.Equal(since) {
+	b := n.buckets.Get(now, key)
+	if b.quota == nil || !b.since.Equal(since) {
 		tokens := 0
 		if n.rights.Kept(accountIssuerRight(limits.ID, issuer)) && !n.config.Disabled.Has(trial.RestartTokens) {
 			tokens = n.config.AccountCap.RestartTokens(limits.PerSecond, limits.Burst)
 		}
-		b = &bucket{quota: quota.NewRestartedBucket(since, perSecond, burst, tokens), since: since}
-		n.buckets[key] = b
+		*b = bucket{quota: quota.NewRestartedBucket(since, perSecond, burst, tokens), since: since}
 	}
 	b.quota.SetLimits(now, perSecond, burst)
 	return b.quota
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"time"
 
 	"pomelofork/core/model"
@@ -95,6 +96,7 @@
 	n.config.Log.LogAttrs(context.Background(), slog.LevelInfo, "instance failed to reach a server, others are tried first", slog.String("holder", string(inst.ID)), slog.String("server", string(server)))
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	maps.DeleteFunc(n.pathRetryAt, func(_ serverPath, until time.Time) bool { return !now.Before(until) })
 	n.pathRetryAt[serverPath{inst.ID, server}] = now.Add(pathFailurePause)
 }
 
--- a/io/proxy/meter.go
+++ b/io/proxy/meter.go
@@ -55,6 +55,8 @@
 	// latency has a histogram for each route.
 	latency map[string]*hdrhistogram.Histogram
 	domains map[model.Domain]bool
+	// remembered returns what the entry remembers from one statement to the next. It is nil until there is one.
+	remembered func() (counts map[string]int, sessionBytes int64)
 }
 
 func newMeter() *meter {
@@ -80,6 +82,13 @@
 	_ = h.RecordValue(min(max(took.Microseconds(), lowestLatency), highestLatency))
 }
 
+// SetRemembered sets the function that returns what is remembered from one statement to the next.
+func (m *meter) SetRemembered(remembered func() (counts map[string]int, sessionBytes int64)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.remembered = remembered
+}
+
 // Repeated implements entry.Meter.
 func (m *meter) Repeated(code stmt.Code) {
 	m.mu.Lock()
@@ -166,7 +175,15 @@
 		}
 	}
 	lines = append(lines, fmt.Sprintf("pomelofork_cold_refusals %d\n", m.coldRefusals))
+	remembered := m.remembered
 	m.mu.Unlock()
+	if remembered != nil {
+		counts, bytes := remembered()
+		for what, n := range counts {
+			lines = append(lines, fmt.Sprintf("pomelofork_remembered{what=%q} %d\n", what, n))
+		}
+		lines = append(lines, fmt.Sprintf("pomelofork_session_bytes %d\n", bytes))
+	}
 	slices.Sort(lines)
 	for _, line := range lines {
 		if _, err := w.Write([]byte(line)); err != nil {
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sync/singleflight"
 
+	"pomelofork/core/bound"
 	"pomelofork/core/drain"
 	"pomelofork/core/home"
 	"pomelofork/core/level"
@@ -66,9 +67,9 @@
 	// holderOrder caches the results of holders.
 	holderOrder map[model.ServerID][]plan.Instance
 	monitors    map[model.ServiceID]context.CancelFunc
-	buckets     map[issuerKey]*bucket
+	buckets     *bound.Map[issuerKey, *bucket]
 	// issuers records which of an account's issuers are worth asking now.
-	issuers map[model.AccountID]*quota.IssuerStatus
+	issuers *bound.Map[model.AccountID, *quota.IssuerStatus]
 	// transactions maps the units of this entry's open transactions to the instances that
 	// run them.
 	transactions map[uint64]plan.Instance
@@ -120,6 +121,14 @@
 	directFailedAt atomic.Int64
 }
 
+const (
+	// maxAccounts is the number of accounts up to which nothing is forgotten of them.
+	maxAccounts = 1000
+	// accountUnused is the time without an operation of an account from which that may be. It is many times the
+	// window of a rate limit, so that the burst of a bucket that begins anew isn't on top of a former one.
+	accountUnused = time.Minute
+)
+
 // bucket is an issuer's token bucket, with the time since when this instance holds the
 // issuer's right.
 type bucket struct {
@@ -136,7 +145,9 @@
 	c.Decoder = c.evacuationDecoder()
 	n := &Node{
 		config: c, startedAt: clock.Now(), meter: meter, pools: map[model.ServerID]*pooler.Pool{}, peers: map[string]*relay.Peer{},
-		holderOrder: map[model.ServerID][]plan.Instance{}, monitors: map[model.ServiceID]context.CancelFunc{}, buckets: map[issuerKey]*bucket{}, issuers: map[model.AccountID]*quota.IssuerStatus{},
+		holderOrder: map[model.ServerID][]plan.Instance{}, monitors: map[model.ServiceID]context.CancelFunc{},
+		buckets:      bound.NewMap(bound.Config[issuerKey, *bucket]{Limit: maxAccounts, Unused: accountUnused, New: func(issuerKey) *bucket { return &bucket{} }}),
+		issuers:      bound.NewMap(bound.Config[model.AccountID, *quota.IssuerStatus]{Limit: maxAccounts, Unused: accountUnused, New: func(model.AccountID) *quota.IssuerStatus { return &quota.IssuerStatus{} }}),
 		transactions: map[uint64]plan.Instance{}, endedLeases: map[uint64]bool{}, pathRetryAt: map[serverPath]time.Time{}, encoded: newEncodedValues(), primaryUses: map[model.ServiceID]*primaryUse{}, appointing: map[model.ServiceID]uint64{},
 		ending: make(chan struct{}),
 	}
@@ -164,6 +175,7 @@
 		Limit: c.Limit, MaxSettingsBytes: c.MaxSettingsBytes, Contended: c.Contended, Decided: n.meter.Decision,
 	})
 	close(ready)
+	meter.SetRemembered(n.remembered)
 	n.entry.Serve(c.Callers)
 	n.serveReady()
 	go func() { every(ctx, poolTickInterval, n.tickPools) }()
@@ -174,6 +186,16 @@
 	return n, nil
 }
 
+// remembered returns what the instance remembers from one statement to the next: of how many services, servers and
+// accounts, by what that is, and the bytes of all sessions.
+func (n *Node) remembered() (counts map[string]int, sessionBytes int64) {
+	counts, sessionBytes = n.entry.Remembered()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	counts["buckets"], counts["issuers"], counts["transactions"], counts["failed_paths"] = n.buckets.Len(), n.issuers.Len(), len(n.transactions), len(n.pathRetryAt)
+	return counts, sessionBytes
+}
+
 // serveReady answers readiness checks: whether the instance is ready for new callers.
 func (n *Node) serveReady() {
 	mux := http.NewServeMux()
