--- a/core/sess/doc.go
+++ b/core/sess/doc.go
@@ -1,4 +1,5 @@
-// Package sess holds the session token, by which a session reads its own writes: for each
-// service, the last point in the service's log that the session wrote. A read at a server
-// whose log holds this point sees every write of the session.
+// Package sess holds what a session knows of its own commits, by which it reads its own writes: for each service, the
+// point in the service's log that its reads have to reach. A read at a server whose log holds this point sees every
+// write of the session. Both ways of running use it: as tokens that callers carry along, and in memory for the life of
+// a connection.
 package sess
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -69,6 +69,7 @@
 		last = e.runOrder(now, chosen, &a.order)
 		a.sent = a.sent || !last.NotSent
 		a.noteQueueRefusal(last)
+		a.forgetLost(now, chosen, last)
 		if a.primary && last.Answer.Code == stmt.CodeDone {
 			e.recordWork(a.route.Service, now, last.Wait)
 		}
@@ -231,8 +232,12 @@
 }
 
 // requiredPoint returns the point that a read's server must have reached. It returns
-// false if no known point is recent enough for the route.
+// false if no known point is recent enough for the route, or the session's own commits aren't known.
 func (a *attempts) requiredPoint(now time.Time) (model.Point, bool) {
+	own, known := a.session.ownPoint(a.route)
+	if !known {
+		return model.Point{}, false
+	}
 	e := a.session.entry
 	since := a.received.Add(ageMargin - a.route.MaxAge)
 	e.mu.Lock()
@@ -245,7 +250,7 @@
 		}
 		point = newest.point
 	}
-	if own := a.session.ownPoint; a.route.Freshness == plan.FreshSession && a.session.ownService == a.route.Service && point.Less(own) {
+	if point.Less(own) {
 		point = own
 	}
 	return point, true
--- a/io/entry/in_transaction.go
+++ b/io/entry/in_transaction.go
@@ -67,6 +67,10 @@
 		a.order.Target, a.order.Timeout = tx.route.TargetLatency, a.deadline().Sub(now)
 		result = s.entry.runOrder(now, tx.server, &a.order)
 	} else {
+		if !s.knowsOwn(tx.route) {
+			// A transaction that any server may begin isn't proved to run at the primary.
+			tx.begin = stmt.OpBegin
+		}
 		a.order.Begin = tx.begin
 		a.primary = tx.begin == stmt.OpBegin
 		a.allowsStale = !a.primary
@@ -76,6 +80,9 @@
 		result, tx.server = a.run()
 		a.returnTokenIfNotSent()
 		tx.begun = !result.NotSent
+		if tx.begin == stmt.OpBegin && result.Answer.Code == stmt.CodeDone {
+			s.learnOwn(tx.route.Service, result.Answer.Point)
+		}
 	}
 	if s.writes(statement) {
 		tx.wrote = true
@@ -98,7 +105,7 @@
 		case code == stmt.CodeDone:
 			s.entry.observeTransaction(tx)
 			if tx.wrote {
-				s.recordCommit(tx.route.Service, answer.Point)
+				s.recordCommit(clock.Now(), tx.route.Service, answer.Point)
 			}
 		case result.NotSent || code.NotRun():
 			s.rollbackDetached(tx)
--- a/io/entry/operation.go
+++ b/io/entry/operation.go
@@ -177,8 +177,12 @@
 	a.returnTokenIfNotSent()
 	answer := result.Answer
 	answer.State = stmt.StateIdle
-	if answer.Code == stmt.CodeDone && s.writes(statement) {
-		s.recordCommit(route.Service, answer.Point)
+	switch {
+	case answer.Code != stmt.CodeDone:
+	case s.writes(statement):
+		s.recordCommit(clock.Now(), route.Service, answer.Point)
+	case a.order.Prove:
+		s.learnOwn(route.Service, answer.Point)
 	}
 	noAnswer := !result.NotSent && (answer.Code == stmt.CodeTimeout || answer.Code == stmt.CodeTooLarge)
 	if s.writes(statement) && (answer.Code == stmt.CodeConnectionLost || noAnswer) {
@@ -190,14 +194,6 @@
 	return answer
 }
 
-// recordCommit records the point of one of the session's commits, which its later reads
-// of the service may have to cover.
-func (s *session) recordCommit(service model.ServiceID, point model.Point) {
-	if s.ownService != service || s.ownPoint.Less(point) {
-		s.ownService, s.ownPoint = service, point
-	}
-}
-
 // report logs and counts the answer to a statement.
 func (s *session) report(now time.Time, admitted admission, order *stmt.Order, result stmt.Result, answer stmt.Answer) {
 	statement := order.Statement
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -12,6 +12,7 @@
 	"pomelofork/core/drain"
 	"pomelofork/core/model"
 	"pomelofork/core/plan"
+	"pomelofork/core/sess"
 	"pomelofork/core/stmt"
 	"pomelofork/io/clock"
 	"pomelofork/io/logs"
@@ -38,11 +39,8 @@
 	// excess says that there are too many sessions for this one.
 	excess bool
 	settings
-	// ownPoint is the point of the session's newest commit, and ownService the service of
-	// that commit.
-	ownPoint   model.Point
-	ownService model.ServiceID
-	tx         *transaction
+	own ownCommits
+	tx  *transaction
 	// idleUntil is when the open transaction will have been idle for too long, or zero.
 	idleUntil time.Time
 
@@ -62,7 +60,7 @@
 // newSession serves a caller in the background until the caller or this instance ends
 // the session. If excess is true, the caller is refused once its opening has been read.
 func newSession(e *Entry, caller Caller, excess bool) *session {
-	s := &session{entry: e, caller: caller, excess: excess, settings: settings{budget: &e.settings}}
+	s := &session{entry: e, caller: caller, excess: excess, settings: settings{budget: &e.settings}, own: ownCommits{points: sess.NewPoints[sess.Newest]()}}
 	e.mu.Lock()
 	e.sessions[s] = struct{}{}
 	e.mu.Unlock()
@@ -81,6 +79,7 @@
 	// An error means that the caller closed the connection first.
 	_ = s.caller.Close()
 	s.release()
+	s.budget.resize(-s.own.points.Bytes())
 	s.entry.mu.Lock()
 	delete(s.entry.sessions, s)
 	s.entry.mu.Unlock()
