io/caller: use the present service and account of a route

Commits at the new service were recorded in the token of the former one, so that reads at the new one weren't covered by them and reads at the former one waited for points of another log; the statement timeout and the counts of units were those of the former service. A session without a key stayed charged to the account of the route at its login. Both are taken from the configuration at the start of each unit of work now, and those of an open transaction stay.

io/caller "a session whose route is changed by the configuration": both specs failed before.

--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -43,6 +43,8 @@
 	account   model.AccountID
 	key       conf.KeyID
 	anonymous bool
+	// service is the service of the current unit of work, or else of the last one. A new configuration may lead the
+	// route to another service for the next one.
 	service   model.ServiceID
 	route     model.RouteID
 	access    model.Access
--- a/io/caller/startup.go
+++ b/io/caller/startup.go
@@ -196,7 +196,7 @@
 	}
 }
 
-// identify sets the account and the key of the session, which don't change afterwards. From
+// identify sets the account and the key of the session. Only charge changes them afterwards. From
 // then on, reload can end the session.
 func (s *session) identify(account model.AccountID, key conf.KeyID, anonymous bool) {
 	s.mu.Lock()
@@ -204,6 +204,15 @@
 	s.account, s.key, s.anonymous = account, key, anonymous
 }
 
+// charge has an anonymous session pay for its next unit of work with the account that the route is charged to by
+// the configuration in force. That may not be the one at the login: the configuration or the session has changed.
+func (s *session) charge(route conf.Route) {
+	if charged, open := route.ChargedTo(); s.anonymous && open && charged != s.account {
+		s.identify(charged, "", true)
+		s.unit.Account = charged
+	}
+}
+
 // identified reports whether identify has been called.
 func (s *session) identified() bool {
 	s.mu.Lock()
--- a/io/caller/unit.go
+++ b/io/caller/unit.go
@@ -85,11 +85,14 @@
 // contains everything that the session ever wrote. Later reads don't change the token, so
 // that replicas can continue to serve the session.
 func (s *session) advanceToken(result wire.Result) {
-	_, known := s.tokens.Point(s.service)
-	if result.Point.IsZero() || (known && s.access == model.AccessRead) {
-		return
-	}
-	if s.tokens.Advance(s.service, result.Point) {
+	changed := false
+	switch {
+	case s.access == model.AccessRead:
+		changed = s.tokens.Learn(s.service, result.Point)
+	case !result.Point.IsZero():
+		changed = s.tokens.Advance(s.service, result.Point)
+	}
+	if changed {
 		s.backend.Send(&pgproto3.ParameterStatus{Name: parameterToken, Value: s.tokens.String()})
 	}
 }
@@ -158,6 +161,7 @@
 	if refusal != nil {
 		return wire.Unit{}, refusal
 	}
+	s.charge(route)
 	unit := wire.Unit{
 		Account: s.account, Service: route.Service(), Route: route.ID(), Access: route.Access(),
 		MaxAge: route.MaxAge(), Idempotent: route.Idempotent(),
@@ -170,6 +174,7 @@
 	if point, known := s.tokens.Point(route.Service()); known {
 		unit.Token = point.String()
 	}
+	s.service, s.unit.Service = route.Service(), route.Service()
 	s.access, s.unit.Access = route.Access(), route.Access()
 	s.server.config.Check.Hold(route.OpenToAll() || (!s.anonymous && s.key != ""), assert.InvariantAccountKey,
 		"unit on route %s without the key of account %s", unit.Route, unit.Account)
@@ -196,12 +201,17 @@
 }
 
 // batchTimeout returns the timeout of one batch: the one that the caller set, but at most
-// the statement timeout of the service. Without a configuration the unit is refused anyway.
+// the statement timeout of the service: that of the open transaction, or else the one to which the
+// route leads now. Without a configuration the unit is refused anyway.
 func (s *session) batchTimeout(config *conf.Config) time.Duration {
 	if config == nil {
 		return s.timeout
 	}
-	service, ok := config.Service(s.service)
+	id := s.service
+	if route, ok := config.Route(s.route); ok && s.stream == nil {
+		id = route.Service()
+	}
+	service, ok := config.Service(id)
 	if !ok {
 		return s.timeout
 	}
