io/entry: end a transaction whose commit is in doubt

The entry answered INDOUBT and forgot the transaction without a rollback, the only order that makes the instance forget at which other one the transaction runs: one entry more for each such commit, for as long as the process ran. If the commit still waited there, the connection stayed in the transaction. The answer is true either way, so the transaction is rolled back now. io/entry "ends a transaction whose commit is in doubt" failed before.

--- a/io/entry/in_transaction.go
+++ b/io/entry/in_transaction.go
@@ -113,6 +113,8 @@
 		case code == stmt.CodeAborted || code == stmt.CodeFailed:
 			s.rollbackDetached(tx)
 		case tx.wrote:
+			// Nothing is left of the transaction at the server. The instance in between may still remember it.
+			s.rollbackDetached(tx)
 			answer = stmt.Refuse(stmt.CodeInDoubt, stmt.StateIdle, "the commit may have taken effect")
 		default:
 			s.rollbackDetached(tx)
--- a/io/entry/moved_test.go
+++ b/io/entry/moved_test.go
@@ -147,4 +147,17 @@
 		f.do("READ x")
 		Expect(f.do("READ x").After).To(Equal(model.NewPoint(1, 2)))
 	})
+
+	// The instance in between remembered the transaction for as long as it ran.
+	It("ends a transaction whose commit is in doubt", func() {
+		f := newMovedFixture(0)
+		f.do("BEGIN; WRITE x 1")
+		f.fleet.mu.Lock()
+		f.fleet.run = func(plan.Server, *stmt.Order) stmt.Result {
+			return stmt.Result{Answer: stmt.Refuse(stmt.CodeConnectionLost, stmt.StateIdle, "lost")}
+		}
+		f.fleet.mu.Unlock()
+		Expect(f.caller.ask("COMMIT", stmt.KindCommit).Code).To(Equal(stmt.CodeInDoubt))
+		Eventually(f.fleet.sent).Should(ContainElement(HaveField("Statement.Kind", stmt.KindRollback)))
+	})
 })
