core/quota: ask an account's issuers again once its limits change

An entry remembers when each issuer of an account has its next token. That time comes from the rate in force when it was asked, and was kept when a new configuration raised the rate: after a rate of 0.01/s callers of the account were refused for up to 100 s, after a rate of zero for good, at each instance that had asked before. serve was not affected, since its issuers say at most limit.maxEmpty. core/quota "may all be asked again once the limits have changed" can't pass without SetLimits.

--- a/core/quota/issuers.go
+++ b/core/quota/issuers.go
@@ -32,8 +32,17 @@
 // asked again. With the zero value all of them may be asked. It isn't safe for concurrent
 // use.
 type IssuerStatus struct {
-	retryAt     [MaxIssuers]time.Time
-	unreachable [MaxIssuers]bool
+	perSecond, burst float64
+	retryAt          [MaxIssuers]time.Time
+	unreachable      [MaxIssuers]bool
+}
+
+// SetLimits sets the account's whole rate and burst. If they have changed, all issuers may be asked: an empty
+// issuer said when its next token accrues at the former rate. At a rate of zero that is never.
+func (s *IssuerStatus) SetLimits(perSecond, burst float64) {
+	if s.perSecond != perSecond || s.burst != burst {
+		*s = IssuerStatus{perSecond: perSecond, burst: burst}
+	}
 }
 
 // Candidates returns those of the account's count issuers that may be asked now, starting
--- a/core/quota/issuers_test.go
+++ b/core/quota/issuers_test.go
@@ -40,6 +40,18 @@
 		Expect(s.Candidates(at(second), 3, 1)).To(Equal([]int{1, 2, 0}))
 	})
 
+	// An account whose rate had been zero was refused for good after the rate was raised.
+	It("may all be asked again once the limits have changed", func() {
+		var s quota.IssuerStatus
+		s.SetLimits(0, 1)
+		empty := quota.NewBucket(start, 0, 1).Draw(start, 1, 0, second)
+		s.MarkEmpty(start, 0, empty.RetryAfter)
+		s.SetLimits(0, 1)
+		Expect(s.Candidates(at(time.Hour), 3, 0)).To(Equal([]int{1, 2}))
+		s.SetLimits(50, 10)
+		Expect(s.Candidates(at(second), 3, 0)).To(Equal([]int{0, 1, 2}))
+	})
+
 	It("are compared by NextAvailable, which returns the reachable one that has tokens first, and false if none is reachable", func() {
 		var s quota.IssuerStatus
 		s.MarkEmpty(start, 0, 3*second)
--- a/io/proxy/draw.go
+++ b/io/proxy/draw.go
@@ -64,6 +64,7 @@
 	d := tokenDraw{node: n, account: account, count: n.issuerCount(limits)}
 	n.mu.Lock()
 	d.issuers = n.issuers.Get(now, account)
+	d.issuers.SetLimits(limits.PerSecond, limits.Burst)
 	candidates := d.issuers.Candidates(now, d.count, n.firstIssuer(account, d.count))
 	n.mu.Unlock()
 	for _, issuer := range candidates {
