io/pooler, io/proxy: follow the configuration's limit of connections, and a server's service

A pool kept the limit of connections that it was created with, also if that was before a configuration was known (then a default), and opened too few or too many for as long as the server lived. It is set with each configuration now; a service that is missing from one keeps the last limit. A pool also kept its connections and the appointments that it goes by when its server's entry named another service; it is closed now, as for another address.

--- a/emul/group/server.go
+++ b/emul/group/server.go
@@ -10,6 +10,13 @@
 // OccupiedSlots returns the number of slots that statements occupy.
 func (s *Server) OccupiedSlots() int { return len(s.slots) }
 
+// Sessions returns the number of open connections.
+func (s *Server) Sessions() int {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return len(s.sessions)
+}
+
 // Registration returns the server as it registers itself in the platform's store.
 func (s *Server) Registration() plan.Server {
 	s.group.mu.Lock()
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -289,6 +289,7 @@
 	p.updateEvacuated(now)
 	p.releaseIfMoved(holder)
 	p.endTransactions(now)
+	p.trim()
 	if p.queue.Len()+p.queue.Displaced() > 0 {
 		p.shedCold(now)
 		if !p.disabled.Has(trial.SilentServers) {
--- a/io/proxy/fleet_test.go
+++ b/io/proxy/fleet_test.go
@@ -128,6 +128,17 @@
 	})
 })
 
+// Such a pool ran the statements of one service over connections to another, under the appointments of that.
+var _ = Describe("The connections to a server that registers for another service", func() {
+	It("are closed", func() {
+		server := plan.Server{ID: "s1", Service: "s", Address: "a"}
+		n := &Node{holderOrder: map[model.ServerID][]plan.Instance{}, pools: map[model.ServerID]*pooler.Pool{"s1": pooler.NewPool(pooler.Config{Server: server})}}
+		server.Service = "t"
+		Expect(n.updatePools(&view.State{Servers: map[model.ServerID]plan.Server{"s1": server}})).To(HaveLen(1))
+		Expect(n.pools).To(BeEmpty())
+	})
+})
+
 var _ = Describe("An order for a primary at an instance without a valid registration", func() {
 	It("is left to the next instance in the order of holders", func() {
 		n, orders := newNodeWithGateways(2)
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -236,6 +236,11 @@
 	for _, pool := range closing {
 		pool.Close()
 	}
+	if applied.Plan != s.ChangeCounts.Plan {
+		for _, pool := range n.openPools() {
+			pool.SetConnections(s.Plan.Connections(pool.Server().Service))
+		}
+	}
 	if applied.Servers != s.ChangeCounts.Servers {
 		n.meter.SetEvacuated(len(s.Evacuations))
 		n.entry.StateChanged(clock.Now(), s)
@@ -249,12 +254,14 @@
 }
 
 // updatePools passes the changed entries of servers to their pools. It returns the pools
-// to close, whose server was removed or has another address. The caller holds the lock.
+// to close, whose server was removed or has another address or service. The caller holds the lock.
 func (n *Node) updatePools(s *view.State) []*pooler.Pool {
 	var closing []*pooler.Pool
 	for id, pool := range n.pools {
 		server, ok := s.Servers[id]
-		if !ok || server.Address != pool.Server().Address {
+		// The connections of a pool were opened for one service, and its work is permitted by the appointments of
+		// that service.
+		if former := pool.Server(); !ok || server.Address != former.Address || server.Service != former.Service {
 			closing = append(closing, pool)
 			delete(n.pools, id)
 			delete(n.holderOrder, id)
