--- a/io/caller/moved_test.go
+++ b/io/caller/moved_test.go
@@ -17,8 +17,8 @@
 	var ts *testServer
 	BeforeEach(func() { ts = newTestServer() })
 
-	// lead has a route lead to a service, and charges the public one to an account.
-	lead := func(route model.RouteID, service model.ServiceID, charged model.AccountID) {
+	// setRoute has a route lead to a service, and charges the public one to an account.
+	setRoute := func(route model.RouteID, service model.ServiceID, charged model.AccountID) {
 		ts.directory.set(testDocument(func(d *conf.Document) {
 			orders := d.Services[0]
 			orders.ID, orders.StatementTimeoutMs = "orders", 60_000
@@ -39,7 +39,7 @@
 	It("records its commits for the service where they were made", func() {
 		conn := ts.connectAnn(map[string]string{"token": "new", "route": "post"})
 		write := func(service model.ServiceID, pos model.Position) {
-			lead("post", service, "bob")
+			setRoute("post", service, "bob")
 			ts.gateway.point = model.NewPoint(2, pos)
 			_, err := conn.Exec(context.Background(), "UPDATE x", pgx.QueryExecModeSimpleProtocol)
 			Expect(err).NotTo(HaveOccurred())
@@ -50,7 +50,7 @@
 		write("stock", 8)
 		Expect(conn.PgConn().ParameterStatus("pomelofork.token")).To(Equal("*=0/0,orders=2/900,stock=2/8"))
 		Expect(ts.gateway.last().Token).To(Equal("2/7"))
-		lead("aged", "orders", "bob")
+		setRoute("aged", "orders", "bob")
 		_, err := conn.Exec(context.Background(), "SET pomelofork.route = 'aged'", pgx.QueryExecModeSimpleProtocol)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(query(conn, "SELECT 1")).To(Equal("SELECT 1"))
@@ -63,7 +63,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = conn.Close(context.Background()) }()
 		for _, account := range []model.AccountID{"bob", "ann", "bob"} {
-			lead("public", "stock", account)
+			setRoute("public", "stock", account)
 			Expect(query(conn, "SELECT 1")).To(Equal("SELECT 1"))
 			Expect(ts.gateway.last().Account).To(Equal(account))
 		}
--- a/io/entry/moved_test.go
+++ b/io/entry/moved_test.go
@@ -36,14 +36,14 @@
 		}
 		return done(f.positions[server.Service])
 	}
-	f.lead("s", plan.FreshSession)
+	f.setRoute("s", plan.FreshSession)
 	f.caller = f.connect()
 	Expect(f.caller.send(stmt.Statement{Kind: stmt.KindPrepare, Name: "w", Rest: "q", Writes: true}).Code).To(Equal(stmt.CodeDone))
 	return f
 }
 
-// lead has the route lead to a service from the next transaction on. Without a service there is no route.
-func (f *movedFixture) lead(service model.ServiceID, freshness plan.Freshness) {
+// setRoute has the route lead to a service from the next transaction on. Without a service there is no route.
+func (f *movedFixture) setRoute(service model.ServiceID, freshness plan.Freshness) {
 	routes := map[string]plan.Route{"db": {Name: "route", Service: service, Timeout: time.Second, TargetLatency: 200 * time.Millisecond, MaxAge: time.Hour, Freshness: freshness}}
 	if service == "" {
 		routes = nil
@@ -85,13 +85,13 @@
 		It("reads its own commits at each service: "+name, func() {
 			f := newMovedFixture(0)
 			for range 3 {
-				f.lead("s", plan.FreshSession)
+				f.setRoute("s", plan.FreshSession)
 				f.do(c.write)
 				own := f.positions["s"]
-				f.lead("t", c.kind)
+				f.setRoute("t", c.kind)
 				f.do(c.between)
-				f.lead("", 0)
-				f.lead("s", plan.FreshSession)
+				f.setRoute("", 0)
+				f.setRoute("s", plan.FreshSession)
 				order := f.do(c.read)
 				Expect(order.After).To(Equal(model.NewPoint(1, own)))
 				Expect(string(order.Server)).To(HavePrefix("s-"))
@@ -102,10 +102,10 @@
 	It("counts a commit for the service where its transaction began", func() {
 		f := newMovedFixture(0)
 		f.do("BEGIN; WRITE x 1")
-		f.lead("t", plan.FreshSession)
+		f.setRoute("t", plan.FreshSession)
 		f.do("COMMIT")
 		Expect(f.do("READ x").After).To(Equal(model.NewPoint(1, 1)))
-		f.lead("s", plan.FreshSession)
+		f.setRoute("s", plan.FreshSession)
 		Expect(f.do("READ x").After).To(Equal(model.NewPoint(1, f.positions["s"])))
 	})
 
@@ -121,7 +121,7 @@
 		It("reads at the primary once if there is no room for the point of its commit: "+name, func() {
 			f := newMovedFixture(60)
 			f.do("WRITE x 1")
-			f.lead("t", plan.FreshSession)
+			f.setRoute("t", plan.FreshSession)
 			f.do("WRITE x 2")
 			order := f.do(c.read)
 			Expect(order.Server).To(BeEquivalentTo("t-p"))
--- a/io/entry/own_commits.go
+++ b/io/entry/own_commits.go
@@ -66,7 +66,7 @@
 // the service started anew without it. Reads would wait for its end in vain.
 func (a *attempts) forgetLost(now time.Time, server plan.Server, result stmt.Result) {
 	own, known := a.session.ownPoint(a.route)
-	if !known || !server.Primary || result.Answer.Code != stmt.CodeLagging || a.order.After != own {
+	if !known || own.IsZero() || !server.Primary || result.Answer.Code != stmt.CodeLagging || a.order.After != own {
 		return
 	}
 	newest := a.session.entry.askNewestPoint(now, a.route.Service)
