--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -189,6 +189,9 @@
 	if err := sc.conn.SetDeadline(time.Time{}); err != nil && !sc.closed {
 		p.discard(sc)
 	}
+	if order.Begin != stmt.OpPass && sc.tx != (txKey{}) && e.setupError == nil && e.answer.Code.NotRun() {
+		p.abandon(now, sc, order)
+	}
 	p.respond(now, e.request, result)
 	p.dispatch(now)
 }
@@ -205,10 +208,10 @@
 
 // endTransaction makes the connection available outside of its transaction.
 func (p *Pool) endTransaction(sc *serverConn) {
-	if sc.tx != (txKey{}) {
+	if p.transactions[sc.tx] == sc {
 		delete(p.transactions, sc.tx)
-		sc.tx = txKey{}
 	}
+	sc.tx = txKey{}
 }
 
 // handleClosed handles an error of receiving, which ends the connection. A statement
--- a/io/pooler/contended.go
+++ b/io/pooler/contended.go
@@ -114,10 +114,10 @@
 		}
 		waiting[r.order.Account]--
 		r.item = item
-		if !r.continuesTransaction() && !p.mayUse(now, r.order) {
+		if refusal, ok := p.refuseStart(now, r); ok {
 			// The account isn't charged for a statement that wasn't sent.
 			p.queue.Ended(item, 0)
-			r.result <- refused(stmt.CodeReadOnly, withdrawnText, 0)
+			r.result <- refusal
 			continue
 		}
 		p.start(now, sc, r)
--- a/io/pooler/dispatch.go
+++ b/io/pooler/dispatch.go
@@ -29,8 +29,8 @@
 		if !ok {
 			break
 		}
-		if r := item.Value; !r.continuesTransaction() && !p.mayUse(now, r.order) {
-			r.result <- refused(stmt.CodeReadOnly, withdrawnText, 0)
+		if refusal, ok := p.refuseStart(now, item.Value); ok {
+			item.Value.result <- refusal
 			continue
 		}
 		p.start(now, p.connFor(item.Value), item.Value)
--- a/io/pooler/limit.go
+++ b/io/pooler/limit.go
@@ -1,16 +1,21 @@
 package pooler
 
-import "pomelofork/core/keep"
+import (
+	"time"
 
-// SetConnections sets the number of connections that the server accepts, from the configuration in force. Zero means
-// that the configuration doesn't say: the last known number holds then, since the service may only be missing for a
-// moment. Idle connections above the limit are closed at once, others by Tick.
-func (p *Pool) SetConnections(connections int) {
-	if connections <= 0 {
-		return
-	}
+	"pomelofork/core/keep"
+)
+
+// SetLimits sets the number of connections that the server accepts, and the longest time between two statements of a
+// transaction, from the configuration in force. Zero connections mean that it doesn't say: the last known number holds
+// then, since the service may only be missing for a moment. Idle connections above the limit are closed at once, others
+// by Tick.
+func (p *Pool) SetLimits(connections int, maxIdle time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.maxIdle = maxIdle; connections <= 0 {
+		return
+	}
 	p.limit = keep.Usable(connections)
 	p.trim()
 }
--- a/io/pooler/limit_test.go
+++ b/io/pooler/limit_test.go
@@ -33,7 +33,7 @@
 				}
 			}
 			use("before")
-			f.pool.SetConnections(c.changed)
+			f.pool.SetLimits(c.changed, 0)
 			use("after")
 			f.pool.Tick(clock.Now(), true)
 			Eventually(f.group.Server("p").Sessions).WithTimeout(5 * time.Second).Should(Equal(c.want))
--- a/io/pooler/pool.go
+++ b/io/pooler/pool.go
@@ -73,6 +73,8 @@
 	mu sync.Mutex
 	// limit is the maximum number of open and opening connections.
 	limit int
+	// maxIdle is the longest time between two statements of a transaction. Zero means no limit.
+	maxIdle time.Duration
 	// observedLimit is a lower limit that holds until observedLimitUntil: the number of
 	// connections that the pool had when the server refused another one.
 	observedLimit      int
@@ -165,8 +167,12 @@
 
 // Run queues an order, runs it and returns its result. It returns by the order's timeout,
 // unless the statement has been sent: then the deadline of the connection ends the wait.
-func (p *Pool) Run(now time.Time, order *stmt.Order) stmt.Result {
-	r := &request{order: order, received: now, result: make(chan stmt.Result, 1)}
+func (p *Pool) Run(now time.Time, order *stmt.Order) stmt.Result { return p.RunFor(now, order, nil) }
+
+// RunFor does the same for an order of another instance. The order isn't begun any more once gone is closed, which has
+// to be before RollBackEntry is called.
+func (p *Pool) RunFor(now time.Time, order *stmt.Order, gone <-chan struct{}) stmt.Result {
+	r := &request{order: order, received: now, gone: gone, result: make(chan stmt.Result, 1)}
 	if order.Unit != 0 {
 		r.key = txKey{order.Entry, order.Unit}
 	}
@@ -180,6 +186,7 @@
 	case result := <-r.result:
 		return result
 	case <-timer.C:
+	case <-gone:
 	}
 	queued := false
 	p.mu.Lock()
@@ -188,7 +195,10 @@
 		return other == r
 	})
 	p.mu.Unlock()
-	if queued {
+	switch {
+	case queued && r.ownerGone():
+		return refused(stmt.CodeAborted, ownerGoneText, 0)
+	case queued:
 		return refused(stmt.CodeBusy, "no free slot in time", 0)
 	}
 	// The statement has been sent or answered. The deadline of its connection ends the wait.
@@ -210,7 +220,13 @@
 	case p.closed:
 		r.result <- refused(stmt.CodeMoved, "server is gone", 0)
 		return
+	case r.ownerGone():
+		r.result <- refused(stmt.CodeAborted, ownerGoneText, 0)
+		return
 	case inTransaction && p.transactions[r.key] == nil:
+		if r.order.Statement.Kind == stmt.KindRollback {
+			p.cancelQueued(r.key)
+		}
 		r.result <- refused(stmt.CodeAborted, "transaction is gone", 0)
 		return
 	case p.refuseStopping(now, r):
@@ -289,6 +305,7 @@
 	p.updateEvacuated(now)
 	p.releaseIfMoved(holder)
 	p.endTransactions(now)
+	p.endUnowned(now)
 	p.trim()
 	if p.queue.Len()+p.queue.Displaced() > 0 {
 		p.shedCold(now)
--- a/io/pooler/request.go
+++ b/io/pooler/request.go
@@ -15,6 +15,9 @@
 	// received is when the request came to the pool.
 	received time.Time
 	deadline time.Time
+	// gone is closed when the entry that sent the order can't receive the answer any more. It is nil for orders of
+	// this instance.
+	gone <-chan struct{}
 	// item is the request as the queue returned it, when it starts.
 	item wait.Item[*request]
 	// result has room for the one result that is sent.
--- a/io/proxy/fleet.go
+++ b/io/proxy/fleet.go
@@ -153,8 +153,13 @@
 	return stmt.Result{Answer: stmt.Refuse(stmt.CodeTooLarge, stmt.StateIdle, "statement and values of its session are too large to be passed on"), NotSent: true}
 }
 
-// runLocally runs an order through this instance's connections to the server.
+// runLocally runs an order of this instance through its connections to the server.
 func (n *Node) runLocally(now time.Time, order *stmt.Order) stmt.Result {
+	return n.runFor(now, order, nil)
+}
+
+// runFor does the same for an order of any instance. gone is closed when that can't get the answer any more.
+func (n *Node) runFor(now time.Time, order *stmt.Order, gone <-chan struct{}) stmt.Result {
 	pool := n.pool(order.Server)
 	if pool == nil {
 		return stmt.Result{Answer: stmt.Refuse(stmt.CodeMoved, stmt.StateIdle, "server not known"), NotSent: true}
@@ -169,7 +174,7 @@
 	if n.passesTransactionOn(now, order, pool.Server()) {
 		return stmt.Result{Answer: stmt.Refuse(stmt.CodeConnectionLost, stmt.StateIdle, "instance is shutting down"), NotSent: true}
 	}
-	return pool.Run(now, order)
+	return pool.RunFor(now, order, gone)
 }
 
 const (
@@ -216,7 +221,7 @@
 		result.Result = refuseAway()
 		return nil
 	}
-	result.Result = h.node.runLocally(clock.Now(), &args.Order)
+	result.Result = h.node.runFor(clock.Now(), &args.Order, args.Gone())
 	result.Limit(&args.Order)
 	return nil
 }
--- a/io/proxy/node.go
+++ b/io/proxy/node.go
@@ -238,7 +238,7 @@
 	}
 	if applied.Plan != s.ChangeCounts.Plan {
 		for _, pool := range n.openPools() {
-			pool.SetConnections(s.Plan.Connections(pool.Server().Service))
+			pool.SetLimits(s.Plan.Connections(pool.Server().Service), s.Plan.MaxIdle())
 		}
 	}
 	if applied.Servers != s.ChangeCounts.Servers {
@@ -308,6 +308,9 @@
 		Contended: n.config.Contended, Weight: n.accountRate, Count: n.meter.Queue,
 		Claim: n.coldClaim(clock.Now(), state, server), UsedUntil: n.cold.usedUntil[id], ColdRefused: n.meter.ColdRefused,
 	})
+	if state.Plan != nil {
+		pool.SetLimits(connections, state.Plan.MaxIdle())
+	}
 	if n.schedule.Active() {
 		pool.Stop(n.schedule)
 	}
--- a/io/relay/codec.go
+++ b/io/relay/codec.go
@@ -52,6 +52,8 @@
 	// last call, and that call may be waiting for a transaction of the entry to be rolled
 	// back.
 	disconnected func(entry uint64)
+	// gone is closed when the connection ends, before disconnected is called. Only the server uses it.
+	gone chan struct{}
 	// undecoded is called with the method of each request that can't be decoded. Only the server uses it.
 	undecoded func(method string, err error)
 	// method is that of the request that was read last.
@@ -148,7 +150,7 @@
 	}
 	m.fields(&c.body)
 	if run, ok := m.(*RunRequest); ok {
-		c.entry = run.Order.Entry
+		c.entry, run.gone = run.Order.Entry, c.gone
 	}
 	if err := c.body.end(); err != nil {
 		return err
@@ -205,6 +207,7 @@
 	r.Seq, r.ServiceMethod = h.seq, h.method
 	c.method = h.method
 	if err != nil && c.entry != 0 {
+		close(c.gone)
 		c.disconnected(c.entry)
 		c.entry = 0
 	}
--- a/io/relay/message.go
+++ b/io/relay/message.go
@@ -22,8 +22,14 @@
 	Order stmt.Order
 	// sent says that the order may have reached the peer. It isn't encoded.
 	sent bool
+	// gone is closed when the connection ends on which the order arrived. It isn't encoded.
+	gone <-chan struct{}
 }
 
+// Gone returns a channel that is closed when the sender of a received order can't get the answer any more. That is
+// before ServerConfig.Disconnected is called.
+func (m *RunRequest) Gone() <-chan struct{} { return m.gone }
+
 // RunResponse is the result of Run.
 type RunResponse struct {
 	// Result is the order's result.
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -94,7 +94,7 @@
 		return
 	}
 	codec := newCodec(conn, in, peer.form)
-	codec.disconnected, codec.answering = c.Disconnected, c.Answering
+	codec.disconnected, codec.answering, codec.gone = c.Disconnected, c.Answering, make(chan struct{})
 	logged := false
 	codec.undecoded = func(method string, err error) {
 		if c.count(rejectedRequest); !logged {
