io/pooler: a queued statement shows that its transaction has an owner

From reading the diff: a transaction whose next statement waits in the queue counted as idle, so that a pause just below tx_idle_ms and a wait of some seconds together could have closed it.

--- a/io/pooler/owner.go
+++ b/io/pooler/owner.go
@@ -53,6 +53,13 @@
 	})
 }
 
+// hasQueued reports whether a request of a transaction is queued.
+func (p *Pool) hasQueued(key txKey) bool {
+	found := false
+	p.queue.Each(func(r *request) { found = found || r.key == key })
+	return found
+}
+
 // abandon rolls back the transaction that was begun for a statement which the server then didn't run. The entry repeats
 // the statement with another begin, maybe at another server, and doesn't end this one.
 func (p *Pool) abandon(now time.Time, sc *serverConn, order *stmt.Order) {
@@ -64,13 +71,13 @@
 }
 
 // endUnowned closes the connections whose transactions have been idle for so long that their entries must have ended
-// them, and logs each.
+// them, and logs each. A statement that waits in the queue shows that there is an owner.
 func (p *Pool) endUnowned(now time.Time) {
 	if p.maxIdle <= 0 {
 		return
 	}
 	for _, sc := range slices.Collect(maps.Values(p.transactions)) {
-		if sc.execution != nil || now.Sub(sc.idleFrom) <= p.maxIdle+unownedSlack {
+		if sc.execution != nil || now.Sub(sc.idleFrom) <= p.maxIdle+unownedSlack || p.hasQueued(sc.tx) {
 			continue
 		}
 		p.log.LogAttrs(context.Background(), slog.LevelWarn, "transaction without an owner, closing its connection", slog.String("server", string(p.server.ID)),
