io/entry, io/pooler: drop two copies of what the package already had

From reading the whole change once more; behaviour stays. knowsOwn was the second result of ownPoint. discard refused the queued requests of a transaction by the same loop as cancelQueued, which it calls now.

--- a/io/entry/in_transaction.go
+++ b/io/entry/in_transaction.go
@@ -67,7 +67,7 @@
 		a.order.Target, a.order.Timeout = tx.route.TargetLatency, a.deadline().Sub(now)
 		result = s.entry.runOrder(now, tx.server, &a.order)
 	} else {
-		if !s.knowsOwn(tx.route) {
+		if _, known := s.ownPoint(tx.route); !known {
 			// A transaction that any server may begin isn't proved to run at the primary.
 			tx.begin = stmt.OpBegin
 		}
--- a/io/entry/own_commits.go
+++ b/io/entry/own_commits.go
@@ -46,12 +46,6 @@
 	}
 }
 
-// knowsOwn reports whether the session knows which of its commits a read on the route has to see.
-func (s *session) knowsOwn(route plan.Route) bool {
-	_, known := s.own.points.Point(route.Service)
-	return known || route.Freshness != plan.FreshSession
-}
-
 // ownPoint returns the point of the session's own commits that a read on the route has to see. It returns 0/0 on
 // routes of other types, and false if the point isn't known.
 func (s *session) ownPoint(route plan.Route) (model.Point, bool) {
--- a/io/pooler/connevents.go
+++ b/io/pooler/connevents.go
@@ -245,13 +245,7 @@
 func (p *Pool) discard(sc *serverConn) {
 	if key := sc.tx; key != (txKey{}) {
 		p.endTransaction(sc)
-		p.queue.Remove(func(r *request) bool {
-			if r.key != key {
-				return false
-			}
-			r.result <- refused(stmt.CodeAborted, "transaction is gone", 0)
-			return true
-		})
+		p.cancelQueued(key)
 	}
 	delete(p.conns, sc)
 	sc.closed = true
--- a/io/pooler/owner.go
+++ b/io/pooler/owner.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// cancelQueued refuses the queued requests of a transaction that its entry has ended.
+// cancelQueued refuses the queued requests of a transaction that has ended.
 func (p *Pool) cancelQueued(key txKey) {
 	p.queue.Remove(func(r *request) bool {
 		if r.key != key {
